Quick failures no longer draw jobs: a fading share of failed shots sets a server aside

Errors now count against standing and never as pace. The same should hold against a server that refuses or resets connections; it could hurt where all servers err at times, which the half-of-the-fleet limit on silent ones does not cover yet.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,10 +70,10 @@
 	limit    float64 // units that may be out
 	took     float64 // fading sums of time and units over its answers
 	did      float64
-	heard    int64 // its last sign of life
-	strikes  int   // connections failed in a row
-	probes   int   // probes answered in a row
-	next     int64 // when it is probed or tried next
+	heard    int64   // its last sign of life
+	bad      float64 // the fading share of its shots that came to nothing
+	probes   int     // probes answered in a row
+	next     int64   // when it is probed or tried next
 	rest     int64
 	credit   float64 // its claim on the next turn
 }
@@ -138,18 +138,21 @@
 	did      float64
 	beat     int64
 	spare    float64 // second shots in hand
+	mild     bool    // some track's jobs may run again
 }
 
 const (
-	patience  = 2  // a job waits for the counter for this part of the counter's own time-out
-	breakAt   = 4  // unanswered calls in a row that open the breaker
-	beats     = 20 // looks at the servers in one agreed time
-	fade      = 40 // answers after which an old one has lost most of its weight
-	late      = 12 // a late answer takes off so many times what a prompt one adds to a server's limit
-	grow      = 8  // prompt answers that raise a limit by their own size
-	paceMost  = 3  // a server's weight may be so many times the mean or so small a part of it
-	asideMost = 2  // at most this part of the servers is set aside as silent
-	spareMost = 10 // one second shot for so many first ones
+	patience  = 2    // a job waits for the counter for this part of the counter's own time-out
+	breakAt   = 4    // unanswered calls in a row that open the breaker
+	beats     = 20   // looks at the servers in one agreed time
+	fade      = 40   // answers after which an old one has lost most of its weight
+	late      = 12   // a late answer takes off so many times what a prompt one adds to a server's limit
+	grow      = 8    // prompt answers that raise a limit by their own size
+	paceMost  = 3    // a server's weight may be so many times the mean or so small a part of it
+	badStep   = 0.25 // the weight of the latest shot in the share that came to nothing
+	badMost   = 0.55 // a larger share sets a server aside: three in a row
+	asideMost = 2    // at most this part of the servers is set aside as silent
+	spareMost = 10   // one second shot for so many first ones
 )
 
 func seconds(ns int64) float64 { return float64(ns) / 1e9 }
@@ -164,6 +167,7 @@
 	agreed := int64(math.MaxInt64)
 	for _, t := range set.Tracks {
 		agreed = min(agreed, t.Agreed)
+		l.mild = l.mild || t.Effect != Binding
 	}
 	l.beat = max(agreed/beats, set.Granularity)
 	deeds.Wake(now+l.beat, 0)
@@ -393,7 +397,7 @@
 	if s.hint > 0 {
 		pace *= s.hint
 	}
-	return pace * l.warmth(now, s)
+	return pace * l.warmth(now, s) * (1 - s.bad)
 }
 
 // usable tells whether a server may get this job at all.
@@ -401,6 +405,9 @@
 	if s.listing != Ready || s.standing == aside || s.standing == trial && len(s.shots) > 0 {
 		return false
 	}
+	if s.standing == trial && j.track.Effect == Binding && l.mild {
+		return false // a trial is for jobs that may run again, where there are any
+	}
 	for _, sh := range j.shots {
 		if sh.server == s {
 			return false
@@ -553,9 +560,9 @@
 	}
 	s.out = max(0, s.out-u)
 	switch r.Outcome {
-	case Done, Broke:
-		s.heard, s.strikes = now, 0
-		if s.standing != fit {
+	case Done:
+		s.heard, s.bad = now, s.bad*(1-badStep)
+		if s.standing == aside || s.standing == trial && s.bad < badMost/2 {
 			l.log("server %s answers again", s.id)
 			s.standing, s.rest = fit, 0
 		}
@@ -568,11 +575,12 @@
 			s.limit += u / grow
 		}
 	case Full:
-		s.heard, s.strikes = now, 0
+		s.heard = now
 		s.limit = math.Min(s.limit, s.out)
-	case Unconnected, Reset:
-		if s.strikes++; s.strikes >= 2 {
-			l.setAside(now, s, "refuses")
+	case Broke, Unconnected, Reset:
+		// A server that fails is quick at it: its answers say nothing of its pace, or it would draw all jobs.
+		if s.bad += badStep * (1 - s.bad); s.bad > badMost {
+			l.setAside(now, s, "fails")
 		}
 	}
 	s.limit = max(s.limit, l.set.MostUnits)
@@ -639,7 +647,7 @@
 
 // comeBack lets a server that was set aside have one job at a time; the process may be a new one, so as cold.
 func (l *Limiter) comeBack(now int64, s *server) {
-	s.standing, s.strikes, s.heard = trial, 0, now
+	s.standing, s.heard = trial, now
 }
 
 // Probed takes what a probe found.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -100,6 +100,15 @@
 			expect(t, d, c.want)
 		})
 	}
+	t.Run("a server that fails quickly draws no jobs", func(t *testing.T) {
+		l, _ := made()
+		sent(l, "read")
+		l.servers["a"].bad = badMost
+		l.Answer(1, Reply{Job: "j", Outcome: Broke, Took: 1})
+		if s := l.servers["a"]; s.standing != aside || s.did > 0 {
+			t.Fatal("not set aside, or its pace is counted")
+		}
+	})
 	t.Run("true units settle the reservation once", func(t *testing.T) {
 		l, d := made()
 		j := sent(l, "read")
@@ -127,7 +136,7 @@
 }
 
 func TestPick(t *testing.T) {
-	probe := &job{units: 2}
+	probe := &job{units: 2, track: &Track{}}
 	t.Run("takes turns", func(t *testing.T) {
 		l, _ := made()
 		if a, b := l.pick(0, probe), l.pick(0, probe); a == b {
