--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,6 +75,7 @@
 	probes   int     // probes answered in a row
 	next     int64   // when it is probed or tried next
 	rest     int64
+	fullTill int64   // it has turned a job away and gets none until then
 	credit   float64 // its claim on the next turn
 }
 
@@ -138,10 +139,13 @@
 	did      float64
 	beat     int64
 	spare    float64 // second shots in hand
+	part     float64 // the largest job over the number of limiters: the least limit of a server
+	busy     bool    // more than half of all room was taken when a job last looked for it
 	mild     bool    // some track's jobs may run again
 }
 
 const (
+	startJobs = 8    // the largest jobs that all limiters together may have out at a server unseen yet
 	patience  = 2    // a job waits for the counter for this part of the counter's own time-out
 	breakAt   = 4    // unanswered calls in a row that open the breaker
 	beats     = 20   // looks at the servers in one agreed time
@@ -163,7 +167,7 @@
 func New(now int64, set *Settings, seed int64, deeds Deeds) *Limiter {
 	l := &Limiter{set: set, deeds: deeds, rng: rand.New(rand.NewSource(seed)), began: now,
 		servers: map[string]*server{}, jobs: map[string]*job{}, timers: map[int64]*job{},
-		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1}
+		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, part: set.MostUnits / float64(set.Limiters)}
 	agreed := int64(math.MaxInt64)
 	for _, t := range set.Tracks {
 		agreed = min(agreed, t.Agreed)
@@ -184,12 +188,12 @@
 	for _, e := range entries {
 		s := l.servers[e.ID]
 		if s == nil {
-			s = &server{id: e.ID, limit: 4 * l.set.MostUnits, warmFrom: e.Since, heard: now}
+			s = &server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now}
 			l.servers[e.ID] = s
 			l.order = append(l.order, s)
 		} else if e.Since > s.warmFrom {
 			// A new process: nothing known of the old one holds for it.
-			*s = server{id: e.ID, limit: 4 * l.set.MostUnits, warmFrom: e.Since, heard: now,
+			*s = server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now,
 				shots: s.shots, out: s.out}
 		}
 		s.zone, s.cell, s.listing, s.hint = e.Zone, e.Cell, e.Listing, e.Hint
@@ -416,14 +420,24 @@
 	return true
 }
 
-// able lists the servers that have room for the job.
+// able lists the servers that have room for the job. Where limiters are many, one job at each server would be
+// too much already: so the limits also hold in sum.
 func (l *Limiter) able(now int64, j *job) []*server {
 	var able []*server
+	out, room := j.units, 0.0
 	for _, s := range l.order {
-		if l.usable(j, s) && (len(s.shots) == 0 || s.out+j.units <= s.limit*l.warmth(now, s)) {
+		if !l.usable(j, s) {
+			continue
+		}
+		limit := s.limit * l.warmth(now, s)
+		out, room = out+s.out, room+limit
+		if now >= s.fullTill && (len(s.shots) == 0 || s.out+j.units <= limit) {
 			able = append(able, s)
 		}
 	}
+	if l.busy = out > room/2; out > room && out > j.units {
+		return nil
+	}
 	return able
 }
 
@@ -571,11 +585,11 @@
 		l.took, l.did = l.took*(1-0.1/fade)+took, l.did*(1-0.1/fade)+u
 		if r.Took > sh.job.track.Agreed {
 			s.limit -= u * late / grow
-		} else if s.out+u > s.limit/2 {
+		} else if s.out+u > s.limit/2 || l.busy {
 			s.limit += u / grow
 		}
 	case Full:
-		s.heard = now
+		s.heard, s.fullTill = now, now+l.beat
 		s.limit = math.Min(s.limit, s.out)
 	case Broke, Unconnected, Reset:
 		// A server that fails is quick at it: its answers say nothing of its pace, or it would draw all jobs.
@@ -583,7 +597,7 @@
 			l.setAside(now, s, "fails")
 		}
 	}
-	s.limit = max(s.limit, l.set.MostUnits)
+	s.limit = max(s.limit, l.part)
 }
 
 func (l *Limiter) setAside(now int64, s *server, why string) {
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -19,7 +19,8 @@
 }
 
 type facts struct {
-	Classes []struct {
+	Balancers int `json:"balancers"`
+	Classes   []struct {
 		Name   string  `json:"name"`
 		Aim    float64 `json:"aim"`
 		Effect string  `json:"effect"`
@@ -67,7 +68,7 @@
 	}
 	s := &choice.Settings{
 		Tracks: map[string]*choice.Track{}, Plans: map[string]*choice.Plan{},
-		MostUnits: f.Family.UnitsTop, ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
+		MostUnits: f.Family.UnitsTop, Limiters: f.Balancers, ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
 		DialTimeout: nanos(f.Permissions.DialTimeout), MostShots: f.Permissions.AttemptsCap,
 		Probes: f.Permissions.Probes, SecondCopies: f.Permissions.SecondCopies,
 		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity),
@@ -104,7 +105,7 @@
 			CeilingBurst: t.HardDepth, BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts}
 	}
 	for name, v := range map[string]float64{"units-top": s.MostUnits, "granularity": f.Granularity,
-		"attempts-cap": float64(s.MostShots), "warm-within": f.Contract.WarmWithin} {
+		"attempts-cap": float64(s.MostShots), "balancers": float64(s.Limiters), "warm-within": f.Contract.WarmWithin} {
 		if v <= 0 {
 			return nil, fmt.Errorf("%s is %v", name, v)
 		}
