Limits follow what is answered within half of the agreed time

Should hold against any loss of capacity; could hurt where honest work takes over half of the agreed time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -145,18 +145,19 @@
 }
 
 const (
-	startJobs = 8    // the largest jobs that all limiters together may have out at a server unseen yet
-	patience  = 2    // a job waits for the counter for this part of the counter's own time-out
-	breakAt   = 4    // unanswered calls in a row that open the breaker
-	beats     = 20   // looks at the servers in one agreed time
-	fade      = 40   // answers after which an old one has lost most of its weight
-	late      = 12   // a late answer takes off so many times what a prompt one adds to a server's limit
-	grow      = 8    // prompt answers that raise a limit by their own size
-	paceMost  = 3    // a server's weight may be so many times the mean or so small a part of it
-	badStep   = 0.25 // the weight of the latest shot in the share that came to nothing
-	badMost   = 0.55 // a larger share sets a server aside: three in a row
-	asideMost = 2    // at most this part of the servers is set aside as silent
-	spareMost = 10   // one second shot for so many first ones
+	startJobs  = 8    // the largest jobs that all limiters together may have out at a server unseen yet
+	patience   = 2    // a job waits for the counter for this part of the counter's own time-out
+	breakAt    = 4    // unanswered calls in a row that open the breaker
+	beats      = 20   // looks at the servers in one agreed time
+	fade       = 40   // answers after which an old one has lost most of its weight
+	wellInside = 2    // an answer within this part of the agreed time is prompt
+	late       = 12   // a late answer takes off so many times what a prompt one adds to a server's limit
+	grow       = 8    // prompt answers that raise a limit by their own size
+	paceMost   = 3    // a server's weight may be so many times the mean or so small a part of it
+	badStep    = 0.25 // the weight of the latest shot in the share that came to nothing
+	badMost    = 0.55 // a larger share sets a server aside: three in a row
+	asideMost  = 2    // at most this part of the servers is set aside as silent
+	spareMost  = 10   // one second shot for so many first ones
 )
 
 func seconds(ns int64) float64 { return float64(ns) / 1e9 }
@@ -583,7 +584,7 @@
 		took := seconds(r.Took)
 		s.took, s.did = s.took*(1-1.0/fade)+took, s.did*(1-1.0/fade)+u
 		l.took, l.did = l.took*(1-0.1/fade)+took, l.did*(1-0.1/fade)+u
-		if r.Took > sh.job.track.Agreed {
+		if r.Took > sh.job.track.Agreed/wellInside {
 			s.limit -= u * late / grow
 		} else if s.out+u > s.limit/2 || l.busy {
 			s.limit += u / grow
