The allowance is the customer's store drawn from totals of longer windows

The windowed estimate refused jobs with room in the store. Now each total shows what others added and that is taken from a mirrored store.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -103,11 +103,12 @@
 	id      uint64
 	plan    *Plan
 	phase   int64
-	window  int64
+	window  int64   // the window that total belongs to
 	total   float64 // the window's last seen total
-	prior   float64 // the prior window's last seen total
-	own     float64 // this limiter's adds that stand in the window
-	lost    float64 // what the counter has forgotten of the window
+	quota   store   // the customer's store as far as the totals have shown it
+	known   bool    // a total has been seen
+	owed    float64 // units sent and not yet added to the counter
+	unsure  float64 // units that a call without an answer may have added
 	slice   store   // this limiter's part of the quota
 	ceiling store   // this limiter's part of the hard ceiling
 	used    int64
@@ -145,19 +146,20 @@
 }
 
 const (
-	startJobs  = 8    // the largest jobs that all limiters together may have out at a server unseen yet
-	patience   = 2    // a job waits for the counter for this part of the counter's own time-out
-	breakAt    = 4    // unanswered calls in a row that open the breaker
-	beats      = 20   // looks at the servers in one agreed time
-	fade       = 40   // answers after which an old one has lost most of its weight
-	wellInside = 2    // an answer within this part of the agreed time is prompt
-	late       = 12   // a late answer takes off so many times what a prompt one adds to a server's limit
-	grow       = 8    // prompt answers that raise a limit by their own size
-	paceMost   = 3    // a server's weight may be so many times the mean or so small a part of it
-	badStep    = 0.25 // the weight of the latest shot in the share that came to nothing
-	badMost    = 0.55 // a larger share sets a server aside: three in a row
-	asideMost  = 2    // at most this part of the servers is set aside as silent
-	spareMost  = 10   // one second shot for so many first ones
+	windowBursts = 8    // a window is so many times the time in which the store fills
+	startJobs    = 8    // the largest jobs that all limiters together may have out at a server unseen yet
+	patience     = 2    // a job waits for the counter for this part of the counter's own time-out
+	breakAt      = 4    // unanswered calls in a row that open the breaker
+	beats        = 20   // looks at the servers in one agreed time
+	fade         = 40   // answers after which an old one has lost most of its weight
+	wellInside   = 2    // an answer within this part of the agreed time is prompt
+	late         = 12   // a late answer takes off so many times what a prompt one adds to a server's limit
+	grow         = 8    // prompt answers that raise a limit by their own size
+	paceMost     = 3    // a server's weight may be so many times the mean or so small a part of it
+	badStep      = 0.25 // the weight of the latest shot in the share that came to nothing
+	badMost      = 0.55 // a larger share sets a server aside: three in a row
+	asideMost    = 2    // at most this part of the servers is set aside as silent
+	spareMost    = 10   // one second shot for so many first ones
 )
 
 func seconds(ns int64) float64 { return float64(ns) / 1e9 }
@@ -241,6 +243,7 @@
 	if acc == nil {
 		part := float64(max(a.Spread, 1))
 		acc = &account{id: a.Customer, plan: plan, window: math.MinInt64,
+			quota: store{level: plan.Burst, depth: plan.Burst, rate: plan.Rate, at: now},
 			slice: store{level: plan.Burst / part, depth: plan.Burst / part, rate: plan.Rate / part, at: now},
 			// The ceiling's store stands as it was before we started, so our part of it starts empty: what all
 			// starts of all limiters send is then never more than what the store has held and filled.
@@ -260,35 +263,36 @@
 	return x ^ x>>31
 }
 
-func (a *account) span() int64 { return nanos(a.plan.Burst / a.plan.Rate) }
-
 func (a *account) name() uint64 { return mix(mix(a.id)^uint64(a.window)) >> 1 }
 
-// turn moves the account to the window that holds now and tells how much of it has passed.
-func (a *account) turn(now int64) float64 {
-	span := a.span()
+// span is the length of the customer's windows. They hold several times the burst, since at each turn the last
+// adds of other limiters go unseen, and a lease of two must not be longer than the counter keeps a name.
+func (l *Limiter) span(p *Plan) int64 {
+	return min(nanos(windowBursts*p.Burst/p.Rate), l.set.LongestLease/2)
+}
+
+// turn moves the account to the window that holds now and tells how long that has been open.
+func (l *Limiter) turn(now int64, a *account) int64 {
+	span := l.span(a.plan)
 	since := now + a.phase%span
 	if w := since / span; w != a.window {
-		a.prior = 0
-		if w == a.window+1 {
-			a.prior = a.total + a.lost
-		}
-		a.window, a.total, a.own, a.lost = w, 0, 0, 0
+		a.window, a.total, a.unsure = w, 0, 0
 	}
-	return float64(since%span) / float64(span)
+	return since % span
 }
 
 func (l *Limiter) reserve(now int64, j *job) {
 	a := j.account
-	a.turn(now)
-	j.name, j.reserved, j.lease = a.name(), true, now+2*a.span()
+	l.turn(now, a)
+	j.name, j.reserved, j.lease = a.name(), true, now+l.span(a.plan)
 	l.move(j, Reserving)
-	l.count(j, j.units)
+	l.count(j, j.units+a.owed)
+	a.owed = 0
 }
 
 func (l *Limiter) count(j *job, amount float64) {
 	l.calls[j.name] = append(l.calls[j.name], call{j, j.account, j.account.window, amount})
-	l.deeds.Count(j.name, amount, 2*j.account.span())
+	l.deeds.Count(j.name, amount, 2*l.span(j.account.plan))
 }
 
 // release adds back what was reserved and not used; once, and not after the lease has ended.
@@ -312,8 +316,14 @@
 	j, a := c.job, c.account
 	if outcome != Done {
 		l.silence++
-		if outcome != TimedOut && c.amount > 0 {
+		if outcome == TimedOut {
+			a.unsure += c.amount
+		} else if c.amount > 0 {
 			j.reserved = false
+			a.owed += c.amount - j.units
+			if len(j.shots) > 0 {
+				a.owed += j.units
+			}
 		}
 		if j.state == Reserving && c.amount > 0 {
 			l.bySlice(now, j)
@@ -321,23 +331,14 @@
 		return
 	}
 	l.silence = 0
-	through := a.turn(now)
-	if a.window == c.window {
-		a.own += c.amount
-		// A total under what we know it held means that the counter has forgotten: its loss counts on.
-		if total < a.own || total-c.amount < a.total/2 {
-			a.lost += max(a.total+c.amount, a.own) - total
-		}
-		a.total = total
-	}
-	if c.amount < 0 {
+	l.see(now, c, total)
+	if c.amount < 0 || j.name != name {
 		return
 	}
 	if j.state == Reserving {
-		over := a.total + a.lost + a.prior*(1-through) - a.plan.Burst
-		if over > 0 {
+		if a.quota.level < j.units {
 			l.release(now, j, j.units)
-			l.reject(now, j, nanos(over/a.plan.Rate))
+			l.reject(now, j, nanos((j.units-a.quota.level)/a.quota.rate))
 			return
 		}
 		l.place(now, j)
@@ -346,6 +347,31 @@
 	}
 }
 
+// see draws what a total shows into the customer's store: what others have added is taken from it.
+func (l *Limiter) see(now int64, c call, total float64) {
+	a := c.account
+	open := l.turn(now, a)
+	a.quota.fill(now)
+	if a.window != c.window {
+		return
+	}
+	others := total - a.total - c.amount
+	a.total = total
+	if !a.known {
+		// Of a window open for longer than the store takes to fill, only the last part still counts.
+		a.known = true
+		others *= math.Min(1, a.quota.depth/a.quota.rate/max(seconds(open), 1e-9))
+	}
+	unsure := math.Min(max(others, 0), max(a.unsure, 0))
+	others, a.unsure = others-unsure, 0
+	// Others add back what they rejected, but a total that falls further means that the counter has forgotten,
+	// and that gives nothing back.
+	if others < -l.set.MostUnits*float64(l.set.Limiters) {
+		others = 0
+	}
+	a.quota.level = math.Min(a.quota.depth, max(a.quota.level-others, -a.quota.depth))
+}
+
 // bySlice decides by this limiter's own part of the quota, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
 	if s := &j.account.slice; s.fill(now) < j.units {
@@ -364,6 +390,11 @@
 		return
 	}
 	a := j.account
+	if !j.reserved && a.plan.Rate > 0 {
+		a.owed += j.units
+	}
+	a.quota.fill(now)
+	a.quota.level -= j.units
 	a.slice.fill(now)
 	a.slice.level = max(a.slice.level-j.units, -a.slice.depth)
 	a.ceiling.fill(now)
@@ -712,7 +743,7 @@
 func (l *Limiter) forget(now int64) {
 	for id, a := range l.accounts {
 		full := a.slice.fill(now) >= a.slice.depth && a.ceiling.fill(now) >= a.ceiling.depth
-		if a.plan.Rate > 0 && a.plan.CeilingRate == 0 && full && now-a.used > 3*a.span() {
+		if a.plan.Rate > 0 && a.plan.CeilingRate == 0 && full && now-a.used > l.span(a.plan) {
 			delete(l.accounts, id)
 		}
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -64,6 +64,7 @@
 	Plans        map[string]*Plan
 	CounterWait  int64 // a call without an answer by then has failed; 0 where there is no counter
 	MostUnits    float64
+	LongestLease int64 // the counter keeps no name for longer
 	Limiters     int
 	ColdFrom     float64 // the share of its capacity that a starting server has at least
 	WarmWithin   int64
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -8,6 +8,9 @@
 	"ospreycroft/choice"
 )
 
+// longestLease is the wire's own limit on a count's lifetime.
+const longestLease = 60e9
+
 var listings = map[string]choice.Listing{"U": choice.Ready, "L": choice.Draining, "D": choice.Gone}
 
 var effects = map[string]choice.Effect{
@@ -68,7 +71,7 @@
 	}
 	s := &choice.Settings{
 		Tracks: map[string]*choice.Track{}, Plans: map[string]*choice.Plan{},
-		MostUnits: f.Family.UnitsTop, Limiters: f.Balancers, ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
+		MostUnits: f.Family.UnitsTop, LongestLease: longestLease, Limiters: f.Balancers, ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
 		DialTimeout: nanos(f.Permissions.DialTimeout), MostShots: f.Permissions.AttemptsCap,
 		Probes: f.Permissions.Probes, SecondCopies: f.Permissions.SecondCopies,
 		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity),
