--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,7 +7,7 @@
 // The ordinary path is Reserve and Reconcile (docs/design.md). Beside it stand these mechanisms:
 //  1. ceiling: each limiter's own part of a hard ceiling, which every first shot must fit;
 //  2. memory: what a counter is known to have held counts on when its total has fallen;
-//  3. breaker: a counter that does not answer is asked now and then only;
+//  3. asks: a counter that does not answer is asked for a part of the jobs only;
 //  4. room: the work out at a server is bounded by what it finishes inside the agreed time;
 //  5. standing: a server that shows no life is set aside until it has answered;
 //  6. second shot: a job whose server shows no life, or that never ran, is sent elsewhere.
@@ -134,8 +134,7 @@
 	tokens   int64
 	accounts map[uint64]*account
 	calls    map[uint64][]call
-	silence  int   // calls to the counter unanswered in a row
-	askAt    int64 // while the counter is silent, when it is asked next
+	asks     float64 // the share of jobs for which the counter is asked
 	took     float64
 	did      float64
 	beat     int64
@@ -146,20 +145,21 @@
 }
 
 const (
-	windowBursts = 8    // a window is so many times the time in which the store fills
-	startJobs    = 8    // the largest jobs that all limiters together may have out at a server unseen yet
-	patience     = 2    // a job waits for the counter for this part of the counter's own time-out
-	breakAt      = 4    // unanswered calls in a row that open the breaker
-	beats        = 20   // looks at the servers in one agreed time
-	fade         = 40   // answers after which an old one has lost most of its weight
-	wellInside   = 2    // an answer within this part of the agreed time is prompt
-	late         = 12   // a late answer takes off so many times what a prompt one adds to a server's limit
-	grow         = 8    // prompt answers that raise a limit by their own size
-	paceMost     = 3    // a server's weight may be so many times the mean or so small a part of it
-	badStep      = 0.25 // the weight of the latest shot in the share that came to nothing
-	badMost      = 0.55 // a larger share sets a server aside: three in a row
-	asideMost    = 2    // at most this part of the servers is set aside as silent
-	spareMost    = 10   // one second shot for so many first ones
+	windowBursts = 8        // a window is so many times the time in which the store fills
+	startJobs    = 3        // the largest jobs that all limiters together may have out at a server unseen yet
+	patience     = 2        // a job waits for the counter for this part of the counter's own time-out
+	askLess      = 0.75     // the share of jobs asked for falls so with each call unanswered
+	askMore      = 1.0 / 16 // and rises so with each answer; it is never less
+	beats        = 20       // looks at the servers in one agreed time
+	fade         = 40       // answers after which an old one has lost most of its weight
+	wellInside   = 2        // an answer within this part of the agreed time is prompt
+	late         = 12       // a late answer takes off so many times what a prompt one adds to a server's limit
+	grow         = 8        // prompt answers that raise a limit by their own size
+	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
+	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
+	badMost      = 0.55     // a larger share sets a server aside: three in a row
+	asideMost    = 2        // at most this part of the servers is set aside as silent
+	spareMost    = 10       // one second shot for so many first ones
 )
 
 func seconds(ns int64) float64 { return float64(ns) / 1e9 }
@@ -170,7 +170,7 @@
 func New(now int64, set *Settings, seed int64, deeds Deeds) *Limiter {
 	l := &Limiter{set: set, deeds: deeds, rng: rand.New(rand.NewSource(seed)), began: now,
 		servers: map[string]*server{}, jobs: map[string]*job{}, timers: map[int64]*job{},
-		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, part: set.MostUnits / float64(set.Limiters)}
+		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, asks: 1, part: set.MostUnits / float64(set.Limiters)}
 	agreed := int64(math.MaxInt64)
 	for _, t := range set.Tracks {
 		agreed = min(agreed, t.Agreed)
@@ -229,11 +229,10 @@
 		l.place(now, j)
 		return
 	}
-	if l.set.CounterWait == 0 || l.silence >= breakAt && now < l.askAt {
+	if l.set.CounterWait == 0 || l.asks < 1 && l.rng.Float64() >= l.asks {
 		l.bySlice(now, j)
 		return
 	}
-	l.askAt = now + 4*l.set.CounterWait
 	l.reserve(now, j)
 	l.wake(now, j, now+l.set.CounterWait/patience)
 }
@@ -315,7 +314,9 @@
 	}
 	j, a := c.job, c.account
 	if outcome != Done {
-		l.silence++
+		// A counter that is down or crowded is asked less, so that nothing waits for it in vain and it can
+		// work off its line; it is asked more again step by step, so that its return brings no rush.
+		l.asks = max(l.asks*askLess, askMore)
 		if outcome == TimedOut {
 			a.unsure += c.amount
 		} else if c.amount > 0 {
@@ -330,7 +331,7 @@
 		}
 		return
 	}
-	l.silence = 0
+	l.asks = math.Min(1, l.asks+askMore)
 	l.see(now, c, total)
 	if c.amount < 0 || j.name != name {
 		return
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -29,7 +29,7 @@
 	})
 	t.Run("goes by the slice while the counter is silent", func(t *testing.T) {
 		l, d := made()
-		l.silence, l.askAt = breakAt, second
+		l.asks = 0
 		l.Job(0, arrival("j", "read", "plain"))
 		expect(t, d, "send j a")
 	})
