--- a/choice/choice.go
+++ b/choice/choice.go
@@ -107,9 +107,12 @@
 	total   float64 // the window's last seen total
 	quota   store   // the customer's store as far as the totals have shown it
 	known   bool    // a total has been seen
+	slice   store   // the same less what the others are expected to take: decides when no total comes
+	part    float64 // the number of limiters that share the customer
 	owed    float64 // units sent and not yet added to the counter
 	unsure  float64 // units that a call without an answer may have added
-	slice   store   // this limiter's part of the quota
+	theirs  float64 // units a second that the other limiters are seen to add
+	seen    int64   // when a total last showed their adds
 	ceiling store   // this limiter's part of the hard ceiling
 	used    int64
 }
@@ -229,7 +232,7 @@
 		l.place(now, j)
 		return
 	}
-	if l.set.CounterWait == 0 || l.asks < 1 && l.rng.Float64() >= l.asks {
+	if l.set.CounterWait == 0 || l.asks < 1 && (acc.quota.fill(now) < j.units || l.rng.Float64() >= l.asks) {
 		l.bySlice(now, j)
 		return
 	}
@@ -242,8 +245,9 @@
 	if acc == nil {
 		part := float64(max(a.Spread, 1))
 		acc = &account{id: a.Customer, plan: plan, window: math.MinInt64,
-			quota: store{level: plan.Burst, depth: plan.Burst, rate: plan.Rate, at: now},
-			slice: store{level: plan.Burst / part, depth: plan.Burst / part, rate: plan.Rate / part, at: now},
+			quota: store{level: plan.Burst / part, depth: plan.Burst, rate: plan.Rate, at: now},
+			slice: store{level: plan.Burst / part, depth: plan.Burst, rate: plan.Rate / part, at: now},
+			part:  part,
 			// The ceiling's store stands as it was before we started, so our part of it starts empty: what all
 			// starts of all limiters send is then never more than what the store has held and filled.
 			ceiling: store{depth: plan.CeilingBurst / part, rate: plan.CeilingRate / part, at: l.began}}
@@ -358,10 +362,13 @@
 	}
 	others := total - a.total - c.amount
 	a.total = total
+	fills := a.quota.depth / a.quota.rate
 	if !a.known {
 		// Of a window open for longer than the store takes to fill, only the last part still counts.
 		a.known = true
-		others *= math.Min(1, a.quota.depth/a.quota.rate/max(seconds(open), 1e-9))
+		others *= math.Min(1, fills/max(seconds(open), 1e-9))
+		a.quota.level += a.quota.depth * (1 - 1/a.part)
+		a.theirs, a.seen = 0, now-nanos(fills)
 	}
 	unsure := math.Min(max(others, 0), max(a.unsure, 0))
 	others, a.unsure = others-unsure, 0
@@ -371,9 +378,12 @@
 		others = 0
 	}
 	a.quota.level = math.Min(a.quota.depth, max(a.quota.level-others, -a.quota.depth))
+	past := seconds(now - a.seen)
+	a.theirs, a.seen = max(0, a.theirs*fills+others)/(fills+past), now
+	a.slice = store{level: a.quota.level, depth: a.quota.depth, rate: max(a.quota.rate-a.theirs, a.quota.rate/a.part), at: now}
 }
 
-// bySlice decides by this limiter's own part of the quota, when the counter does not answer.
+// bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
 	if s := &j.account.slice; s.fill(now) < j.units {
 		l.reject(now, j, nanos((j.units-s.level)/s.rate))
@@ -397,7 +407,7 @@
 	a.quota.fill(now)
 	a.quota.level -= j.units
 	a.slice.fill(now)
-	a.slice.level = max(a.slice.level-j.units, -a.slice.depth)
+	a.slice.level -= j.units
 	a.ceiling.fill(now)
 	a.ceiling.level -= j.units
 	l.spare = math.Min(l.spare+1.0/spareMost, float64(len(l.order)))
@@ -743,7 +753,7 @@
 // forget lets go of customers whose every count and store is as good as new.
 func (l *Limiter) forget(now int64) {
 	for id, a := range l.accounts {
-		full := a.slice.fill(now) >= a.slice.depth && a.ceiling.fill(now) >= a.ceiling.depth
+		full := a.quota.fill(now) >= a.quota.depth
 		if a.plan.Rate > 0 && a.plan.CeilingRate == 0 && full && now-a.used > l.span(a.plan) {
 			delete(l.accounts, id)
 		}
