What unanswered calls added for jobs not sent is added back once it shows

Holds against any counter that answers late; where another limiter adds the same amount just then, a few units are given back too early.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -110,7 +110,8 @@
 	slice   store   // the same less what the others are expected to take: decides when no total comes
 	part    float64 // the number of limiters that share the customer
 	owed    float64 // units sent and not yet added to the counter
-	unsure  float64 // units that a call without an answer may have added
+	unsure  float64 // units that calls without an answer may have added
+	idle    float64 // the part of them that was never sent
 	theirs  float64 // units a second that the other limiters are seen to add
 	seen    int64   // when a total last showed their adds
 	ceiling store   // this limiter's part of the hard ceiling
@@ -279,7 +280,7 @@
 	span := l.span(a.plan)
 	since := now + a.phase%span
 	if w := since / span; w != a.window {
-		a.window, a.total, a.unsure = w, 0, 0
+		a.window, a.total, a.unsure, a.idle, a.owed = w, 0, 0, 0, max(a.owed, 0)
 	}
 	return since % span
 }
@@ -322,12 +323,12 @@
 		// work off its line; it is asked more again step by step, so that its return brings no rush.
 		l.asks = max(l.asks*askLess, askMore)
 		if outcome == TimedOut {
-			a.unsure += c.amount
-		} else if c.amount > 0 {
-			j.reserved = false
-			a.owed += c.amount - j.units
-			if len(j.shots) > 0 {
-				a.owed += j.units
+			if a.unsure += c.amount; c.amount > 0 && len(j.shots) == 0 {
+				a.idle += j.units
+			}
+		} else if a.owed += c.amount; c.amount > 0 {
+			if j.reserved = false; len(j.shots) == 0 {
+				a.owed -= j.units
 			}
 		}
 		if j.state == Reserving && c.amount > 0 {
@@ -370,8 +371,11 @@
 		a.quota.level += a.quota.depth * (1 - 1/a.part)
 		a.theirs, a.seen = 0, now-nanos(fills)
 	}
-	unsure := math.Min(max(others, 0), max(a.unsure, 0))
-	others, a.unsure = others-unsure, 0
+	// Calls that nobody answered may have been worked off late: what they added is not the others', and what
+	// was added for jobs that were never sent is added back with the next call.
+	ours := math.Min(max(others, math.Min(a.unsure, 0)), max(a.unsure, 0))
+	a.owed -= math.Min(a.idle, max(ours, 0))
+	others, a.unsure, a.idle = others-ours, 0, 0
 	// Others add back what they rejected, but a total that falls further means that the counter has forgotten,
 	// and that gives nothing back.
 	if others < -l.set.MostUnits*float64(l.set.Limiters) {
