Jobs beyond the quota go in where the plan earns by it and half the room is free

Plans whose beyond-quota benefit is above its cost were refused though the fleet had room. Could hurt where half of the room as seen is not half of the capacity.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	shots    []*shot
 	open     int // shots that are out
 	reserved bool
+	beyond   bool   // let in past the quota
 	name     uint64 // the count that holds the reservation
 	lease    int64  // when that count is forgotten
 }
@@ -323,11 +324,11 @@
 		// work off its line; it is asked more again step by step, so that its return brings no rush.
 		l.asks = max(l.asks*askLess, askMore)
 		if outcome == TimedOut {
-			if a.unsure += c.amount; c.amount > 0 && len(j.shots) == 0 {
+			if a.unsure += c.amount; c.amount > 0 && (len(j.shots) == 0 || j.beyond) {
 				a.idle += j.units
 			}
 		} else if a.owed += c.amount; c.amount > 0 {
-			if j.reserved = false; len(j.shots) == 0 {
+			if j.reserved = false; len(j.shots) == 0 || j.beyond {
 				a.owed -= j.units
 			}
 		}
@@ -344,11 +345,15 @@
 	if j.state == Reserving {
 		if a.quota.level < j.units {
 			l.release(now, j, j.units)
+			if l.beyond(now, j) {
+				l.place(now, j)
+				return
+			}
 			l.reject(now, j, nanos((j.units-a.quota.level)/a.quota.rate))
 			return
 		}
 		l.place(now, j)
-	} else if len(j.shots) == 0 {
+	} else if len(j.shots) == 0 || j.beyond {
 		l.release(now, j, j.units)
 	}
 }
@@ -389,13 +394,21 @@
 
 // bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
-	if s := &j.account.slice; s.fill(now) < j.units {
+	if s := &j.account.slice; s.fill(now) < j.units && !l.beyond(now, j) {
 		l.reject(now, j, nanos((j.units-s.level)/s.rate))
 		return
 	}
 	l.place(now, j)
 }
 
+// beyond lets a job in past the quota where the plan makes that earn more than it costs, half of all room is
+// free and what it takes of the ceiling leaves half of that to jobs inside the quota.
+func (l *Limiter) beyond(now int64, j *job) bool {
+	p, c := j.account.plan, &j.account.ceiling
+	j.beyond = p.BeyondEarns > p.BeyondCosts && !l.busy && (p.CeilingRate == 0 || c.fill(now)-j.units >= c.depth/2)
+	return j.beyond
+}
+
 // place sends a job's first shot, or rejects it when there is no room.
 func (l *Limiter) place(now int64, j *job) {
 	s := l.pick(now, j)
@@ -405,13 +418,15 @@
 		return
 	}
 	a := j.account
-	if !j.reserved && a.plan.Rate > 0 {
-		a.owed += j.units
-	}
 	a.quota.fill(now)
-	a.quota.level -= j.units
 	a.slice.fill(now)
-	a.slice.level -= j.units
+	if !j.beyond { // what goes beyond the quota takes nothing from it
+		a.quota.level -= j.units
+		a.slice.level -= j.units
+		if !j.reserved && a.plan.Rate > 0 {
+			a.owed += j.units
+		}
+	}
 	a.ceiling.fill(now)
 	a.ceiling.level -= j.units
 	l.spare = math.Min(l.spare+1.0/spareMost, float64(len(l.order)))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -46,6 +46,20 @@
 		l.Counted(0, reserving(l, "read", "plain").name, Done, 11)
 		expect(t, d, "count -2", "reject j")
 	})
+	t.Run("past the allowance it is sent where the plan earns by it and takes nothing from the quota", func(t *testing.T) {
+		l, d := made()
+		l.set.Plans["plain"].BeyondEarns = 0.3
+		l.Counted(0, reserving(l, "read", "plain").name, Done, 11)
+		expect(t, d, "count -2", "send j a")
+	})
+	t.Run("past the allowance it is rejected while more than half of the room is taken", func(t *testing.T) {
+		l, d := made()
+		l.set.Plans["plain"].BeyondEarns = 0.3
+		j := reserving(l, "read", "plain")
+		l.busy = true
+		l.Counted(0, j.name, Done, 11)
+		expect(t, d, "count -2", "reject j")
+	})
 	t.Run("refused, the slice decides and nothing is added back", func(t *testing.T) {
 		l, d := made()
 		j := reserving(l, "read", "plain")
