--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,15 +2,16 @@
 //
 // A Limiter is one instance. Its caller makes it with New and then calls Members, Job, Answer, Counted,
 // Probed, Left and Woken as things happen, each with the clock in nanoseconds; the limiter acts through
-// the Deeds it was given, in types.go with the settings. It is not safe for concurrent use.
+// the Deeds it was given, in types.go with the settings; state.go has the records that it keeps. It is not
+// safe for concurrent use.
 //
 // The ordinary path is Reserve and Reconcile (docs/design.md). Beside it stand these mechanisms:
 //  1. ceiling: each limiter's own part of a hard ceiling, which every first shot must fit;
-//  2. memory: what a counter is known to have held counts on when its total has fallen;
+//  2. memory: what the counter has forgotten, or added for a call without an answer, is put right;
 //  3. asks: a counter that does not answer is asked for a part of the jobs only;
 //  4. room: the work out at a server is bounded by what it finishes inside the agreed time;
-//  5. standing: a server that shows no life is set aside until it has answered;
-//  6. second shot: a job whose server shows no life, or that never ran, is sent elsewhere.
+//  5. standing: a server that shows no life is set aside until it has answered, and its jobs go elsewhere;
+//  6. beyond: a job past its quota goes in where its plan earns by it and there is plenty of room.
 package choice
 
 import (
@@ -19,113 +20,6 @@
 	"math/rand"
 )
 
-// State is where a job stands; move is the only function that changes it.
-type State uint8
-
-const (
-	Taken State = iota
-	Reserving
-	Out
-	Served
-	Rejected
-	WrittenOff
-	Abandoned // the client has left
-)
-
-type job struct {
-	id       string
-	token    int64
-	state    State
-	track    *Track
-	account  *account
-	units    float64
-	end      int64 // the last moment for a final answer
-	due      int64 // when its timer matters next
-	shots    []*shot
-	open     int // shots that are out
-	reserved bool
-	beyond   bool   // let in past the quota
-	name     uint64 // the count that holds the reservation
-	lease    int64  // when that count is forgotten
-}
-
-type shot struct {
-	job    *job
-	server *server
-	number int
-	at     int64
-	open   bool
-	maybe  bool // it may have run
-}
-
-type server struct {
-	id       string
-	zone     string
-	cell     int64
-	listing  Listing
-	hint     float64
-	warmFrom int64 // when it began to warm up, 0 for long ago
-	standing standing
-	shots    []*shot
-	out      float64 // units out
-	limit    float64 // units that may be out
-	took     float64 // fading sums of time and units over its answers
-	did      float64
-	heard    int64   // its last sign of life
-	bad      float64 // the fading share of its shots that came to nothing
-	probes   int     // probes answered in a row
-	next     int64   // when it is probed or tried next
-	rest     int64
-	fullTill int64   // it has turned a job away and gets none until then
-	credit   float64 // its claim on the next turn
-}
-
-type standing uint8
-
-const (
-	fit standing = iota
-	trial
-	aside
-)
-
-// store is a bucket of units.
-type store struct {
-	level, depth, rate float64
-	at                 int64
-}
-
-func (s *store) fill(now int64) float64 {
-	s.level = math.Min(s.depth, s.level+s.rate*seconds(now-s.at))
-	s.at = now
-	return s.level
-}
-
-type account struct {
-	id      uint64
-	plan    *Plan
-	phase   int64
-	window  int64   // the window that total belongs to
-	total   float64 // the window's last seen total
-	quota   store   // the customer's store as far as the totals have shown it
-	known   bool    // a total has been seen
-	slice   store   // the same less what the others are expected to take: decides when no total comes
-	part    float64 // the number of limiters that share the customer
-	owed    float64 // units sent and not yet added to the counter
-	unsure  float64 // units that calls without an answer may have added
-	idle    float64 // the part of them that was never sent
-	theirs  float64 // units a second that the other limiters are seen to add
-	seen    int64   // when a total last showed their adds
-	ceiling store   // this limiter's part of the hard ceiling
-	used    int64
-}
-
-type call struct {
-	job     *job
-	account *account
-	window  int64
-	amount  float64
-}
-
 // Limiter is one instance of the gateway's decisions.
 type Limiter struct {
 	set      *Settings
@@ -158,15 +52,22 @@
 	beats        = 20       // looks at the servers in one agreed time
 	fade         = 40       // answers after which an old one has lost most of its weight
 	wellInside   = 2        // an answer within this part of the agreed time is prompt
-	late         = 12       // a late answer takes off so many times what a prompt one adds to a server's limit
+	late         = 12       // a late shot takes off so many times what a prompt one adds to a limit
 	grow         = 8        // prompt answers that raise a limit by their own size
 	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
 	badMost      = 0.55     // a larger share sets a server aside: three in a row
-	asideMost    = 2        // at most this part of the servers is set aside as silent
+	asideMost    = 3        // at most so many
+	asideOf      = 4        // of so many servers are set aside
 	spareMost    = 10       // one second shot for so many first ones
 )
 
+func (s *store) fill(now int64) float64 {
+	s.level = math.Min(s.depth, s.level+s.rate*seconds(now-s.at))
+	s.at = now
+	return s.level
+}
+
 func seconds(ns int64) float64 { return float64(ns) / 1e9 }
 
 func nanos(s float64) int64 { return int64(s * 1e9) }
@@ -175,7 +76,8 @@
 func New(now int64, set *Settings, seed int64, deeds Deeds) *Limiter {
 	l := &Limiter{set: set, deeds: deeds, rng: rand.New(rand.NewSource(seed)), began: now,
 		servers: map[string]*server{}, jobs: map[string]*job{}, timers: map[int64]*job{},
-		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, asks: 1, part: set.MostUnits / float64(set.Limiters)}
+		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, asks: 1,
+		part: set.MostUnits / float64(set.Limiters)}
 	agreed := int64(math.MaxInt64)
 	for _, t := range set.Tracks {
 		agreed = min(agreed, t.Agreed)
@@ -250,8 +152,8 @@
 			quota: store{level: plan.Burst / part, depth: plan.Burst, rate: plan.Rate, at: now},
 			slice: store{level: plan.Burst / part, depth: plan.Burst, rate: plan.Rate / part, at: now},
 			part:  part,
-			// The ceiling's store stands as it was before we started, so our part of it starts empty: what all
-			// starts of all limiters send is then never more than what the store has held and filled.
+			// The ceiling's store stands as it was before we started, so our part of it starts empty: what
+			// all starts of all limiters send is then never more than the store has held and filled.
 			ceiling: store{depth: plan.CeilingBurst / part, rate: plan.CeilingRate / part, at: l.began}}
 		acc.phase = int64(mix(a.Customer) >> 1)
 		l.accounts[a.Customer] = acc
@@ -270,8 +172,8 @@
 
 func (a *account) name() uint64 { return mix(mix(a.id)^uint64(a.window)) >> 1 }
 
-// span is the length of the customer's windows. They hold several times the burst, since at each turn the last
-// adds of other limiters go unseen, and a lease of two must not be longer than the counter keeps a name.
+// span is the length of the customer's windows. They hold several times the burst, since at each turn the
+// last adds of others go unseen, and a lease of two must not be longer than the counter keeps a name.
 func (l *Limiter) span(p *Plan) int64 {
 	return min(nanos(windowBursts*p.Burst/p.Rate), l.set.LongestLease/2)
 }
@@ -381,15 +283,18 @@
 	ours := math.Min(max(others, math.Min(a.unsure, 0)), max(a.unsure, 0))
 	a.owed -= math.Min(a.idle, max(ours, 0))
 	others, a.unsure, a.idle = others-ours, 0, 0
-	// Others add back what they rejected, but a total that falls further means that the counter has forgotten,
-	// and that gives nothing back.
+	// Others add back what they rejected, but a total that falls further means that the counter has
+	// forgotten, and that gives nothing back: a flushed counter grants nobody a fresh burst.
 	if others < -l.set.MostUnits*float64(l.set.Limiters) {
 		others = 0
 	}
 	a.quota.level = math.Min(a.quota.depth, max(a.quota.level-others, -a.quota.depth))
 	past := seconds(now - a.seen)
 	a.theirs, a.seen = max(0, a.theirs*fills+others)/(fills+past), now
-	a.slice = store{level: a.quota.level, depth: a.quota.depth, rate: max(a.quota.rate-a.theirs, a.quota.rate/a.part), at: now}
+	a.slice = store{
+		level: math.Min(a.quota.level, max(a.quota.level/a.part, l.set.MostUnits)),
+		depth: max(a.quota.depth/a.part, l.set.MostUnits),
+		rate:  max(a.quota.rate-a.theirs, a.quota.rate/a.part), at: now}
 }
 
 // bySlice decides by the local slice, when the counter does not answer.
@@ -405,7 +310,8 @@
 // free and what it takes of the ceiling leaves half of that to jobs inside the quota.
 func (l *Limiter) beyond(now int64, j *job) bool {
 	p, c := j.account.plan, &j.account.ceiling
-	j.beyond = p.BeyondEarns > p.BeyondCosts && !l.busy && (p.CeilingRate == 0 || c.fill(now)-j.units >= c.depth/2)
+	spare := p.CeilingRate == 0 || c.fill(now)-j.units >= c.depth/2
+	j.beyond = p.BeyondEarns > p.BeyondCosts && !l.busy && spare
 	return j.beyond
 }
 
@@ -467,7 +373,7 @@
 }
 
 // usable tells whether a server may get this job at all.
-func (l *Limiter) usable(j *job, s *server) bool {
+func (l *Limiter) usable(now int64, j *job, s *server) bool {
 	if s.listing != Ready || s.standing == aside || s.standing == trial && len(s.shots) > 0 {
 		return false
 	}
@@ -475,20 +381,27 @@
 		return false // a trial is for jobs that may run again, where there are any
 	}
 	for _, sh := range j.shots {
-		if sh.server == s {
+		if sh.server == s || sh.maybe && j.track.Effect == Fingerprinted && !j.track.dropsRepeat(now, sh, s) {
 			return false
 		}
 	}
 	return true
 }
 
+// dropsRepeat tells whether a server would know a fingerprinted job again that may have run by this shot.
+func (t *Track) dropsRepeat(now int64, sh *shot, s *server) bool {
+	same := t.Group == GroupAll || t.Group == GroupZone && sh.server.zone == s.zone ||
+		t.Group == GroupCell && sh.server.cell == s.cell
+	return same && now < sh.at+t.Repeats
+}
+
 // able lists the servers that have room for the job. Where limiters are many, one job at each server would be
 // too much already: so the limits also hold in sum.
 func (l *Limiter) able(now int64, j *job) []*server {
 	var able []*server
 	out, room := j.units, 0.0
 	for _, s := range l.order {
-		if !l.usable(j, s) {
+		if !l.usable(now, j, s) {
 			continue
 		}
 		limit := s.limit * l.warmth(now, s)
@@ -546,7 +459,8 @@
 // finish ends a job that cannot be served any more: rejected if that is true and harmless, else written off.
 func (l *Limiter) finish(now int64, j *job) {
 	for _, sh := range j.shots {
-		if sh.maybe && (j.track.Effect == Binding || j.track.Effect == Fingerprinted && j.track.Group != GroupAll) {
+		marked := j.track.Effect == Fingerprinted && j.track.Group != GroupAll
+		if sh.maybe && (j.track.Effect == Binding || marked) {
 			l.move(j, WrittenOff)
 			l.deeds.WriteOff(j.id)
 			l.drop(j)
@@ -600,7 +514,7 @@
 		}
 	}
 	s := l.pick(now, j)
-	if s == nil || !l.dropsRepeats(now, j, s) {
+	if s == nil {
 		return false
 	}
 	if !free {
@@ -610,24 +524,19 @@
 	return true
 }
 
-// dropsRepeats tells whether a fingerprinted job that may have run may still go to this server.
-func (l *Limiter) dropsRepeats(now int64, j *job, s *server) bool {
-	for _, sh := range j.shots {
-		if !sh.maybe || j.track.Effect != Fingerprinted {
-			continue
-		}
-		same := j.track.Group == GroupAll || j.track.Group == GroupZone && sh.server.zone == s.zone ||
-			j.track.Group == GroupCell && sh.server.cell == s.cell
-		if !same || now >= sh.at+j.track.Repeats {
-			return false
-		}
+// overdue lowers a server's limit for a shot that is not answered well inside the agreed time, without
+// waiting for the answer: servers that slow down together would fill up until then.
+func (l *Limiter) overdue(now int64, sh *shot) {
+	if !sh.late && now-sh.at > sh.job.track.Agreed/wellInside {
+		sh.late = true
+		sh.server.limit = max(sh.server.limit-sh.job.units*late/grow, l.part)
 	}
-	return true
 }
 
 // learn keeps the record of the server that a shot was sent to.
 func (l *Limiter) learn(now int64, sh *shot, r Reply) {
 	s, u := sh.server, sh.job.units
+	l.overdue(now, sh)
 	for i, o := range s.shots {
 		if o == sh {
 			s.shots = append(s.shots[:i], s.shots[i+1:]...)
@@ -645,9 +554,7 @@
 		took := seconds(r.Took)
 		s.took, s.did = s.took*(1-1.0/fade)+took, s.did*(1-1.0/fade)+u
 		l.took, l.did = l.took*(1-0.1/fade)+took, l.did*(1-0.1/fade)+u
-		if r.Took > sh.job.track.Agreed/wellInside {
-			s.limit -= u * late / grow
-		} else if s.out+u > s.limit/2 || l.busy {
+		if !sh.late && (s.out+u > s.limit/2 || l.busy) {
 			s.limit += u / grow
 		}
 	case Full:
@@ -662,26 +569,31 @@
 	s.limit = max(s.limit, l.part)
 }
 
+// setAside keeps new jobs from a server until it has shown life. A shared cause must not take all of them.
 func (l *Limiter) setAside(now int64, s *server, why string) {
-	if s.standing != aside {
-		l.log("server %s %s, set aside", s.id, why)
-		s.rest = min(max(2*s.rest, l.set.DialTimeout), l.set.WarmWithin)
+	ready, away := 0, 0
+	for _, o := range l.order {
+		if o.listing == Ready {
+			ready++
+			if o.standing == aside {
+				away++
+			}
+		}
+	}
+	if s.standing == aside || away*asideOf >= ready*asideMost {
+		return
 	}
+	l.log("server %s %s, set aside", s.id, why)
+	s.rest = min(max(2*s.rest, l.set.DialTimeout), l.set.WarmWithin)
 	s.standing, s.probes, s.next = aside, 0, now+s.rest
 }
 
 // look is the regular look at the servers: it finds the silent ones and lets others come back.
 func (l *Limiter) look(now int64) {
-	ready, away := 0, 0
 	for _, s := range l.order {
-		if s.listing == Ready {
-			ready++
-			if s.standing == aside {
-				away++
-			}
+		for _, sh := range s.shots {
+			l.overdue(now, sh)
 		}
-	}
-	for _, s := range l.order {
 		if s.listing != Ready {
 			continue
 		}
@@ -702,10 +614,12 @@
 		}
 		first := s.shots[0]
 		quiet := now - max(s.heard, first.at)
-		// A shared cause must not set the whole fleet aside.
-		if quiet > first.job.track.Agreed*2/3 && (len(s.shots) > 1 || s.standing == trial) && away*asideMost < ready {
+		wait := first.job.track.Agreed
+		if len(s.shots) > 1 {
+			wait = wait * 2 / 3
+		}
+		if quiet > wait {
 			l.setAside(now, s, "is silent")
-			away++
 		}
 	}
 	for _, s := range l.order {
@@ -714,16 +628,24 @@
 		}
 		for _, sh := range append([]*shot(nil), s.shots...) {
 			j := sh.job
-			if j.state == Out && j.open == 1 && j.track.Effect != Binding {
+			if j.state != Out || j.open > 1 || j.track.Effect == Binding || now-sh.at > j.track.Agreed {
+				continue
+			}
+			if l.set.SecondCopies {
 				l.again(now, j, false)
+			} else if l.set.Cancelling && l.spare >= 1 && len(l.able(now, j)) > 0 {
+				l.deeds.Cancel(j.id, sh.number) // it is sent again once its end is known
 			}
 		}
 	}
 }
 
-// comeBack lets a server that was set aside have one job at a time; the process may be a new one, so as cold.
+// comeBack lets a server that was set aside have one job at a time. One that failed may be a new process that
+// the list does not tell of yet, so it is taken as cold.
 func (l *Limiter) comeBack(now int64, s *server) {
-	s.standing, s.heard = trial, now
+	if s.standing, s.heard = trial, now; s.bad > badMost {
+		s.warmFrom = now
+	}
 }
 
 // Probed takes what a probe found.
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,103 @@
+package choice
+
+// State is where a job stands; move is the only function that changes it.
+type State uint8
+
+const (
+	Taken State = iota
+	Reserving
+	Out
+	Served
+	Rejected
+	WrittenOff
+	Abandoned // the client has left
+)
+
+type job struct {
+	id       string
+	token    int64
+	state    State
+	track    *Track
+	account  *account
+	units    float64
+	end      int64 // the last moment for a final answer
+	due      int64 // when its timer matters next
+	shots    []*shot
+	open     int // shots that are out
+	reserved bool
+	beyond   bool   // let in past the quota
+	name     uint64 // the count that holds the reservation
+	lease    int64  // when that count is forgotten
+}
+
+type shot struct {
+	job    *job
+	server *server
+	number int
+	at     int64
+	open   bool
+	maybe  bool // it may have run
+	late   bool // it has lowered its server's limit
+}
+
+type server struct {
+	id       string
+	zone     string
+	cell     int64
+	listing  Listing
+	hint     float64
+	warmFrom int64 // when it began to warm up, 0 for long ago
+	standing standing
+	shots    []*shot
+	out      float64 // units out
+	limit    float64 // units that may be out
+	took     float64 // fading sums of time and units over its answers
+	did      float64
+	heard    int64   // its last sign of life
+	bad      float64 // the fading share of its shots that came to nothing
+	probes   int     // probes answered in a row
+	next     int64   // when it is probed or tried next
+	rest     int64
+	fullTill int64   // it has turned a job away and gets none until then
+	credit   float64 // its claim on the next turn
+}
+
+type standing uint8
+
+const (
+	fit standing = iota
+	trial
+	aside
+)
+
+// store is a bucket of units.
+type store struct {
+	level, depth, rate float64
+	at                 int64
+}
+
+type account struct {
+	id      uint64
+	plan    *Plan
+	phase   int64
+	window  int64   // the window that total belongs to
+	total   float64 // the window's last seen total
+	quota   store   // the customer's store as far as the totals have shown it
+	known   bool    // a total has been seen
+	slice   store   // the same less what the others are expected to take: decides when no total comes
+	part    float64 // the number of limiters that share the customer
+	owed    float64 // units sent and not yet added to the counter
+	unsure  float64 // units that calls without an answer may have added
+	idle    float64 // the part of them that was never sent
+	theirs  float64 // units a second that the other limiters are seen to add
+	seen    int64   // when a total last showed their adds
+	ceiling store   // this limiter's part of the hard ceiling
+	used    int64
+}
+
+type call struct {
+	job     *job
+	account *account
+	window  int64
+	amount  float64
+}
