--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,8 +63,9 @@
 )
 
 func (s *store) fill(now int64) float64 {
-	s.level = math.Min(s.depth, s.level+s.rate*seconds(now-s.at))
-	s.at = now
+	s.level += s.rate * seconds(now-s.at)
+	s.spilt += max(0, s.level-s.depth)
+	s.level, s.at = math.Min(s.depth, s.level), now
 	return s.level
 }
 
@@ -198,7 +199,7 @@
 }
 
 func (l *Limiter) count(j *job, amount float64) {
-	l.calls[j.name] = append(l.calls[j.name], call{j, j.account, j.account.window, amount})
+	l.calls[j.name] = append(l.calls[j.name], call{j, j.account, amount})
 	l.deeds.Count(j.name, amount, 2*l.span(j.account.plan))
 }
 
@@ -240,7 +241,7 @@
 		return
 	}
 	l.asks = math.Min(1, l.asks+askMore)
-	l.see(now, c, total)
+	l.see(now, c, name, total)
 	if c.amount < 0 || j.name != name {
 		return
 	}
@@ -261,12 +262,12 @@
 }
 
 // see draws what a total shows into the customer's store: what others have added is taken from it.
-func (l *Limiter) see(now int64, c call, total float64) {
+func (l *Limiter) see(now int64, c call, name uint64, total float64) {
 	a := c.account
 	open := l.turn(now, a)
 	a.quota.fill(now)
-	if a.window != c.window {
-		return
+	if name != a.name() {
+		return // a count of a window that has passed says nothing of this one
 	}
 	others := total - a.total - c.amount
 	a.total = total
@@ -288,9 +289,14 @@
 	if others < -l.set.MostUnits*float64(l.set.Limiters) {
 		others = 0
 	}
+	a.theirs = max(0, a.theirs*fills+others) / (fills + seconds(now-a.seen))
+	// They added over the whole time since the last look, so a store that has spilt meanwhile did not.
+	if others > 0 {
+		others -= math.Min(others, a.quota.spilt)
+	}
 	a.quota.level = math.Min(a.quota.depth, max(a.quota.level-others, -a.quota.depth))
-	past := seconds(now - a.seen)
-	a.theirs, a.seen = max(0, a.theirs*fills+others)/(fills+past), now
+	a.quota.spilt = 0
+	a.seen = now
 	a.slice = store{
 		level: math.Min(a.quota.level, max(a.quota.level/a.part, l.set.MostUnits)),
 		depth: max(a.quota.depth/a.part, l.set.MostUnits),
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -89,6 +89,27 @@
 		l.Counted(0, j.name, Done, 2)
 		expect(t, d, "count -2", "reject j")
 	})
+	t.Run("what is added back to a window that has passed leaves the store alone", func(t *testing.T) {
+		l, _ := made()
+		j := reserving(l, "read", "plain")
+		later := 20 * second
+		j.lease = later + 1
+		l.Counted(later, j.name, Done, 100)
+		l.release(later, j, 2)
+		j.reserved = true
+		l.release(later, j, 2)
+		l.Counted(later, j.name, Done, 98)
+		if level := j.account.quota.level; level < 8 {
+			t.Fatal("the store has fallen to", level)
+		}
+	})
+	t.Run("what others added while the store was full took nothing from it", func(t *testing.T) {
+		l, d := made()
+		j := reserving(l, "read", "plain")
+		j.account.known, j.account.quota.level, j.account.quota.spilt = true, 10, 24
+		l.Counted(0, j.name, Done, 26)
+		expect(t, d, "send j a")
+	})
 	t.Run("an answer to no call does nothing", func(t *testing.T) {
 		l, d := made()
 		l.Counted(0, 5, Done, 2)
--- a/choice/state.go
+++ b/choice/state.go
@@ -73,6 +73,7 @@
 // store is a bucket of units.
 type store struct {
 	level, depth, rate float64
+	spilt              float64 // what it could not hold since this was last cleared
 	at                 int64
 }
 
@@ -98,6 +99,5 @@
 type call struct {
 	job     *job
 	account *account
-	window  int64
 	amount  float64
 }
