--- a/choice/choice.go
+++ b/choice/choice.go
@@ -137,7 +137,10 @@
 		l.place(now, j)
 		return
 	}
-	if l.set.CounterWait == 0 || l.asks < 1 && (acc.quota.fill(now) < j.units || l.rng.Float64() >= l.asks) {
+	// A crowded counter is not asked for a customer that is known to be out of units, but for the call that
+	// brings what is still to be added back: the others go by a total that is too high until then.
+	out := acc.quota.fill(now) < j.units && acc.owed >= 0
+	if l.set.CounterWait == 0 || l.asks < 1 && (out || l.rng.Float64() >= l.asks) {
 		l.bySlice(now, j)
 		return
 	}
