--- a/choice/choice.go
+++ b/choice/choice.go
@@ -274,13 +274,11 @@
 	}
 	others := total - a.total - c.amount
 	a.total = total
-	fills := a.quota.depth / a.quota.rate
 	if !a.known {
 		// Of a window open for longer than the store takes to fill, only the last part still counts.
 		a.known = true
-		others *= math.Min(1, fills/max(seconds(open), 1e-9))
+		others *= math.Min(1, a.quota.depth/a.quota.rate/max(seconds(open), 1e-9))
 		a.quota.level += a.quota.depth * (1 - 1/a.part)
-		a.theirs, a.seen = 0, now-nanos(fills)
 	}
 	// Calls that nobody answered may have been worked off late: what they added is not the others', and what
 	// was added for jobs that were never sent is added back with the next call.
@@ -292,18 +290,16 @@
 	if others < -l.set.MostUnits*float64(l.set.Limiters) {
 		others = 0
 	}
-	a.theirs = max(0, a.theirs*fills+others) / (fills + seconds(now-a.seen))
 	// They added over the whole time since the last look, so a store that has spilt meanwhile did not.
 	if others > 0 {
 		others -= math.Min(others, a.quota.spilt)
 	}
 	a.quota.level = math.Min(a.quota.depth, max(a.quota.level-others, -a.quota.depth))
 	a.quota.spilt = 0
-	a.seen = now
 	a.slice = store{
 		level: math.Min(a.quota.level, max(a.quota.level/a.part, l.set.MostUnits)),
 		depth: max(a.quota.depth/a.part, l.set.MostUnits),
-		rate:  max(a.quota.rate-a.theirs, a.quota.rate/a.part), at: now}
+		rate:  a.quota.rate / a.part, at: now}
 }
 
 // bySlice decides by the local slice, when the counter does not answer.
--- a/choice/state.go
+++ b/choice/state.go
@@ -85,13 +85,11 @@
 	total   float64 // the window's last seen total
 	quota   store   // the customer's store as far as the totals have shown it
 	known   bool    // a total has been seen
-	slice   store   // the same less what the others are expected to take: decides when no total comes
+	slice   store   // this limiter's part of it: decides when no total comes
 	part    float64 // the number of limiters that share the customer
 	owed    float64 // units sent and not yet added to the counter
 	unsure  float64 // units that calls without an answer may have added
 	idle    float64 // the part of them that was never sent
-	theirs  float64 // units a second that the other limiters are seen to add
-	seen    int64   // when a total last showed their adds
 	ceiling store   // this limiter's part of the hard ceiling
 	used    int64
 }
