At least a quarter of the servers stays; tests for every guard, one dead field gone

The limit on servers set aside let the last of three go. Each guard was taken out in turn to see its test fail; a job's due time was never needed and is gone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -585,7 +585,7 @@
 			}
 		}
 	}
-	if s.standing == aside || away*asideOf >= ready*asideMost {
+	if s.standing == aside || (away+1)*asideOf > ready*asideMost {
 		return
 	}
 	l.log("server %s %s, set aside", s.id, why)
@@ -685,10 +685,8 @@
 		return
 	}
 	j := l.timers[token]
-	if j == nil || now < j.due {
-		return
-	}
 	switch {
+	case j == nil:
 	case now >= j.end:
 		l.finish(now, j)
 	case j.state == Reserving:
@@ -707,8 +705,7 @@
 }
 
 func (l *Limiter) wake(now int64, j *job, at int64) {
-	j.due = min(at, j.end)
-	l.deeds.Wake(j.due, j.token)
+	l.deeds.Wake(min(at, j.end), j.token)
 }
 
 func (j *job) ended() bool { return j.state >= Served }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -31,7 +31,32 @@
 		l, d := made()
 		l.asks = 0
 		l.Job(0, arrival("j", "read", "plain"))
-		expect(t, d, "send j a")
+		if expect(t, d, "send j a"); l.jobs["j"].account.owed != 2 {
+			t.Fatal("its units are not owed")
+		}
+	})
+}
+
+func TestJobWhileCrowded(t *testing.T) {
+	crowded := func(owed float64) *deeds {
+		l, d := made()
+		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
+		l.asks, a.quota.level, a.slice.level = 0.999, 0, -9
+		l.turn(0, a)
+		a.owed = owed
+		l.Job(0, arrival("j", "read", "plain"))
+		return d
+	}
+	t.Run("the counter is not asked for a customer known to be out", func(t *testing.T) {
+		expect(t, crowded(0), "reject j")
+	})
+	t.Run("but when there is something to add back", func(t *testing.T) {
+		expect(t, crowded(-3), "count -1")
+	})
+	t.Run("the retry-after is no longer than clients honour", func(t *testing.T) {
+		if d := crowded(0); d.after > second || d.after <= second/4 {
+			t.Fatal("told to wait", d.after)
+		}
 	})
 }
 
@@ -93,13 +118,13 @@
 		l, _ := made()
 		j := reserving(l, "read", "plain")
 		later := 20 * second
-		j.lease = later + 1
+		j.lease, j.account.quota.at = later+1, later
 		l.Counted(later, j.name, Done, 100)
 		l.release(later, j, 2)
 		j.reserved = true
 		l.release(later, j, 2)
 		l.Counted(later, j.name, Done, 98)
-		if level := j.account.quota.level; level < 8 {
+		if level := j.account.quota.level; level != 3 {
 			t.Fatal("the store has fallen to", level)
 		}
 	})
@@ -110,6 +135,18 @@
 		l.Counted(0, j.name, Done, 26)
 		expect(t, d, "send j a")
 	})
+	t.Run("what a late call added for a job not sent is added back with the next", func(t *testing.T) {
+		l, d := made()
+		j := reserving(l, "read", "plain")
+		j.account.slice.level = 1
+		l.Counted(0, j.name, TimedOut, 0)
+		expect(t, d, "count 2", "reject j")
+		l.reserve(0, &job{id: "k", account: j.account, units: 1})
+		l.Counted(0, j.name, Done, 3)
+		if j.account.owed != -2 {
+			t.Fatal("owed", j.account.owed)
+		}
+	})
 	t.Run("an answer to no call does nothing", func(t *testing.T) {
 		l, d := made()
 		l.Counted(0, 5, Done, 2)
@@ -117,6 +154,98 @@
 	})
 }
 
+func TestRelease(t *testing.T) {
+	t.Run("does nothing after the lease", func(t *testing.T) {
+		l, d := made()
+		j := reserving(l, "read", "plain")
+		l.release(j.lease, j, 2)
+		expect(t, d, "count 2")
+	})
+}
+
+func TestMembers(t *testing.T) {
+	t.Run("a server that a whole list leaves out is gone", func(t *testing.T) {
+		l, _ := made()
+		l.Members(0, true, []Entry{{ID: "b"}})
+		if l.servers["a"].listing != Gone || l.servers["b"].listing != Ready {
+			t.Fatal("it is not")
+		}
+	})
+	t.Run("the first limit of a server is shared by all limiters", func(t *testing.T) {
+		l, _ := made()
+		if limit := l.servers["a"].limit; limit*2 != startJobs*l.set.MostUnits {
+			t.Fatal("limit", limit)
+		}
+	})
+	t.Run("a new process starts with a clean record but for what is out", func(t *testing.T) {
+		l, _ := made()
+		sent(l, "read")
+		l.setAside(0, l.servers["a"], "")
+		l.Members(second, false, []Entry{{ID: "a", Since: second}})
+		if a := l.servers["a"]; a.standing != fit || a.out != 2 || l.warmth(second, a) != l.set.ColdFrom {
+			t.Fatal("standing", a.standing, "out", a.out)
+		}
+	})
+}
+
+func TestLeft(t *testing.T) {
+	t.Run("nothing is sent for a client that has gone", func(t *testing.T) {
+		l, d := made()
+		sent(l, "read")
+		l.Left(1, "j")
+		l.Answer(2, Reply{Job: "j", Outcome: Full, Took: 2})
+		if expect(t, d, "send j a"); l.jobs["j"] != nil {
+			t.Fatal("the job is kept")
+		}
+	})
+}
+
+func TestMove(t *testing.T) {
+	t.Run("an ended job keeps its end", func(t *testing.T) {
+		defer func() {
+			if recover() == nil {
+				t.Fatal("it moved")
+			}
+		}()
+		l, _ := made()
+		l.move(&job{state: Served}, Rejected)
+	})
+}
+
+func TestForget(t *testing.T) {
+	t.Run("keeps the customers whose ceiling must be known", func(t *testing.T) {
+		l, _ := made()
+		l.accountOf(0, Arrival{Customer: 1, Spread: 2}, l.set.Plans["plain"])
+		l.accountOf(0, Arrival{Customer: 2, Spread: 2}, l.set.Plans["hard"])
+		l.forget(second)
+		early := len(l.accounts)
+		l.forget(100 * second)
+		if early != 2 || l.accounts[1] != nil || l.accounts[2] == nil {
+			t.Fatal(early, "kept, then", len(l.accounts))
+		}
+	})
+}
+
+func TestAgain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(l *Limiter, j *job)
+	}{
+		{"no shot is left", func(l *Limiter, j *job) { l.set.MostShots = 1 }},
+		{"no second shot is in hand", func(l *Limiter, j *job) { l.spare = 0 }},
+		{"a copy is out and none is allowed", func(l *Limiter, j *job) { l.set.SecondCopies = false }},
+		{"its time is over", func(l *Limiter, j *job) { j.end = 0 }},
+	} {
+		t.Run("sends nothing when "+c.name, func(t *testing.T) {
+			l, _ := made()
+			j := sent(l, "read")
+			if c.set(l, j); l.again(1, j, false) {
+				t.Fatal("it did")
+			}
+		})
+	}
+}
+
 func TestAnswer(t *testing.T) {
 	for _, c := range []struct {
 		name, track string
@@ -178,6 +307,23 @@
 			t.Fatal("the same server twice")
 		}
 	})
+	t.Run("gives a server that fails fewer turns", func(t *testing.T) {
+		l, _ := made()
+		l.servers["a"].bad = 0.5
+		if a, b := l.weight(0, l.servers["a"]), l.weight(0, l.servers["b"]); a != b/2 {
+			t.Fatal("weights", a, b)
+		}
+	})
+	t.Run("passes a server on trial for binding jobs, and for others while one is out", func(t *testing.T) {
+		l, _ := made()
+		a := l.servers["a"]
+		a.standing = trial
+		free, binding := l.usable(0, probe, a), l.usable(0, &job{track: l.set.Tracks["write"]}, a)
+		l.send(0, &job{track: probe.track}, a)
+		if !free || binding || l.usable(0, probe, a) {
+			t.Fatal("usable", free, binding, l.usable(0, probe, a))
+		}
+	})
 	t.Run("passes a server that drains", func(t *testing.T) {
 		l, _ := made()
 		l.Members(0, false, []Entry{{ID: "a", Listing: Draining}, {ID: "b", Listing: Gone}})
@@ -201,23 +347,104 @@
 }
 
 func TestLook(t *testing.T) {
+	out := func(l *Limiter, id string, s *server) *job {
+		j := &job{id: id, track: l.set.Tracks["read"], state: Out, units: 1, end: 9 * second}
+		l.send(0, j, s)
+		return j
+	}
 	t.Run("a silent server is set aside and its job goes elsewhere", func(t *testing.T) {
 		l, d := made()
-		j := sent(l, "read")
-		l.send(0, &job{id: "k", track: j.track, state: Out, open: 1}, l.servers["a"])
+		sent(l, "read")
+		out(l, "k", l.servers["a"]).state = Served
 		l.look(second * 3 / 4)
 		expect(t, d, "send j b")
 		if l.servers["a"].standing != aside {
 			t.Fatal("not set aside")
 		}
 	})
-	t.Run("it comes back after it has answered probes", func(t *testing.T) {
-		l, _ := made()
+	t.Run("a lone shot shows a silent server only after the agreed time, and is not copied then", func(t *testing.T) {
+		l, d := made()
+		a := l.servers["a"]
+		out(l, "k", a)
+		l.look(second * 3 / 4)
+		early := a.standing
+		l.look(second * 5 / 4)
+		if expect(t, d, "send k a"); early != fit || a.standing != aside {
+			t.Fatal("standing", early, "then", a.standing)
+		}
+	})
+	t.Run("where copies are not allowed the shot is called off, then sent again", func(t *testing.T) {
+		l, d := made()
+		l.set.SecondCopies, l.set.Cancelling = false, true
+		sent(l, "read")
 		l.setAside(0, l.servers["a"], "")
+		l.look(second / 2)
+		expect(t, d, "cancel j 0")
+		l.Answer(second/2, Reply{Job: "j", Outcome: Cancelled, Took: second / 2})
+		expect(t, d, "send j b")
+	})
+	t.Run("a shot that is out too long lowers the limit once, before its answer", func(t *testing.T) {
+		l, _ := made()
+		a := l.servers["a"]
+		out(l, "k", a)
+		before := a.limit
+		l.look(second * 6 / 10)
+		once := a.limit
+		l.look(second * 7 / 10)
+		if once >= before || a.limit != once {
+			t.Fatal("limit", before, once, a.limit)
+		}
+	})
+	t.Run("at least a quarter of the servers stays", func(t *testing.T) {
+		l, _ := made()
+		for _, s := range l.order {
+			l.setAside(0, s, "")
+		}
+		if l.servers["a"].standing != aside || l.servers["b"].standing != fit {
+			t.Fatal("none is left, or none is set aside")
+		}
+	})
+	t.Run("it comes back after it has answered probes, cold where it failed", func(t *testing.T) {
+		l, _ := made()
+		a := l.servers["a"]
+		a.bad = 1
+		l.setAside(0, a, "")
 		l.Probed(second, "a", Done)
+		once := a.standing
 		l.Probed(second, "a", Done)
-		if l.servers["a"].standing != trial {
-			t.Fatal("still aside")
+		if once != aside || a.standing != trial || l.warmth(second, a) != l.set.ColdFrom {
+			t.Fatal("standing", once, "then", a.standing, "warmth", l.warmth(second, a))
+		}
+	})
+}
+
+func TestAble(t *testing.T) {
+	t.Run("limits hold in sum", func(t *testing.T) {
+		l, _ := made()
+		l.servers["a"].limit, l.servers["b"].limit = 2, 2
+		l.servers["a"].out = 3
+		if able := l.able(0, &job{units: 2, track: &Track{}}); able != nil {
+			t.Fatal(len(able), "servers are able")
+		}
+	})
+	t.Run("a full server rests for a look", func(t *testing.T) {
+		l, _ := made()
+		j := sent(l, "read")
+		l.Answer(1, Reply{Job: "j", Outcome: Full, Took: 1})
+		j.shots = nil
+		if able := l.able(2, j); len(able) != 0 && able[0].id == "a" {
+			t.Fatal("it is asked again at once")
+		}
+	})
+	t.Run("a fingerprinted job that may have run looks in its group alone", func(t *testing.T) {
+		l, _ := made()
+		l.Members(0, false, []Entry{{ID: "c", Zone: "x"}})
+		j := sent(l, "mark")
+		if able := l.able(second/2, j); len(able) != 1 || able[0].id != "c" {
+			t.Fatal(len(able), "servers are able")
+		}
+		if able := l.able(second, j); len(able) != 0 {
+			t.Fatal("after its window")
 		}
 	})
 }
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -6,13 +6,16 @@
 )
 
 // deeds writes down what the limiter did, one line each.
-type deeds struct{ did []string }
+type deeds struct {
+	did   []string
+	after int64 // the latest retry-after
+}
 
 func (d *deeds) add(form string, args ...any) { d.did = append(d.did, fmt.Sprintf(form, args...)) }
 
 func (d *deeds) Send(job, server string)                    { d.add("send %s %s", job, server) }
 func (d *deeds) Cancel(job string, shot int)                { d.add("cancel %s %d", job, shot) }
-func (d *deeds) Reject(job string, retryAfter int64)        { d.add("reject %s", job) }
+func (d *deeds) Reject(job string, after int64)             { d.after = after; d.add("reject %s", job) }
 func (d *deeds) WriteOff(job string)                        { d.add("write off %s", job) }
 func (d *deeds) Count(name uint64, amount float64, _ int64) { d.add("count %v", amount) }
 func (d *deeds) Probe(server string)                        { d.add("probe %s", server) }
--- a/choice/state.go
+++ b/choice/state.go
@@ -21,7 +21,6 @@
 	account  *account
 	units    float64
 	end      int64 // the last moment for a final answer
-	due      int64 // when its timer matters next
 	shots    []*shot
 	open     int // shots that are out
 	reserved bool
