--- a/choice/choice.go
+++ b/choice/choice.go
@@ -119,7 +119,7 @@
 	l.jobs[j.id], l.timers[j.token] = j, j
 	plan := l.set.Plans[a.Plan]
 	if plan == nil || j.track == nil {
-		// Nobody has granted it an allowance: a later list of plans may.
+		// Nobody has granted it an allowance, and it loses nothing by asking again.
 		l.reject(now, j, l.set.MostAdvice)
 		return
 	}
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -30,13 +30,13 @@
 	d := &deeds{}
 	set := &Settings{
 		Tracks: map[string]*Track{
-			"read":  {Name: "read", Agreed: second, Effect: Retriable},
-			"mark":  {Name: "mark", Agreed: second, Effect: Fingerprinted, Group: GroupZone, Repeats: second},
-			"write": {Name: "write", Agreed: second, Effect: Binding},
+			"read":  {Agreed: second, Effect: Retriable},
+			"mark":  {Agreed: second, Effect: Fingerprinted, Group: GroupZone, Repeats: second},
+			"write": {Agreed: second, Effect: Binding},
 		},
 		Plans: map[string]*Plan{
-			"plain": {Name: "plain", Rate: 5, Burst: 10},
-			"hard":  {Name: "hard", Rate: 5, Burst: 10, CeilingRate: 8, CeilingBurst: 16},
+			"plain": {Rate: 5, Burst: 10},
+			"hard":  {Rate: 5, Burst: 10, CeilingRate: 8, CeilingBurst: 16},
 		},
 		CounterWait: second / 20, MostUnits: 4, LongestLease: 60 * second, Limiters: 2,
 		ColdFrom: 0.25, WarmWithin: 10 * second, DialTimeout: second / 4,
--- a/choice/types.go
+++ b/choice/types.go
@@ -43,7 +43,6 @@
 
 // Track is one kind of job; times are nanoseconds.
 type Track struct {
-	Name    string
 	Agreed  int64
 	Effect  Effect
 	Group   Group
@@ -52,7 +51,6 @@
 
 // Plan is what a customer has bought; units and units a second.
 type Plan struct {
-	Name                      string
 	Rate, Burst               float64
 	CeilingRate, CeilingBurst float64
 	BeyondEarns, BeyondCosts  float64
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -97,7 +97,7 @@
 		if c.Aim <= 0 {
 			return nil, fmt.Errorf("classes: %s: aim is %v", c.Name, c.Aim)
 		}
-		s.Tracks[c.Name] = &choice.Track{Name: c.Name, Agreed: nanos(c.Aim), Effect: effect, Group: group,
+		s.Tracks[c.Name] = &choice.Track{Agreed: nanos(c.Aim), Effect: effect, Group: group,
 			Repeats: nanos(c.Window)}
 	}
 	if len(s.Tracks) == 0 {
@@ -112,7 +112,7 @@
 		if t.MostAtOnce < 0 || t.Rate > 0 && t.MostAtOnce == 0 {
 			return nil, fmt.Errorf("tariffs: %s: most-at-once is %v", t.Name, t.MostAtOnce)
 		}
-		s.Plans[t.Name] = &choice.Plan{Name: t.Name, Rate: t.Rate, Burst: t.MostAtOnce,
+		s.Plans[t.Name] = &choice.Plan{Rate: t.Rate, Burst: t.MostAtOnce,
 			CeilingRate: t.HardRate, CeilingBurst: t.HardDepth,
 			BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts}
 	}
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -22,30 +22,28 @@
 
 // item has the fields of all events; an absent one is nil.
 type item struct {
-	Type     *string         `json:"type"`
-	Limiter  *int64          `json:"limiter"`
-	Seed     *int64          `json:"seed"`
-	Facts    json.RawMessage `json:"facts"`
-	How      *string         `json:"how"`
-	Items    []entry         `json:"items"`
-	Handle   *string         `json:"handle"`
-	Budget   *float64        `json:"budget"`
-	Key      *uint64         `json:"api-key"`
-	Tier     *string         `json:"tier"`
-	Class    *string         `json:"cls"`
-	Units    *float64        `json:"price-units"`
-	Entries  *int            `json:"n-entries"`
-	Ctx      *int64          `json:"ctx"`
-	Name     *uint64         `json:"name"`
-	Code     *uint8          `json:"rc"`
-	Level    *float64        `json:"level"`
-	Took     *float64        `json:"took"`
-	Server   *string         `json:"server"`
-	Copy     *int            `json:"copy"`
-	Final    *bool           `json:"final"`
-	True     *float64        `json:"true-units"`
-	Metered  *float64        `json:"metered"`
-	Feedback json.RawMessage `json:"feedback"`
+	Type    *string         `json:"type"`
+	Limiter *int64          `json:"limiter"`
+	Seed    *int64          `json:"seed"`
+	Facts   json.RawMessage `json:"facts"`
+	How     *string         `json:"how"`
+	Items   []entry         `json:"items"`
+	Handle  *string         `json:"handle"`
+	Budget  *float64        `json:"budget"`
+	Key     *uint64         `json:"api-key"`
+	Tier    *string         `json:"tier"`
+	Class   *string         `json:"cls"`
+	Units   *float64        `json:"price-units"`
+	Entries *int            `json:"n-entries"`
+	Ctx     *int64          `json:"ctx"`
+	Name    *uint64         `json:"name"`
+	Code    *uint8          `json:"rc"`
+	Level   *float64        `json:"level"`
+	Took    *float64        `json:"took"`
+	Server  *string         `json:"server"`
+	Copy    *int            `json:"copy"`
+	Final   *bool           `json:"final"`
+	True    *float64        `json:"true-units"`
 }
 
 type entry struct {
