The ceiling's part is checked again at the moment of the first shot

Jobs of one customer that waited for the counter together were each checked at arrival only and could take more than the limiter's part holds; the argument in docs/design.md needs the check at the shot.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -129,8 +129,8 @@
 		l.reject(now, j, l.crowded())
 		return
 	}
-	if plan.CeilingRate > 0 && acc.ceiling.fill(now) < j.units {
-		l.reject(now, j, nanos((j.units-acc.ceiling.level)/acc.ceiling.rate))
+	if wait := acc.overCeiling(now, j.units); wait > 0 {
+		l.reject(now, j, wait)
 		return
 	}
 	if plan.Rate <= 0 {
@@ -320,15 +320,27 @@
 	return j.beyond
 }
 
-// place sends a job's first shot, or rejects it when there is no room.
+// overCeiling is how long this limiter's part of the ceiling must fill before it holds the units.
+func (a *account) overCeiling(now int64, units float64) int64 {
+	if a.plan.CeilingRate <= 0 || a.ceiling.fill(now) >= units {
+		return 0
+	}
+	return 1 + nanos((units-a.ceiling.level)/a.ceiling.rate)
+}
+
+// place sends a job's first shot, or rejects it when there is no room. The ceiling is looked at again: others of
+// the customer may have gone out while this one waited for the counter.
 func (l *Limiter) place(now int64, j *job) {
-	s := l.pick(now, j)
+	a, wait := j.account, j.account.overCeiling(now, j.units)
+	var s *server
+	if wait == 0 {
+		s, wait = l.pick(now, j), l.crowded()
+	}
 	if s == nil {
 		l.release(now, j, j.units)
-		l.reject(now, j, l.crowded())
+		l.reject(now, j, wait)
 		return
 	}
-	a := j.account
 	a.quota.fill(now)
 	a.slice.fill(now)
 	if !j.beyond { // what goes beyond the quota takes nothing from it
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -27,6 +27,15 @@
 		l.Job(second, arrival("k", "read", "hard"))
 		expect(t, d, "count 2")
 	})
+	t.Run("is held to our part of the ceiling when others went out while it waited", func(t *testing.T) {
+		l, d := made()
+		l.Job(second/2, arrival("j", "read", "hard"))
+		l.Job(second/2, arrival("k", "read", "hard"))
+		name := l.jobs["j"].name
+		l.Counted(second/2, name, Done, 2)
+		l.Counted(second/2, name, Done, 4)
+		expect(t, d, "count 2", "count 2", "send j a", "count -2", "reject k")
+	})
 	t.Run("goes by the slice while the counter is silent", func(t *testing.T) {
 		l, d := made()
 		l.asks = 0
