--- a/choice/choice.go
+++ b/choice/choice.go
@@ -328,8 +328,8 @@
 	return 1 + nanos((units-a.ceiling.level)/a.ceiling.rate)
 }
 
-// place sends a job's first shot, or rejects it when there is no room. The ceiling is looked at again: others of
-// the customer may have gone out while this one waited for the counter.
+// place sends a job's first shot, or rejects it when there is no room. The ceiling is looked at again: others
+// of the customer may have gone out while this one waited for the counter.
 func (l *Limiter) place(now int64, j *job) {
 	a, wait := j.account, j.account.overCeiling(now, j.units)
 	var s *server
