--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,7 +52,7 @@
 	beats        = 20       // looks at the servers in one agreed time
 	fade         = 40       // answers after which an old one has lost most of its weight
 	wellInside   = 2        // an answer within this part of the agreed time is prompt
-	late         = 8        // a late shot takes off so many times what a prompt one adds to a limit
+	late         = 10       // a late shot takes off so many times what a prompt one adds to a limit
 	grow         = 8        // prompt answers that raise a limit by their own size
 	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
