Reservations that carry add-backs decide their job; settlements reach the kept stores

Found by reading: a reservation whose amount fell to 0 or below, because it carried units to add back, was taken for an add-back and its job waited for its timer; and the true units of a guessed cost never reached the store kept here. A call now says what it is for. No deployment here guesses costs, so the settlement is seen in its test only.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -197,19 +197,35 @@
 	l.turn(now, a)
 	j.name, j.reserved, j.lease = a.name(), true, now+l.span(a.plan)
 	l.move(j, Reserving)
-	l.count(j, j.units+a.owed)
+	l.count(j, j.units+a.owed, false)
 	a.owed = 0
 }
 
-func (l *Limiter) count(j *job, amount float64) {
-	l.calls[j.name] = append(l.calls[j.name], call{j, j.account, amount})
+// count makes a call. What a reservation carries along may bring its amount below 0, so that tells nothing
+// of its purpose.
+func (l *Limiter) count(j *job, amount float64, back bool) {
+	l.calls[j.name] = append(l.calls[j.name], call{j, j.account, amount, back})
 	l.deeds.Count(j.name, amount, 2*l.span(j.account.plan))
 }
 
 // release adds back what was reserved and not used; once, and not after the lease has ended.
 func (l *Limiter) release(now int64, j *job, amount float64) {
 	if j.reserved && now < j.lease && amount != 0 {
-		l.count(j, -amount)
+		l.count(j, -amount, true)
+	}
+	j.reserved = false
+}
+
+// settle puts the true units in the place of the guess, once: on the count that has the reservation, or with
+// the next call where there is none, and in the stores kept here.
+func (l *Limiter) settle(now int64, j *job, units float64) {
+	if more := units - j.units; units > 0 && more != 0 && !j.beyond {
+		a := j.account
+		a.quota.level, a.slice.level = a.quota.level-more, a.slice.level-more
+		if !j.reserved && a.plan.Rate > 0 {
+			a.owed += more
+		}
+		l.release(now, j, -more)
 	}
 	j.reserved = false
 }
@@ -230,22 +246,22 @@
 		// work off its line; it is asked more again step by step, so that its return brings no rush.
 		l.asks = max(l.asks*askLess, askMore)
 		if outcome == TimedOut {
-			if a.unsure += c.amount; c.amount > 0 && (len(j.shots) == 0 || j.beyond) {
+			if a.unsure += c.amount; !c.back && (len(j.shots) == 0 || j.beyond) {
 				a.idle += j.units
 			}
-		} else if a.owed += c.amount; c.amount > 0 {
+		} else if a.owed += c.amount; !c.back {
 			if j.reserved = false; len(j.shots) == 0 || j.beyond {
 				a.owed -= j.units
 			}
 		}
-		if j.state == Reserving && c.amount > 0 {
+		if j.state == Reserving && !c.back {
 			l.bySlice(now, j)
 		}
 		return
 	}
 	l.asks = math.Min(1, l.asks+askMore)
 	l.see(now, c, name, total)
-	if c.amount < 0 || j.name != name {
+	if c.back {
 		return
 	}
 	if j.state == Reserving {
@@ -328,7 +344,7 @@
 	return 1 + nanos((units-a.ceiling.level)/a.ceiling.rate)
 }
 
-// place sends a job's first shot, or rejects it when there is no room. The ceiling is looked at again: others
+// place sends the first shot, or rejects the job for want of room. The ceiling is looked at again: others
 // of the customer may have gone out while this one waited for the counter.
 func (l *Limiter) place(now int64, j *job) {
 	a, wait := j.account, j.account.overCeiling(now, j.units)
@@ -499,10 +515,7 @@
 	sh.maybe = r.Outcome != Full && r.Outcome != Unconnected && r.Outcome != Moot
 	l.learn(now, sh, r)
 	if r.Outcome == Done && r.Final && !j.ended() {
-		if r.Units > 0 {
-			l.release(now, j, j.units-r.Units)
-		}
-		j.reserved = false
+		l.settle(now, j, r.Units)
 		l.move(j, Served)
 	}
 	if r.Final && !j.ended() {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -156,6 +156,15 @@
 			t.Fatal("owed", j.account.owed)
 		}
 	})
+	t.Run("a reservation that carries more to add back than it adds still decides its job", func(t *testing.T) {
+		l, d := made()
+		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
+		l.turn(0, a)
+		a.owed = -9
+		j := reserving(l, "read", "plain")
+		l.Counted(0, j.name, Done, -7)
+		expect(t, d, "count -7", "send j a")
+	})
 	t.Run("an answer to no call does nothing", func(t *testing.T) {
 		l, d := made()
 		l.Counted(0, 5, Done, 2)
@@ -287,8 +296,8 @@
 		j := sent(l, "read")
 		l.Answer(second/10, Reply{Job: "j", Outcome: Done, Took: second / 10, Final: true, Units: 5})
 		expect(t, d, "send j a", "count 3")
-		if l.jobs["j"] != nil || j.state != Served {
-			t.Fatalf("job is kept in state %d", j.state)
+		if l.jobs["j"] != nil || j.state != Served || j.account.quota.level > 5.6 {
+			t.Fatalf("job is kept in state %d, the store holds %v", j.state, j.account.quota.level)
 		}
 	})
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -97,4 +97,5 @@
 	job     *job
 	account *account
 	amount  float64
+	back    bool // no job waits for it: it adds back or settles
 }
