--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,721 @@
+// Package choice holds every decision of the gateway, all of them in this file.
+//
+// A Limiter is one instance. Its caller makes it with New and then calls Members, Job, Answer, Counted,
+// Probed, Left and Woken as things happen, each with the clock in nanoseconds; the limiter acts through
+// the Deeds it was given, in types.go with the settings. It is not safe for concurrent use.
+//
+// The ordinary path is Reserve and Reconcile (docs/design.md). Beside it stand these mechanisms:
+//  1. ceiling: each limiter's own part of a hard ceiling, which every first shot must fit;
+//  2. memory: what a counter is known to have held counts on when its total has fallen;
+//  3. breaker: a counter that does not answer is asked now and then only;
+//  4. room: the work out at a server is bounded by what it finishes inside the agreed time;
+//  5. standing: a server that shows no life is set aside until it has answered;
+//  6. second shot: a job whose server shows no life, or that never ran, is sent elsewhere.
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+)
+
+// State is where a job stands; move is the only function that changes it.
+type State uint8
+
+const (
+	Taken State = iota
+	Reserving
+	Out
+	Served
+	Rejected
+	WrittenOff
+	Abandoned // the client has left
+)
+
+type job struct {
+	id       string
+	token    int64
+	state    State
+	track    *Track
+	account  *account
+	units    float64
+	end      int64 // the last moment for a final answer
+	due      int64 // when its timer matters next
+	shots    []*shot
+	open     int // shots that are out
+	reserved bool
+	name     uint64 // the count that holds the reservation
+	lease    int64  // when that count is forgotten
+}
+
+type shot struct {
+	job    *job
+	server *server
+	number int
+	at     int64
+	open   bool
+	maybe  bool // it may have run
+}
+
+type server struct {
+	id       string
+	zone     string
+	cell     int64
+	listing  Listing
+	hint     float64
+	warmFrom int64 // when it began to warm up, 0 for long ago
+	standing standing
+	shots    []*shot
+	out      float64 // units out
+	limit    float64 // units that may be out
+	took     float64 // fading sums of time and units over its answers
+	did      float64
+	heard    int64 // its last sign of life
+	strikes  int   // connections failed in a row
+	probes   int   // probes answered in a row
+	next     int64 // when it is probed or tried next
+	rest     int64
+	credit   float64 // its claim on the next turn
+}
+
+type standing uint8
+
+const (
+	fit standing = iota
+	trial
+	aside
+)
+
+// store is a bucket of units.
+type store struct {
+	level, depth, rate float64
+	at                 int64
+}
+
+func (s *store) fill(now int64) float64 {
+	s.level = math.Min(s.depth, s.level+s.rate*seconds(now-s.at))
+	s.at = now
+	return s.level
+}
+
+type account struct {
+	id      uint64
+	plan    *Plan
+	phase   int64
+	window  int64
+	total   float64 // the window's last seen total
+	prior   float64 // the prior window's last seen total
+	own     float64 // this limiter's adds that stand in the window
+	lost    float64 // what the counter has forgotten of the window
+	slice   store   // this limiter's part of the quota
+	ceiling store   // this limiter's part of the hard ceiling
+	used    int64
+}
+
+type call struct {
+	job     *job
+	account *account
+	window  int64
+	amount  float64
+}
+
+// Limiter is one instance of the gateway's decisions.
+type Limiter struct {
+	set      *Settings
+	deeds    Deeds
+	rng      *rand.Rand
+	began    int64
+	servers  map[string]*server
+	order    []*server
+	jobs     map[string]*job
+	timers   map[int64]*job
+	tokens   int64
+	accounts map[uint64]*account
+	calls    map[uint64][]call
+	silence  int   // calls to the counter unanswered in a row
+	askAt    int64 // while the counter is silent, when it is asked next
+	took     float64
+	did      float64
+	beat     int64
+	spare    float64 // second shots in hand
+}
+
+const (
+	patience  = 2  // a job waits for the counter for this part of the counter's own time-out
+	breakAt   = 4  // unanswered calls in a row that open the breaker
+	beats     = 20 // looks at the servers in one agreed time
+	fade      = 40 // answers after which an old one has lost most of its weight
+	late      = 12 // a late answer takes off so many times what a prompt one adds to a server's limit
+	grow      = 8  // prompt answers that raise a limit by their own size
+	paceMost  = 3  // a server's weight may be so many times the mean or so small a part of it
+	asideMost = 2  // at most this part of the servers is set aside as silent
+	spareMost = 10 // one second shot for so many first ones
+)
+
+func seconds(ns int64) float64 { return float64(ns) / 1e9 }
+
+func nanos(s float64) int64 { return int64(s * 1e9) }
+
+// New makes a limiter that knows nothing yet.
+func New(now int64, set *Settings, seed int64, deeds Deeds) *Limiter {
+	l := &Limiter{set: set, deeds: deeds, rng: rand.New(rand.NewSource(seed)), began: now,
+		servers: map[string]*server{}, jobs: map[string]*job{}, timers: map[int64]*job{},
+		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1}
+	agreed := int64(math.MaxInt64)
+	for _, t := range set.Tracks {
+		agreed = min(agreed, t.Agreed)
+	}
+	l.beat = max(agreed/beats, set.Granularity)
+	deeds.Wake(now+l.beat, 0)
+	return l
+}
+
+// Members takes in the server list, whole or its changes only.
+func (l *Limiter) Members(now int64, whole bool, entries []Entry) {
+	if whole {
+		for _, s := range l.order {
+			s.listing = Gone
+		}
+	}
+	for _, e := range entries {
+		s := l.servers[e.ID]
+		if s == nil {
+			s = &server{id: e.ID, limit: 4 * l.set.MostUnits, warmFrom: e.Since, heard: now}
+			l.servers[e.ID] = s
+			l.order = append(l.order, s)
+		} else if e.Since > s.warmFrom {
+			// A new process: nothing known of the old one holds for it.
+			*s = server{id: e.ID, limit: 4 * l.set.MostUnits, warmFrom: e.Since, heard: now,
+				shots: s.shots, out: s.out}
+		}
+		s.zone, s.cell, s.listing, s.hint = e.Zone, e.Cell, e.Listing, e.Hint
+	}
+}
+
+// Job takes a job from a client: it reserves on the counter, or decides by the slice when it cannot.
+func (l *Limiter) Job(now int64, a Arrival) {
+	l.tokens++
+	j := &job{id: a.ID, token: l.tokens, track: l.set.Tracks[a.Track], units: a.Units,
+		end: now + a.Budget - 2*l.set.Granularity}
+	l.jobs[j.id], l.timers[j.token] = j, j
+	plan := l.set.Plans[a.Plan]
+	if plan == nil || j.track == nil {
+		// Nobody has granted it an allowance: a later list of plans may.
+		l.reject(now, j, l.set.MostAdvice)
+		return
+	}
+	j.account = l.accountOf(now, a, plan)
+	acc := j.account
+	if j.end <= now || len(l.able(now, j)) == 0 {
+		l.reject(now, j, l.crowded())
+		return
+	}
+	if plan.CeilingRate > 0 && acc.ceiling.fill(now) < j.units {
+		l.reject(now, j, nanos((j.units-acc.ceiling.level)/acc.ceiling.rate))
+		return
+	}
+	if plan.Rate <= 0 {
+		l.place(now, j)
+		return
+	}
+	if l.set.CounterWait == 0 || l.silence >= breakAt && now < l.askAt {
+		l.bySlice(now, j)
+		return
+	}
+	l.askAt = now + 4*l.set.CounterWait
+	l.reserve(now, j)
+	l.wake(now, j, now+l.set.CounterWait/patience)
+}
+
+func (l *Limiter) accountOf(now int64, a Arrival, plan *Plan) *account {
+	acc := l.accounts[a.Customer]
+	if acc == nil {
+		part := float64(max(a.Spread, 1))
+		acc = &account{id: a.Customer, plan: plan, window: math.MinInt64,
+			slice: store{level: plan.Burst / part, depth: plan.Burst / part, rate: plan.Rate / part, at: now},
+			// The ceiling's store stands as it was before we started, so our part of it starts empty: what all
+			// starts of all limiters send is then never more than what the store has held and filled.
+			ceiling: store{depth: plan.CeilingBurst / part, rate: plan.CeilingRate / part, at: l.began}}
+		acc.phase = int64(mix(a.Customer) >> 1)
+		l.accounts[a.Customer] = acc
+	}
+	acc.used = now
+	return acc
+}
+
+// mix spreads a number over all bits, so that names of different windows and customers do not meet.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (a *account) span() int64 { return nanos(a.plan.Burst / a.plan.Rate) }
+
+func (a *account) name() uint64 { return mix(mix(a.id)^uint64(a.window)) >> 1 }
+
+// turn moves the account to the window that holds now and tells how much of it has passed.
+func (a *account) turn(now int64) float64 {
+	span := a.span()
+	since := now + a.phase%span
+	if w := since / span; w != a.window {
+		a.prior = 0
+		if w == a.window+1 {
+			a.prior = a.total + a.lost
+		}
+		a.window, a.total, a.own, a.lost = w, 0, 0, 0
+	}
+	return float64(since%span) / float64(span)
+}
+
+func (l *Limiter) reserve(now int64, j *job) {
+	a := j.account
+	a.turn(now)
+	j.name, j.reserved, j.lease = a.name(), true, now+2*a.span()
+	l.move(j, Reserving)
+	l.count(j, j.units)
+}
+
+func (l *Limiter) count(j *job, amount float64) {
+	l.calls[j.name] = append(l.calls[j.name], call{j, j.account, j.account.window, amount})
+	l.deeds.Count(j.name, amount, 2*j.account.span())
+}
+
+// release adds back what was reserved and not used; once, and not after the lease has ended.
+func (l *Limiter) release(now int64, j *job, amount float64) {
+	if j.reserved && now < j.lease && amount != 0 {
+		l.count(j, -amount)
+	}
+	j.reserved = false
+}
+
+// Counted takes the counter's answer to the oldest call on a name.
+func (l *Limiter) Counted(now int64, name uint64, outcome Outcome, total float64) {
+	queue := l.calls[name]
+	if len(queue) == 0 {
+		return
+	}
+	c := queue[0]
+	if l.calls[name] = queue[1:]; len(queue) == 1 {
+		delete(l.calls, name)
+	}
+	j, a := c.job, c.account
+	if outcome != Done {
+		l.silence++
+		if outcome != TimedOut && c.amount > 0 {
+			j.reserved = false
+		}
+		if j.state == Reserving && c.amount > 0 {
+			l.bySlice(now, j)
+		}
+		return
+	}
+	l.silence = 0
+	through := a.turn(now)
+	if a.window == c.window {
+		a.own += c.amount
+		// A total under what we know it held means that the counter has forgotten: its loss counts on.
+		if total < a.own || total-c.amount < a.total/2 {
+			a.lost += max(a.total+c.amount, a.own) - total
+		}
+		a.total = total
+	}
+	if c.amount < 0 {
+		return
+	}
+	if j.state == Reserving {
+		over := a.total + a.lost + a.prior*(1-through) - a.plan.Burst
+		if over > 0 {
+			l.release(now, j, j.units)
+			l.reject(now, j, nanos(over/a.plan.Rate))
+			return
+		}
+		l.place(now, j)
+	} else if len(j.shots) == 0 {
+		l.release(now, j, j.units)
+	}
+}
+
+// bySlice decides by this limiter's own part of the quota, when the counter does not answer.
+func (l *Limiter) bySlice(now int64, j *job) {
+	if s := &j.account.slice; s.fill(now) < j.units {
+		l.reject(now, j, nanos((j.units-s.level)/s.rate))
+		return
+	}
+	l.place(now, j)
+}
+
+// place sends a job's first shot, or rejects it when there is no room.
+func (l *Limiter) place(now int64, j *job) {
+	s := l.pick(now, j)
+	if s == nil {
+		l.release(now, j, j.units)
+		l.reject(now, j, l.crowded())
+		return
+	}
+	a := j.account
+	a.slice.fill(now)
+	a.slice.level = max(a.slice.level-j.units, -a.slice.depth)
+	a.ceiling.fill(now)
+	a.ceiling.level -= j.units
+	l.spare = math.Min(l.spare+1.0/spareMost, float64(len(l.order)))
+	l.move(j, Out)
+	l.send(now, j, s)
+	l.wake(now, j, j.end)
+}
+
+func (l *Limiter) send(now int64, j *job, s *server) {
+	sh := &shot{job: j, server: s, number: len(j.shots), at: now, open: true, maybe: true}
+	j.shots = append(j.shots, sh)
+	j.open++
+	s.shots = append(s.shots, sh)
+	s.out += j.units
+	l.deeds.Send(j.id, s.id)
+}
+
+// warmth is the share of its capacity that a server is sure to have.
+func (l *Limiter) warmth(now int64, s *server) float64 {
+	if s.warmFrom == 0 || now >= s.warmFrom+l.set.WarmWithin {
+		return 1
+	}
+	part := float64(max(0, now-s.warmFrom)) / float64(l.set.WarmWithin)
+	return l.set.ColdFrom + (1-l.set.ColdFrom)*part
+}
+
+// weight follows the nominal size and the pace that the server's answers have shown.
+func (l *Limiter) weight(now int64, s *server) float64 {
+	pace := 1.0
+	if s.did > 0 && l.did > 0 {
+		pace = (l.took / l.did) / (s.took / s.did)
+		pace = math.Min(paceMost, max(1.0/paceMost, pace))
+	}
+	if s.hint > 0 {
+		pace *= s.hint
+	}
+	return pace * l.warmth(now, s)
+}
+
+// usable tells whether a server may get this job at all.
+func (l *Limiter) usable(j *job, s *server) bool {
+	if s.listing != Ready || s.standing == aside || s.standing == trial && len(s.shots) > 0 {
+		return false
+	}
+	for _, sh := range j.shots {
+		if sh.server == s {
+			return false
+		}
+	}
+	return true
+}
+
+// able lists the servers that have room for the job.
+func (l *Limiter) able(now int64, j *job) []*server {
+	var able []*server
+	for _, s := range l.order {
+		if l.usable(j, s) && (len(s.shots) == 0 || s.out+j.units <= s.limit*l.warmth(now, s)) {
+			able = append(able, s)
+		}
+	}
+	return able
+}
+
+// pick takes the next server in the weighted rotation. A server without room passes, and so does one that
+// holds more than its share of what is out.
+func (l *Limiter) pick(now int64, j *job) *server {
+	able := l.able(now, j)
+	out, sum := j.units, 0.0
+	for _, s := range able {
+		out, sum = out+s.out, sum+l.weight(now, s)
+	}
+	var best *server
+	turn := 0.0
+	for _, s := range able {
+		w := l.weight(now, s)
+		if s.out/w > out/sum {
+			continue
+		}
+		turn += w
+		s.credit += w
+		if best == nil || s.credit > best.credit {
+			best = s
+		}
+	}
+	if best != nil {
+		best.credit -= turn
+	}
+	return best
+}
+
+// crowded is the retry-after of a job for which no server has room: about when work now out will be done.
+func (l *Limiter) crowded() int64 {
+	return max(l.beat, l.set.DialTimeout)
+}
+
+func (l *Limiter) reject(now int64, j *job, after int64) {
+	l.move(j, Rejected)
+	// Clients that were told the same time would come back together.
+	after = max(l.set.Granularity, after) + int64(l.rng.Float64()*float64(l.beat))
+	l.deeds.Reject(j.id, min(after, l.set.MostAdvice))
+	l.drop(j)
+}
+
+// finish ends a job that cannot be served any more: rejected if that is true and harmless, else written off.
+func (l *Limiter) finish(now int64, j *job) {
+	for _, sh := range j.shots {
+		if sh.maybe && (j.track.Effect == Binding || j.track.Effect == Fingerprinted && j.track.Group != GroupAll) {
+			l.move(j, WrittenOff)
+			l.deeds.WriteOff(j.id)
+			l.drop(j)
+			return
+		}
+	}
+	l.reject(now, j, l.crowded())
+}
+
+// Answer takes the end of a shot.
+func (l *Limiter) Answer(now int64, r Reply) {
+	j := l.jobs[r.Job]
+	if j == nil || r.Shot < 0 || r.Shot >= len(j.shots) || !j.shots[r.Shot].open {
+		return
+	}
+	sh := j.shots[r.Shot]
+	sh.open = false
+	j.open--
+	sh.maybe = r.Outcome != Full && r.Outcome != Unconnected && r.Outcome != Moot
+	l.learn(now, sh, r)
+	if r.Outcome == Done && r.Final && !j.ended() {
+		if r.Units > 0 {
+			l.release(now, j, j.units-r.Units)
+		}
+		j.reserved = false
+		l.move(j, Served)
+	}
+	if r.Final && !j.ended() {
+		l.move(j, Abandoned)
+	}
+	if j.ended() {
+		l.drop(j)
+		return
+	}
+	if j.open == 0 && !l.again(now, j, !sh.maybe) {
+		l.finish(now, j)
+	}
+}
+
+// again sends a further shot where the track's kind, the time, the shots left and the pressure allow it.
+func (l *Limiter) again(now int64, j *job, free bool) bool {
+	if j.end <= now || len(j.shots) >= l.set.MostShots || !free && l.spare < 1 {
+		return false
+	}
+	if j.open > 0 && !l.set.SecondCopies {
+		return false
+	}
+	for _, sh := range j.shots {
+		if sh.maybe && j.track.Effect == Binding {
+			return false
+		}
+	}
+	s := l.pick(now, j)
+	if s == nil || !l.dropsRepeats(now, j, s) {
+		return false
+	}
+	if !free {
+		l.spare--
+	}
+	l.send(now, j, s)
+	return true
+}
+
+// dropsRepeats tells whether a fingerprinted job that may have run may still go to this server.
+func (l *Limiter) dropsRepeats(now int64, j *job, s *server) bool {
+	for _, sh := range j.shots {
+		if !sh.maybe || j.track.Effect != Fingerprinted {
+			continue
+		}
+		same := j.track.Group == GroupAll || j.track.Group == GroupZone && sh.server.zone == s.zone ||
+			j.track.Group == GroupCell && sh.server.cell == s.cell
+		if !same || now >= sh.at+j.track.Repeats {
+			return false
+		}
+	}
+	return true
+}
+
+// learn keeps the record of the server that a shot was sent to.
+func (l *Limiter) learn(now int64, sh *shot, r Reply) {
+	s, u := sh.server, sh.job.units
+	for i, o := range s.shots {
+		if o == sh {
+			s.shots = append(s.shots[:i], s.shots[i+1:]...)
+			break
+		}
+	}
+	s.out = max(0, s.out-u)
+	switch r.Outcome {
+	case Done, Broke:
+		s.heard, s.strikes = now, 0
+		if s.standing != fit {
+			l.log("server %s answers again", s.id)
+			s.standing, s.rest = fit, 0
+		}
+		took := seconds(r.Took)
+		s.took, s.did = s.took*(1-1.0/fade)+took, s.did*(1-1.0/fade)+u
+		l.took, l.did = l.took*(1-0.1/fade)+took, l.did*(1-0.1/fade)+u
+		if r.Took > sh.job.track.Agreed {
+			s.limit -= u * late / grow
+		} else if s.out+u > s.limit/2 {
+			s.limit += u / grow
+		}
+	case Full:
+		s.heard, s.strikes = now, 0
+		s.limit = math.Min(s.limit, s.out)
+	case Unconnected, Reset:
+		if s.strikes++; s.strikes >= 2 {
+			l.setAside(now, s, "refuses")
+		}
+	}
+	s.limit = max(s.limit, l.set.MostUnits)
+}
+
+func (l *Limiter) setAside(now int64, s *server, why string) {
+	if s.standing != aside {
+		l.log("server %s %s, set aside", s.id, why)
+		s.rest = min(max(2*s.rest, l.set.DialTimeout), l.set.WarmWithin)
+	}
+	s.standing, s.probes, s.next = aside, 0, now+s.rest
+}
+
+// look is the regular look at the servers: it finds the silent ones and lets others come back.
+func (l *Limiter) look(now int64) {
+	ready, away := 0, 0
+	for _, s := range l.order {
+		if s.listing == Ready {
+			ready++
+			if s.standing == aside {
+				away++
+			}
+		}
+	}
+	for _, s := range l.order {
+		if s.listing != Ready {
+			continue
+		}
+		if s.standing == aside {
+			if now < s.next {
+				continue
+			}
+			if l.set.Probes {
+				l.deeds.Probe(s.id)
+				s.next = now + max(s.rest, l.set.DialTimeout)
+			} else {
+				l.comeBack(now, s)
+			}
+			continue
+		}
+		if len(s.shots) == 0 {
+			continue
+		}
+		first := s.shots[0]
+		quiet := now - max(s.heard, first.at)
+		// A shared cause must not set the whole fleet aside.
+		if quiet > first.job.track.Agreed*2/3 && (len(s.shots) > 1 || s.standing == trial) && away*asideMost < ready {
+			l.setAside(now, s, "is silent")
+			away++
+		}
+	}
+	for _, s := range l.order {
+		if s.standing != aside && s.listing != Gone {
+			continue
+		}
+		for _, sh := range append([]*shot(nil), s.shots...) {
+			j := sh.job
+			if j.state == Out && j.open == 1 && j.track.Effect != Binding {
+				l.again(now, j, false)
+			}
+		}
+	}
+}
+
+// comeBack lets a server that was set aside have one job at a time; the process may be a new one, so as cold.
+func (l *Limiter) comeBack(now int64, s *server) {
+	s.standing, s.strikes, s.heard = trial, 0, now
+}
+
+// Probed takes what a probe found.
+func (l *Limiter) Probed(now int64, id string, outcome Outcome) {
+	s := l.servers[id]
+	if s == nil || s.standing != aside {
+		return
+	}
+	if outcome != Done {
+		s.probes = 0
+		return
+	}
+	if s.probes++; s.probes >= 2 {
+		l.comeBack(now, s)
+	}
+}
+
+// Left says that the client has gone.
+func (l *Limiter) Left(now int64, id string) {
+	if j := l.jobs[id]; j != nil && !j.ended() {
+		l.move(j, Abandoned)
+		l.drop(j)
+	}
+}
+
+// Woken takes a timer that was asked for.
+func (l *Limiter) Woken(now, token int64) {
+	if token == 0 {
+		l.look(now)
+		l.forget(now)
+		l.deeds.Wake(now+l.beat, 0)
+		return
+	}
+	j := l.timers[token]
+	if j == nil || now < j.due {
+		return
+	}
+	switch {
+	case now >= j.end:
+		l.finish(now, j)
+	case j.state == Reserving:
+		l.bySlice(now, j)
+	}
+}
+
+// forget lets go of customers whose every count and store is as good as new.
+func (l *Limiter) forget(now int64) {
+	for id, a := range l.accounts {
+		full := a.slice.fill(now) >= a.slice.depth && a.ceiling.fill(now) >= a.ceiling.depth
+		if a.plan.Rate > 0 && a.plan.CeilingRate == 0 && full && now-a.used > 3*a.span() {
+			delete(l.accounts, id)
+		}
+	}
+}
+
+func (l *Limiter) wake(now int64, j *job, at int64) {
+	j.due = min(at, j.end)
+	l.deeds.Wake(j.due, j.token)
+}
+
+func (j *job) ended() bool { return j.state >= Served }
+
+// move is the only place where a job changes its state; an ended job keeps its end.
+func (l *Limiter) move(j *job, to State) {
+	if j.ended() {
+		panic(fmt.Sprintf("job %s moved to %d after its end %d", j.id, to, j.state))
+	}
+	j.state = to
+}
+
+// drop forgets an ended job once nothing of it is out.
+func (l *Limiter) drop(j *job) {
+	delete(l.timers, j.token)
+	if j.open == 0 {
+		delete(l.jobs, j.id)
+	}
+}
+
+func (l *Limiter) log(form string, args ...any) { l.deeds.Log(fmt.Sprintf(form, args...)) }
--- /dev/null
+++ b/choice/helper_test.go
@@ -0,0 +1,75 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// deeds writes down what the limiter did, one line each.
+type deeds struct{ did []string }
+
+func (d *deeds) add(form string, args ...any) { d.did = append(d.did, fmt.Sprintf(form, args...)) }
+
+func (d *deeds) Send(job, server string)                    { d.add("send %s %s", job, server) }
+func (d *deeds) Cancel(job string, shot int)                { d.add("cancel %s %d", job, shot) }
+func (d *deeds) Reject(job string, retryAfter int64)        { d.add("reject %s", job) }
+func (d *deeds) WriteOff(job string)                        { d.add("write off %s", job) }
+func (d *deeds) Count(name uint64, amount float64, _ int64) { d.add("count %v", amount) }
+func (d *deeds) Probe(server string)                        { d.add("probe %s", server) }
+func (d *deeds) Wake(at, token int64)                       {}
+func (d *deeds) Log(text string)                            {}
+
+const second = int64(1e9)
+
+// made is a limiter with the servers a and b, a retriable, a fingerprinted and a binding track, and one
+// plan without and one with a ceiling.
+func made() (*Limiter, *deeds) {
+	d := &deeds{}
+	set := &Settings{
+		Tracks: map[string]*Track{
+			"read":  {Name: "read", Agreed: second, Effect: Retriable},
+			"mark":  {Name: "mark", Agreed: second, Effect: Fingerprinted, Group: GroupZone, Repeats: second},
+			"write": {Name: "write", Agreed: second, Effect: Binding},
+		},
+		Plans: map[string]*Plan{
+			"plain": {Name: "plain", Rate: 5, Burst: 10},
+			"hard":  {Name: "hard", Rate: 5, Burst: 10, CeilingRate: 8, CeilingBurst: 16},
+		},
+		CounterWait: second / 20, MostUnits: 4, ColdFrom: 0.25, WarmWithin: 10 * second, DialTimeout: second / 4,
+		MostShots: 3, MostAdvice: second, Probes: true, SecondCopies: true, Granularity: second / 500,
+	}
+	l := New(0, set, 1, d)
+	l.Members(0, true, []Entry{{ID: "a", Zone: "x", Hint: 1}, {ID: "b", Zone: "y", Hint: 1}})
+	return l, d
+}
+
+func arrival(id, track, plan string) Arrival {
+	return Arrival{ID: id, Budget: 4 * second, Customer: 7, Plan: plan, Track: track, Units: 2, Spread: 2}
+}
+
+// reserving is a job that waits for the counter.
+func reserving(l *Limiter, track, plan string) *job {
+	l.Job(0, arrival("j", track, plan))
+	return l.jobs["j"]
+}
+
+// sent is a job whose first shot is out.
+func sent(l *Limiter, track string) *job {
+	j := reserving(l, track, "plain")
+	l.Counted(0, j.name, Done, 2)
+	return j
+}
+
+// expect checks the last deed and the deeds before it that a test names.
+func expect(t *testing.T, d *deeds, want ...string) {
+	t.Helper()
+	if len(d.did) < len(want) {
+		t.Fatalf("did %q, want %q at the end", d.did, want)
+	}
+	got := d.did[len(d.did)-len(want):]
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("did %q, want %q at the end", d.did, want)
+		}
+	}
+}
--- /dev/null
+++ b/choice/types.go
@@ -0,0 +1,119 @@
+package choice
+
+// Effect says what happens when a track's job runs twice.
+type Effect uint8
+
+const (
+	Retriable Effect = iota
+	Fingerprinted
+	Binding
+)
+
+// Group names the servers among which a fingerprinted job's repeats are dropped.
+type Group uint8
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Outcome is how a shot, a probe or a call to the counter ended.
+type Outcome uint8
+
+const (
+	Done Outcome = iota
+	Broke
+	Full
+	TimedOut
+	Unconnected
+	Reset
+	Cancelled
+	Moot
+)
+
+// Listing is what the server list says of a server.
+type Listing uint8
+
+const (
+	Ready Listing = iota
+	Draining
+	Gone
+)
+
+// Track is one kind of job; times are nanoseconds.
+type Track struct {
+	Name    string
+	Agreed  int64
+	Effect  Effect
+	Group   Group
+	Repeats int64 // how long a fingerprinted job's repeats are dropped
+}
+
+// Plan is what a customer has bought; units and units a second.
+type Plan struct {
+	Name                      string
+	Rate, Burst               float64
+	CeilingRate, CeilingBurst float64
+	BeyondEarns, BeyondCosts  float64
+}
+
+// Settings are fixed for an instance's life.
+type Settings struct {
+	Tracks       map[string]*Track
+	Plans        map[string]*Plan
+	CounterWait  int64 // a call without an answer by then has failed; 0 where there is no counter
+	MostUnits    float64
+	ColdFrom     float64 // the share of its capacity that a starting server has at least
+	WarmWithin   int64
+	DialTimeout  int64
+	MostShots    int
+	MostAdvice   int64 // the longest retry-after that clients honour; 0 where none is passed on
+	Probes       bool
+	SecondCopies bool
+	Cancelling   bool
+	Granularity  int64
+}
+
+// Arrival is a job as a client sends it.
+type Arrival struct {
+	ID       string
+	Budget   int64
+	Customer uint64
+	Plan     string
+	Track    string
+	Units    float64
+	Spread   int // the number of limiters through which the customer's jobs come
+}
+
+// Entry is one line of the server list.
+type Entry struct {
+	ID      string
+	Zone    string
+	Cell    int64
+	Listing Listing
+	Hint    float64
+	Since   int64 // its latest start, 0 for long ago
+}
+
+// Reply is how one shot ended.
+type Reply struct {
+	Job     string
+	Shot    int
+	Outcome Outcome
+	Took    int64
+	Final   bool
+	Units   float64 // the true units where they were a guess, else 0
+}
+
+// Deeds is what a limiter can do; each call takes effect at once.
+type Deeds interface {
+	Send(job, server string)
+	Cancel(job string, shot int)
+	Reject(job string, retryAfter int64)
+	WriteOff(job string)
+	Count(name uint64, amount float64, lifetime int64)
+	Probe(server string)
+	Wake(at, token int64)
+	Log(text string)
+}
--- /dev/null
+++ b/internal/simwire/actions.go
@@ -0,0 +1,59 @@
+package simwire
+
+type reply struct {
+	Batch  int64    `json:"batch"`
+	Output []action `json:"output"`
+}
+
+type action struct {
+	Type     string   `json:"type"`
+	Limiter  int64    `json:"limiter"`
+	Handle   string   `json:"handle,omitempty"`
+	Server   string   `json:"server,omitempty"`
+	Copy     *int     `json:"copy,omitempty"`
+	HoldOff  float64  `json:"hold-off,omitempty"`
+	DueAt    *float64 `json:"due-at,omitempty"`
+	Ctx      *int64   `json:"ctx,omitempty"`
+	Name     *uint64  `json:"name,omitempty"`
+	Amount   *float64 `json:"amount,omitempty"`
+	Lifetime float64  `json:"lifetime,omitempty"`
+	Text     string   `json:"note-text,omitempty"`
+}
+
+func (in *instance) write(a action) {
+	a.Limiter = in.id
+	in.host.output = append(in.host.output, a)
+}
+
+func (in *instance) Send(job, server string) {
+	in.write(action{Type: "relay", Handle: job, Server: server})
+}
+
+func (in *instance) Cancel(job string, shot int) {
+	in.write(action{Type: "undo-send", Handle: job, Copy: &shot})
+}
+
+func (in *instance) Reject(job string, retryAfter int64) {
+	in.write(action{Type: "shed", Handle: job, HoldOff: seconds(retryAfter)})
+}
+
+func (in *instance) WriteOff(job string) {
+	in.write(action{Type: "respond-error", Handle: job})
+}
+
+func (in *instance) Count(name uint64, amount float64, lifetime int64) {
+	in.write(action{Type: "charge-counter", Name: &name, Amount: &amount, Lifetime: seconds(lifetime)})
+}
+
+func (in *instance) Probe(server string) {
+	in.write(action{Type: "poll", Server: server})
+}
+
+func (in *instance) Wake(at, token int64) {
+	due := seconds(at)
+	in.write(action{Type: "set-timer", DueAt: &due, Ctx: &token})
+}
+
+func (in *instance) Log(text string) {
+	in.write(action{Type: "note-down", Text: text})
+}
--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,113 @@
+package simwire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"ospreycroft/choice"
+)
+
+var listings = map[string]choice.Listing{"U": choice.Ready, "L": choice.Draining, "D": choice.Gone}
+
+var effects = map[string]choice.Effect{
+	"free": choice.Retriable, "guarded": choice.Fingerprinted, "single_shot": choice.Binding,
+}
+
+var groups = map[string]choice.Group{
+	"all": choice.GroupAll, "zone": choice.GroupZone, "cell": choice.GroupCell,
+}
+
+type facts struct {
+	Classes []struct {
+		Name   string  `json:"name"`
+		Aim    float64 `json:"aim"`
+		Effect string  `json:"effect"`
+		Group  string  `json:"group"`
+		Window float64 `json:"dedup-window"`
+	} `json:"classes"`
+	Tariffs []struct {
+		Name        string  `json:"name"`
+		Rate        float64 `json:"rate"`
+		MostAtOnce  float64 `json:"most-at-once"`
+		HardRate    float64 `json:"hard-rate"`
+		HardDepth   float64 `json:"never-over-depth"`
+		ExtraWorth  float64 `json:"extra-worth"`
+		BeyondCosts float64 `json:"beyond-costs"`
+	} `json:"tariffs"`
+	Family struct {
+		HasCounter bool    `json:"has-counter"`
+		CountWait  float64 `json:"count-wait"`
+		UnitsTop   float64 `json:"units-top"`
+	} `json:"family-info"`
+	Contract struct {
+		ColdFrom   float64 `json:"cold-from"`
+		WarmWithin float64 `json:"warm-within"`
+	} `json:"contract"`
+	Permissions struct {
+		AttemptsCap   int     `json:"attempts-cap"`
+		DialTimeout   float64 `json:"dial-timeout"`
+		MaxRetryAfter float64 `json:"max-retry-after"`
+		RetryAfter    bool    `json:"retry-after"`
+		Probes        bool    `json:"probes"`
+		SecondCopies  bool    `json:"second-copies"`
+		Cancelling    bool    `json:"cancelling"`
+	} `json:"permissions"`
+	Granularity float64 `json:"granularity"`
+}
+
+// settings decodes what the module reads and refuses what cannot work.
+func settings(text []byte) (*choice.Settings, error) {
+	var f facts
+	if len(text) == 0 || string(text) == "null" {
+		return nil, errors.New("missing")
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	s := &choice.Settings{
+		Tracks: map[string]*choice.Track{}, Plans: map[string]*choice.Plan{},
+		MostUnits: f.Family.UnitsTop, ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
+		DialTimeout: nanos(f.Permissions.DialTimeout), MostShots: f.Permissions.AttemptsCap,
+		Probes: f.Permissions.Probes, SecondCopies: f.Permissions.SecondCopies,
+		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity),
+	}
+	if f.Family.HasCounter {
+		s.CounterWait = nanos(f.Family.CountWait)
+	}
+	if f.Permissions.RetryAfter {
+		s.MostAdvice = nanos(f.Permissions.MaxRetryAfter)
+	}
+	for _, c := range f.Classes {
+		effect, known := effects[c.Effect]
+		group, grouped := groups[c.Group]
+		if !known || effect == choice.Fingerprinted && !grouped {
+			return nil, fmt.Errorf("classes: %s: effect %q with group %q is not known", c.Name, c.Effect, c.Group)
+		}
+		if c.Aim <= 0 {
+			return nil, fmt.Errorf("classes: %s: aim is %v", c.Name, c.Aim)
+		}
+		s.Tracks[c.Name] = &choice.Track{Name: c.Name, Agreed: nanos(c.Aim), Effect: effect, Group: group,
+			Repeats: nanos(c.Window)}
+	}
+	if len(s.Tracks) == 0 {
+		return nil, errors.New("classes: none")
+	}
+	for _, t := range f.Tariffs {
+		for name, v := range map[string]float64{"rate": t.Rate, "most-at-once": t.MostAtOnce, "hard-rate": t.HardRate,
+			"never-over-depth": t.HardDepth} {
+			if v < 0 {
+				return nil, fmt.Errorf("tariffs: %s: %s is %v", t.Name, name, v)
+			}
+		}
+		s.Plans[t.Name] = &choice.Plan{Name: t.Name, Rate: t.Rate, Burst: t.MostAtOnce, CeilingRate: t.HardRate,
+			CeilingBurst: t.HardDepth, BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts}
+	}
+	for name, v := range map[string]float64{"units-top": s.MostUnits, "granularity": f.Granularity,
+		"attempts-cap": float64(s.MostShots), "warm-within": f.Contract.WarmWithin} {
+		if v <= 0 {
+			return nil, fmt.Errorf("%s is %v", name, v)
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/simwire/wire.go
@@ -0,0 +1,231 @@
+// Package simwire speaks the simulator's wire, which WIRE-ospreycroft.md describes, and hosts instances
+// of the module that share nothing. It holds names, units and framing, and no decision.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"ospreycroft/choice"
+)
+
+type batch struct {
+	Wall  *float64          `json:"wall"`
+	Batch *int64            `json:"batch"`
+	Items []json.RawMessage `json:"items"`
+}
+
+// item has the fields of all events; an absent one is nil.
+type item struct {
+	Type     *string         `json:"type"`
+	Limiter  *int64          `json:"limiter"`
+	Seed     *int64          `json:"seed"`
+	Facts    json.RawMessage `json:"facts"`
+	How      *string         `json:"how"`
+	Items    []entry         `json:"items"`
+	Handle   *string         `json:"handle"`
+	Budget   *float64        `json:"budget"`
+	Key      *uint64         `json:"api-key"`
+	Tier     *string         `json:"tier"`
+	Class    *string         `json:"cls"`
+	Units    *float64        `json:"price-units"`
+	Entries  *int            `json:"n-entries"`
+	Ctx      *int64          `json:"ctx"`
+	Name     *uint64         `json:"name"`
+	Code     *uint8          `json:"rc"`
+	Level    *float64        `json:"level"`
+	Took     *float64        `json:"took"`
+	Server   *string         `json:"server"`
+	Copy     *int            `json:"copy"`
+	Final    *bool           `json:"final"`
+	True     *float64        `json:"true-units"`
+	Metered  *float64        `json:"metered"`
+	Feedback json.RawMessage `json:"feedback"`
+}
+
+type entry struct {
+	Server       *string  `json:"server"`
+	RackZone     string   `json:"rack-zone"`
+	Pod          int64    `json:"pod"`
+	Availability *string  `json:"availability"`
+	PowerHint    float64  `json:"power-hint"`
+	OnlineSince  *float64 `json:"online-since"`
+}
+
+func nanos(seconds float64) int64 { return int64(math.Round(seconds * 1e9)) }
+
+func seconds(nanos int64) float64 { return float64(nanos) / 1e9 }
+
+// reading takes fields out of one item and remembers the first that is missing.
+type reading struct{ missing string }
+
+func take[T any](r *reading, field string, value *T) T {
+	if value == nil {
+		if r.missing == "" {
+			r.missing = field
+		}
+		var none T
+		return none
+	}
+	return *value
+}
+
+type host struct {
+	instances map[int64]*instance
+	output    []action
+}
+
+type instance struct {
+	host  *host
+	id    int64
+	wall  int64
+	logic *choice.Limiter
+}
+
+// Run answers batches until the input ends.
+func Run(input io.Reader, output io.Writer) error {
+	h := &host{instances: map[int64]*instance{}}
+	in, out := bufio.NewReaderSize(input, 1<<20), bufio.NewWriter(output)
+	encode := json.NewEncoder(out)
+	for line := 1; ; line++ {
+		text, err := in.ReadBytes('\n')
+		if len(bytes.TrimSpace(text)) > 0 {
+			number, err := h.batch(text)
+			if err != nil {
+				return fmt.Errorf("line %d: %w", line, err)
+			}
+			if err := encode.Encode(reply{number, h.output}); err != nil {
+				return err
+			}
+			if err := out.Flush(); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (h *host) batch(text []byte) (int64, error) {
+	var b batch
+	if err := json.Unmarshal(text, &b); err != nil {
+		return 0, err
+	}
+	r := &reading{}
+	number := take(r, "batch", b.Batch)
+	wall := nanos(take(r, "wall", b.Wall))
+	if b.Items == nil {
+		take[int](r, "items", nil)
+	}
+	if r.missing != "" {
+		return 0, fmt.Errorf("batch %d: field %q is missing", number, r.missing)
+	}
+	h.output = []action{}
+	for i, raw := range b.Items {
+		var it item
+		if err := json.Unmarshal(raw, &it); err != nil {
+			return 0, fmt.Errorf("batch %d: item %d: %w", number, i, err)
+		}
+		if err := h.item(wall, &it); err != nil {
+			return 0, fmt.Errorf("batch %d: item %d: %w", number, i, err)
+		}
+	}
+	return number, nil
+}
+
+// item turns one event into one call on its instance.
+func (h *host) item(wall int64, it *item) error {
+	r := &reading{}
+	kind, id := take(r, "type", it.Type), take(r, "limiter", it.Limiter)
+	in := h.instances[id]
+	var do func(*choice.Limiter)
+	switch kind {
+	case "begin":
+		seed := take(r, "seed", it.Seed)
+		if r.missing != "" {
+			break
+		}
+		set, err := settings(it.Facts)
+		if err != nil {
+			return fmt.Errorf("%s: facts: %w", kind, err)
+		}
+		in = &instance{host: h, id: id, wall: wall}
+		h.instances[id] = in
+		do = func(*choice.Limiter) { in.logic = choice.New(wall, set, seed, in) }
+	case "retire":
+		delete(h.instances, id)
+		return nil
+	case "membership":
+		how := take(r, "how", it.How)
+		entries := make([]choice.Entry, len(it.Items))
+		for i, e := range it.Items {
+			listing, known := listings[take(r, "availability", e.Availability)]
+			if !known && r.missing == "" {
+				return fmt.Errorf("%s: availability %q is not known", kind, *e.Availability)
+			}
+			entries[i] = choice.Entry{ID: take(r, "server", e.Server), Zone: e.RackZone, Cell: e.Pod,
+				Listing: listing, Hint: e.PowerHint}
+			if e.OnlineSince != nil {
+				entries[i].Since = nanos(*e.OnlineSince)
+			}
+		}
+		if how != "Error" {
+			do = func(l *choice.Limiter) { l.Members(wall, how != "Partial", entries) }
+		}
+	case "inbound":
+		a := choice.Arrival{ID: take(r, "handle", it.Handle), Budget: nanos(take(r, "budget", it.Budget)),
+			Customer: take(r, "api-key", it.Key), Plan: take(r, "tier", it.Tier), Track: take(r, "cls", it.Class),
+			Units: take(r, "price-units", it.Units), Spread: take(r, "n-entries", it.Entries)}
+		do = func(l *choice.Limiter) { l.Job(wall, a) }
+	case "reply":
+		a := choice.Reply{Job: take(r, "handle", it.Handle), Shot: take(r, "copy", it.Copy),
+			Outcome: choice.Outcome(take(r, "rc", it.Code)), Took: nanos(take(r, "took", it.Took)),
+			Final: take(r, "final", it.Final)}
+		if it.True != nil {
+			a.Units = *it.True
+		}
+		do = func(l *choice.Limiter) { l.Answer(wall, a) }
+	case "tallied":
+		name, code, total := take(r, "name", it.Name), take(r, "rc", it.Code), 0.0
+		if it.Level != nil {
+			total = *it.Level
+		}
+		do = func(l *choice.Limiter) { l.Counted(wall, name, choice.Outcome(code), total) }
+	case "probed":
+		server, code := take(r, "server", it.Server), take(r, "rc", it.Code)
+		do = func(l *choice.Limiter) { l.Probed(wall, server, choice.Outcome(code)) }
+	case "vanished":
+		job := take(r, "handle", it.Handle)
+		do = func(l *choice.Limiter) { l.Left(wall, job) }
+	case "timer":
+		token := take(r, "ctx", it.Ctx)
+		do = func(l *choice.Limiter) { l.Woken(wall, token) }
+	}
+	if r.missing != "" {
+		return fmt.Errorf("%s: field %q is missing", kind, r.missing)
+	}
+	if in != nil && do != nil {
+		in.call(wall, do)
+	}
+	return nil
+}
+
+// call runs one call on the module; a panic in it is reported on the wire as its bug.
+func (in *instance) call(wall int64, do func(*choice.Limiter)) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			in.write(action{Type: "bug", Text: fmt.Sprint(cause)})
+		}
+	}()
+	in.wall = wall
+	do(in.logic)
+}
