Rotations begin anywhere; a slice holds the largest job from the first sight on

Each begins at servers of its own now; that holds against any start in step, a fleet's or a hall's. Cause two: a slice was an equal part of the burst until a total had been seen, less than one job among 200 limiters, and refused for good.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -99,7 +99,9 @@
 	for _, e := range entries {
 		s := l.servers[e.ID]
 		if s == nil {
-			s = &server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now}
+			s = &server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now,
+				// Limiters that start together, all knowing nothing, must not all begin at the same server.
+				credit: l.rng.Float64()}
 			l.servers[e.ID] = s
 			l.order = append(l.order, s)
 		} else if e.Since > s.warmFrom {
@@ -154,12 +156,12 @@
 		part := float64(max(a.Spread, 1))
 		acc = &account{id: a.Customer, plan: plan, window: math.MinInt64,
 			quota: store{level: plan.Burst / part, depth: plan.Burst, rate: plan.Rate, at: now},
-			slice: store{level: plan.Burst / part, depth: plan.Burst, rate: plan.Rate / part, at: now},
 			part:  part,
 			// The ceiling's store stands as it was before we started, so our part of it starts empty: what
 			// all starts of all limiters send is then never more than the store has held and filled.
 			ceiling: store{depth: plan.CeilingBurst / part, rate: plan.CeilingRate / part, at: l.began}}
 		acc.phase = int64(mix(a.Customer) >> 1)
+		l.slice(now, acc, plan.Burst)
 		l.accounts[a.Customer] = acc
 	}
 	acc.used = now
@@ -312,8 +314,14 @@
 	}
 	a.quota.level = math.Min(a.quota.depth, max(a.quota.level-others, -a.quota.depth))
 	a.quota.spilt = 0
+	l.slice(now, a, a.quota.level)
+}
+
+// slice gives this limiter its part of what the store holds. It holds the largest job at least: among many
+// limiters an equal part is smaller than that, and would refuse jobs for good that are well inside the quota.
+func (l *Limiter) slice(now int64, a *account, level float64) {
 	a.slice = store{
-		level: math.Min(a.quota.level, max(a.quota.level/a.part, l.set.MostUnits)),
+		level: math.Min(level, max(level/a.part, l.set.MostUnits)),
 		depth: max(a.quota.depth/a.part, l.set.MostUnits),
 		rate:  a.quota.rate / a.part, at: now}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -457,6 +457,7 @@
 	t.Run("a fingerprinted job that may have run looks in its group alone", func(t *testing.T) {
 		l, _ := made()
 		l.Members(0, false, []Entry{{ID: "c", Zone: "x"}})
+		l.servers["c"].credit = 0
 		j := sent(l, "mark")
 		if able := l.able(second/2, j); len(able) != 1 || able[0].id != "c" {
 			t.Fatal(len(able), "servers are able")
@@ -466,3 +467,14 @@
 		}
 	})
 }
+
+func TestSlice(t *testing.T) {
+	t.Run("among many limiters it still holds the largest job", func(t *testing.T) {
+		l, d := made()
+		l.asks = 0
+		a := arrival("j", "read", "plain")
+		a.Spread = 200
+		l.Job(0, a)
+		expect(t, d, "send j a")
+	})
+}
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -44,6 +44,9 @@
 	}
 	l := New(0, set, 1, d)
 	l.Members(0, true, []Entry{{ID: "a", Zone: "x", Hint: 1}, {ID: "b", Zone: "y", Hint: 1}})
+	for _, s := range l.order {
+		s.credit = 0
+	}
 	return l, d
 }
 
