Adds weigh more the later they come: a total tells the faded use at first sight

Cause: among 200 limiters nearly every look at a customer is the first one, and a first look spread the window's total evenly over it. Customers that had come in a burst long ago were refused with half of the quota unused, those in a burst just now were let in. An add now weighs e for each filling of the store since the window opened, so the total over the present weight is the use with the old use faded out, at the same one call. What was seen within one filling of the store is followed as before. Windows are up to twice as long, since turns forget. It could harm where customers' use is even and totals would do; not seen.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,7 +44,7 @@
 }
 
 const (
-	windowBursts = 8        // a window is so many times the time in which the store fills
+	windowBursts = 16       // a window is so many times the time in which the store fills
 	startJobs    = 3        // the largest jobs that all limiters together may have out at a server unseen yet
 	patience     = 2        // a job waits for the counter for this part of the counter's own time-out
 	askLess      = 0.75     // the share of jobs asked for falls so with each call unanswered
@@ -178,28 +178,33 @@
 
 func (a *account) name() uint64 { return mix(mix(a.id)^uint64(a.window)) >> 1 }
 
-// span is the length of the customer's windows. They hold several times the burst, since at each turn the
-// last adds of others go unseen, and a lease of two must not be longer than the counter keeps a name.
+// span is the length of the customer's windows. At each turn what was added before goes unseen, so turns should
+// be rare; a lease of two windows must not be longer than the counter keeps a name.
 func (l *Limiter) span(p *Plan) int64 {
 	return min(nanos(windowBursts*p.Burst/p.Rate), l.set.LongestLease/2)
 }
 
-// turn moves the account to the window that holds now and tells how long that has been open.
-func (l *Limiter) turn(now int64, a *account) int64 {
+// turn moves the account to the window that holds now and tells what an add of one unit weighs in it. Adds weigh
+// more the later they come, by e for each filling of the store: a total over the present weight is then the use
+// of all limiters with the old use faded out, and tells a limiter that never saw the customer before how much of
+// the store is gone, however it was spread over the window.
+func (l *Limiter) turn(now int64, a *account) float64 {
 	span := l.span(a.plan)
 	since := now + a.phase%span
+	fills := func(ns int64) float64 { return seconds(ns) * a.plan.Rate / a.plan.Burst }
 	if w := since / span; w != a.window {
-		a.window, a.total, a.unsure, a.idle, a.owed = w, 0, 0, 0, max(a.owed, 0)
+		a.window, a.total, a.unsure, a.idle = w, 0, 0, 0
+		a.owed = max(a.owed, 0) * math.Exp(-fills(span))
 	}
-	return since % span
+	return math.Exp(fills(since % span))
 }
 
 func (l *Limiter) reserve(now int64, j *job) {
 	a := j.account
-	l.turn(now, a)
+	j.weight = l.turn(now, a)
 	j.name, j.reserved, j.lease = a.name(), true, now+l.span(a.plan)
 	l.move(j, Reserving)
-	l.count(j, j.units+a.owed, false)
+	l.count(j, j.units*j.weight+a.owed, false)
 	a.owed = 0
 }
 
@@ -213,7 +218,7 @@
 // release adds back what was reserved and not used; once, and not after the lease has ended.
 func (l *Limiter) release(now int64, j *job, amount float64) {
 	if j.reserved && now < j.lease && amount != 0 {
-		l.count(j, -amount, true)
+		l.count(j, -amount*j.weight, true)
 	}
 	j.reserved = false
 }
@@ -225,7 +230,7 @@
 		a := j.account
 		a.quota.level, a.slice.level = a.quota.level-more, a.slice.level-more
 		if !j.reserved && a.plan.Rate > 0 {
-			a.owed += more
+			a.owed += more * l.turn(now, a)
 		}
 		l.release(now, j, -more)
 	}
@@ -249,11 +254,11 @@
 		l.asks = max(l.asks*askLess, askMore)
 		if outcome == TimedOut {
 			if a.unsure += c.amount; !c.back && (len(j.shots) == 0 || j.beyond) {
-				a.idle += j.units
+				a.idle += j.units * j.weight
 			}
 		} else if a.owed += c.amount; !c.back {
 			if j.reserved = false; len(j.shots) == 0 || j.beyond {
-				a.owed -= j.units
+				a.owed -= j.units * j.weight
 			}
 		}
 		if j.state == Reserving && !c.back {
@@ -285,19 +290,13 @@
 // see draws what a total shows into the customer's store: what others have added is taken from it.
 func (l *Limiter) see(now int64, c call, name uint64, total float64) {
 	a := c.account
-	open := l.turn(now, a)
+	weight := l.turn(now, a)
 	a.quota.fill(now)
 	if name != a.name() {
 		return // a count of a window that has passed says nothing of this one
 	}
 	others := total - a.total - c.amount
 	a.total = total
-	if !a.known {
-		// Of a window open for longer than the store takes to fill, only the last part still counts.
-		a.known = true
-		others *= math.Min(1, a.quota.depth/a.quota.rate/max(seconds(open), 1e-9))
-		a.quota.level += a.quota.depth * (1 - 1/a.part)
-	}
 	// Calls that nobody answered may have been worked off late: what they added is not the others', and what
 	// was added for jobs that were never sent is added back with the next call.
 	ours := math.Min(max(others, math.Min(a.unsure, 0)), max(a.unsure, 0))
@@ -305,15 +304,21 @@
 	others, a.unsure, a.idle = others-ours, 0, 0
 	// Others add back what they rejected, but a total that falls further means that the counter has
 	// forgotten, and that gives nothing back: a flushed counter grants nobody a fresh burst.
-	if others < -l.set.MostUnits*float64(l.set.Limiters) {
+	gap := seconds(now-a.looked) * a.quota.rate / a.quota.depth
+	if others < -l.set.MostUnits*float64(l.set.Limiters)*weight {
 		others = 0
-	}
-	// They added over the whole time since the last look, so a store that has spilt meanwhile did not.
-	if others > 0 {
-		others -= math.Min(others, a.quota.spilt)
+	} else if !a.known || gap > 1 {
+		// What was known here of the store counts no more: it stands as the faded use of all says.
+		if a.quota.level, others = a.quota.depth-total/weight, 0; c.job.state == Reserving && !c.back {
+			a.quota.level += c.job.units
+		}
+	} else {
+		// They added over the whole time since the last look, so a store that has spilt meanwhile did not.
+		others *= max(gap, 1e-9) / (weight * -math.Expm1(-max(gap, 1e-9)))
+		others -= math.Min(max(others, 0), a.quota.spilt)
 	}
 	a.quota.level = math.Min(a.quota.depth, max(a.quota.level-others, -a.quota.depth))
-	a.quota.spilt = 0
+	a.quota.spilt, a.known, a.looked = 0, true, now
 	l.slice(now, a, a.quota.level)
 }
 
@@ -371,7 +376,7 @@
 		a.quota.level -= j.units
 		a.slice.level -= j.units
 		if !j.reserved && a.plan.Rate > 0 {
-			a.owed += j.units
+			a.owed += j.units * l.turn(now, a)
 		}
 	}
 	a.ceiling.fill(now)
--- a/choice/state.go
+++ b/choice/state.go
@@ -24,9 +24,10 @@
 	shots    []*shot
 	open     int // shots that are out
 	reserved bool
-	beyond   bool   // let in past the quota
-	name     uint64 // the count that holds the reservation
-	lease    int64  // when that count is forgotten
+	weight   float64 // what one unit weighs in the window that has the reservation
+	beyond   bool    // let in past the quota
+	name     uint64  // the count that holds the reservation
+	lease    int64   // when that count is forgotten
 }
 
 type shot struct {
@@ -84,10 +85,11 @@
 	total   float64 // the window's last seen total
 	quota   store   // the customer's store as far as the totals have shown it
 	known   bool    // a total has been seen
+	looked  int64   // and when last
 	slice   store   // this limiter's part of it: decides when no total comes
 	part    float64 // the number of limiters that share the customer
-	owed    float64 // units sent and not yet added to the counter
-	unsure  float64 // units that calls without an answer may have added
+	owed    float64 // what is still to be added to the counter, weighted as of its time
+	unsure  float64 // what calls without an answer may have added
 	idle    float64 // the part of them that was never sent
 	ceiling store   // this limiter's part of the hard ceiling
 	used    int64
