Room is held for all servers together; every further shot draws on one purse

It also holds against storms of further shots from any cause. It harms where many jobs are long by nature.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,7 +39,8 @@
 	beat     int64
 	spare    float64 // second shots in hand
 	part     float64 // the largest job over the number of limiters: the least limit of a server
-	busy     bool    // more than half of all room was taken when a job last looked for it
+	room     float64 // units that may be out at all servers together
+	busy     bool    // more than half of it was taken when a job last looked for room
 	mild     bool    // some track's jobs may run again
 }
 
@@ -53,6 +54,7 @@
 	fade         = 40       // answers after which an old one has lost most of its weight
 	wellInside   = 2        // an answer within this part of the agreed time is prompt
 	late         = 10       // a late shot takes off so many times what a prompt one adds to a limit
+	lateAll      = 4        // and so many times from what may be out in all
 	grow         = 8        // prompt answers that raise a limit by their own size
 	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
@@ -111,6 +113,9 @@
 		}
 		s.zone, s.cell, s.listing, s.hint = e.Zone, e.Cell, e.Listing, e.Hint
 	}
+	if l.room == 0 {
+		l.room = startJobs * l.least()
+	}
 }
 
 // Job takes a job from a client: it reserves on the counter, or decides by the slice when it cannot.
@@ -441,21 +446,25 @@
 	return same && now < sh.at+t.Repeats
 }
 
-// able lists the servers that have room for the job. Where limiters are many, one job at each server would be
-// too much already: so the limits also hold in sum.
+// able lists the servers that have room for the job, if there is room in all: with many limiters, one job of each
+// at each server would be too much already. What may be out shrinks with the servers that can be used.
 func (l *Limiter) able(now int64, j *job) []*server {
 	var able []*server
-	out, room := j.units, 0.0
+	out, usable, ready := j.units, 0.0, 0.0
 	for _, s := range l.order {
+		if s.listing == Ready {
+			ready++
+		}
 		if !l.usable(now, j, s) {
 			continue
 		}
-		limit := s.limit * l.warmth(now, s)
-		out, room = out+s.out, room+limit
-		if now >= s.fullTill && (len(s.shots) == 0 || s.out+j.units <= limit) {
+		warmth := l.warmth(now, s)
+		out, usable = out+s.out, usable+warmth
+		if now >= s.fullTill && (len(s.shots) == 0 || s.out+j.units <= s.limit*warmth) {
 			able = append(able, s)
 		}
 	}
+	room := l.room * usable / max(ready, 1)
 	if l.busy = out > room/2; out > room && out > j.units {
 		return nil
 	}
@@ -529,6 +538,9 @@
 	l.learn(now, sh, r)
 	if r.Outcome == Done && r.Final && !j.ended() {
 		l.settle(now, j, r.Units)
+		if len(j.shots) > 1 && !sh.late {
+			l.spare++ // it was well spent: where some servers are bad and others good, more may follow
+		}
 		l.move(j, Served)
 	}
 	if r.Final && !j.ended() {
@@ -538,14 +550,14 @@
 		l.drop(j)
 		return
 	}
-	if j.open == 0 && !l.again(now, j, !sh.maybe) {
+	if j.open == 0 && !l.again(now, j) {
 		l.finish(now, j)
 	}
 }
 
 // again sends a further shot where the track's kind, the time, the shots left and the pressure allow it.
-func (l *Limiter) again(now int64, j *job, free bool) bool {
-	if j.end <= now || len(j.shots) >= l.set.MostShots || !free && l.spare < 1 {
+func (l *Limiter) again(now int64, j *job) bool {
+	if j.end <= now || len(j.shots) >= l.set.MostShots || l.spare < 1 {
 		return false
 	}
 	if j.open > 0 && !l.set.SecondCopies {
@@ -560,9 +572,7 @@
 	if s == nil {
 		return false
 	}
-	if !free {
-		l.spare--
-	}
+	l.spare--
 	l.send(now, j, s)
 	return true
 }
@@ -573,9 +583,21 @@
 	if !sh.late && now-sh.at > sh.job.track.Agreed/wellInside {
 		sh.late = true
 		sh.server.limit = max(sh.server.limit-sh.job.units*late/grow, l.part)
+		l.narrow(sh.job)
 	}
 }
 
+// narrow takes from the room at all servers as much as a prompt answer adds, so that half of the answers are prompt
+// when it is used up. One limiter among hundreds sees a server too seldom to learn its limit in time; what it sees
+// of all of them together tells in a second or two that they fill up. Fewer than half of the servers being slow or
+// silent does not shrink it.
+func (l *Limiter) narrow(j *job) {
+	l.room = max(l.room-j.units*lateAll/grow, l.least())
+}
+
+// least is the room that is always there: the largest job at each server, over all limiters.
+func (l *Limiter) least() float64 { return l.part * float64(len(l.order)) }
+
 // learn keeps the record of the server that a shot was sent to.
 func (l *Limiter) learn(now int64, sh *shot, r Reply) {
 	s, u := sh.server, sh.job.units
@@ -600,9 +622,13 @@
 		if !sh.late && (s.out+u > s.limit/2 || l.busy) {
 			s.limit += u / grow
 		}
+		if !sh.late && l.busy {
+			l.room += u / grow
+		}
 	case Full:
 		s.heard, s.fullTill = now, now+l.beat
 		s.limit = math.Min(s.limit, s.out)
+		l.narrow(sh.job)
 	case Broke, Unconnected, Reset:
 		// A server that fails is quick at it: its answers say nothing of its pace, or it would draw all jobs.
 		if s.bad += badStep * (1 - s.bad); s.bad > badMost {
@@ -675,7 +701,7 @@
 				continue
 			}
 			if l.set.SecondCopies {
-				l.again(now, j, false)
+				l.again(now, j)
 			} else if l.set.Cancelling && l.spare >= 1 && len(l.able(now, j)) > 0 {
 				l.deeds.Cancel(j.id, sh.number) // it is sent again once its end is known
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -260,7 +260,7 @@
 		t.Run("sends nothing when "+c.name, func(t *testing.T) {
 			l, _ := made()
 			j := sent(l, "read")
-			if c.set(l, j); l.again(1, j, false) {
+			if c.set(l, j); l.again(1, j) {
 				t.Fatal("it did")
 			}
 		})
@@ -440,9 +440,9 @@
 }
 
 func TestAble(t *testing.T) {
-	t.Run("limits hold in sum", func(t *testing.T) {
+	t.Run("the room holds for all servers together", func(t *testing.T) {
 		l, _ := made()
-		l.servers["a"].limit, l.servers["b"].limit = 2, 2
+		l.room = 4
 		l.servers["a"].out = 3
 		if able := l.able(0, &job{units: 2, track: &Track{}}); able != nil {
 			t.Fatal(len(able), "servers are able")
@@ -506,3 +506,31 @@
 		})
 	}
 }
+
+func TestRoom(t *testing.T) {
+	t.Run("late shots at any server narrow it, down to a job a server over all limiters", func(t *testing.T) {
+		l, _ := made()
+		j := sent(l, "read")
+		l.overdue(second, j.shots[0])
+		if l.room != 12-1 {
+			t.Fatal("it is", l.room)
+		}
+		if l.room = 4.5; l.room < l.least() {
+			t.Fatal("the least is", l.least())
+		}
+		l.narrow(j)
+		if l.room != 4 {
+			t.Fatal("it is", l.room)
+		}
+	})
+	t.Run("a further shot that was answered promptly is paid back", func(t *testing.T) {
+		l, _ := made()
+		j := sent(l, "read")
+		l.spare = 1
+		l.again(0, j)
+		l.Answer(1, Reply{Job: "j", Shot: 1, Outcome: Done, Took: 1, Final: true})
+		if l.spare != 1 {
+			t.Fatal("in hand", l.spare)
+		}
+	})
+}
