A crowded counter is asked for few customers and always; the room grows to what chance brings

At full size the counter cannot take a call a job. Asked for every customer now and then, its counts held a part of the use. It is now asked for the same customers by all limiters, more of them where the plan makes a job beyond the quota cost more; the rest go by slices. The room grew only while in use, to twice what is usually out: too little where that is one job. It grows to the load and four deviations of a random one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,12 +34,14 @@
 	accounts map[uint64]*account
 	calls    map[uint64][]call
 	asks     float64 // the share of jobs for which the counter is asked
+	stake    float64 // what a job beyond the quota costs, a fading mean over the plans that jobs come from
 	took     float64
 	did      float64
 	beat     int64
 	spare    float64 // second shots in hand
 	part     float64 // the largest job over the number of limiters: the least limit of a server
 	room     float64 // units that may be out at all servers together
+	load     float64 // units that were out at them, faded over the agreed time
 	busy     bool    // more than half of it was taken when a job last looked for room
 	mild     bool    // some track's jobs may run again
 }
@@ -55,6 +57,7 @@
 	wellInside   = 2        // an answer within this part of the agreed time is prompt
 	late         = 10       // a late shot takes off so many times what a prompt one adds to a limit
 	lateAll      = 4        // and so many times from what may be out in all
+	swing        = 4        // the room grows to the load and so many times the deviation of a random one
 	grow         = 8        // prompt answers that raise a limit by their own size
 	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
@@ -147,7 +150,7 @@
 	// A crowded counter is not asked for a customer that is known to be out of units, but for the call that
 	// brings what is still to be added back: the others go by a total that is too high until then.
 	out := acc.quota.fill(now) < j.units && acc.owed >= 0
-	if l.set.CounterWait == 0 || l.asks < 1 && (out || l.rng.Float64() >= l.asks) {
+	if l.set.CounterWait == 0 || l.asks < 1 && (out || !l.asked(acc)) {
 		l.bySlice(now, j)
 		return
 	}
@@ -173,6 +176,16 @@
 	return acc
 }
 
+// asked tells whether a crowded counter is asked for a customer. It is asked for few customers, and always, rather
+// than for all now and then: a count that holds a part of the use says little. All limiters choose the same ones,
+// more of them in the plans where a job beyond the quota costs more. A call now and then finds out if it is back.
+func (l *Limiter) asked(a *account) bool {
+	stake := max(0, a.plan.BeyondCosts-a.plan.BeyondEarns) * a.plan.Benefit
+	l.stake += (stake - l.stake) / fade
+	share := l.asks / (1 - l.asks) * stake / l.stake
+	return float64(a.phase)/math.MaxInt64 < share || l.rng.Float64() < askMore
+}
+
 // mix spreads a number over all bits, so that names of different windows and customers do not meet.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -622,7 +635,8 @@
 		if !sh.late && (s.out+u > s.limit/2 || l.busy) {
 			s.limit += u / grow
 		}
-		if !sh.late && l.busy {
+		// The room is what can come together by chance, not the load: few jobs out swing the most.
+		if !sh.late && l.room < l.load+swing*math.Sqrt(l.load*l.set.MostUnits) {
 			l.room += u / grow
 		}
 	case Full:
@@ -659,6 +673,13 @@
 
 // look is the regular look at the servers: it finds the silent ones and lets others come back.
 func (l *Limiter) look(now int64) {
+	out := 0.0
+	for _, s := range l.order {
+		if s.listing == Ready && s.standing != aside {
+			out += s.out
+		}
+	}
+	l.load += (out - l.load) / beats
 	for _, s := range l.order {
 		for _, sh := range s.shots {
 			l.overdue(now, sh)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -55,6 +55,7 @@
 	crowded := func(owed float64) *deeds {
 		l, d := made()
 		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
+		a.plan.BeyondCosts, a.plan.Benefit = 1, 1
 		l.asks, a.quota.level, a.slice.level = 0.999, 0, -9
 		l.turn(0, a)
 		a.owed = owed
@@ -534,3 +535,30 @@
 		}
 	})
 }
+
+func TestAsked(t *testing.T) {
+	share := func(phase int64, costs float64) int {
+		l, _ := made()
+		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
+		a.phase, a.plan.BeyondCosts, a.plan.Benefit = phase, costs, 1
+		l.asks, l.stake = 0.5, 1
+		n := 0
+		for range 100 {
+			if l.asked(a) {
+				n++
+			}
+			l.stake = 1
+		}
+		return n
+	}
+	t.Run("some customers are always asked for", func(t *testing.T) {
+		if n := share(math.MaxInt64/2, 1); n != 100 {
+			t.Fatal(n, "of 100")
+		}
+	})
+	t.Run("where going beyond costs less only now and then", func(t *testing.T) {
+		if n := share(math.MaxInt64/2, 0.1); n == 0 || n > 20 {
+			t.Fatal(n, "of 100")
+		}
+	})
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -54,6 +54,7 @@
 	Rate, Burst               float64
 	CeilingRate, CeilingBurst float64
 	BeyondEarns, BeyondCosts  float64
+	Benefit                   float64 // what one unit of a job is worth, beside other plans
 }
 
 // Settings are fixed for an instance's life.
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -38,6 +38,7 @@
 		HardDepth   float64 `json:"never-over-depth"`
 		ExtraWorth  float64 `json:"extra-worth"`
 		BeyondCosts float64 `json:"beyond-costs"`
+		ValueFactor float64 `json:"value-factor"`
 	} `json:"tariffs"`
 	Family struct {
 		HasCounter bool    `json:"has-counter"`
@@ -114,7 +115,7 @@
 		}
 		s.Plans[t.Name] = &choice.Plan{Rate: t.Rate, Burst: t.MostAtOnce,
 			CeilingRate: t.HardRate, CeilingBurst: t.HardDepth,
-			BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts}
+			BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts, Benefit: t.ValueFactor}
 	}
 	for _, f := range []figure{{"units-top", s.MostUnits}, {"granularity", f.Granularity},
 		{"attempts-cap", float64(s.MostShots)}, {"balancers", float64(s.Limiters)},
