Overdue shots narrow the room by how slow the answers are: silence is no want of room

A late shot now takes off four times what a prompt one adds only where an eighth of the answers are slow or full, and as much where answers are prompt. It holds against any silence; it is slower to act where a fleet falls silent by overload without slow answers before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,8 +8,8 @@
 // The ordinary path is Reserve and Reconcile (docs/design.md). Beside it stand these mechanisms:
 //  1. ceiling: each limiter's own part of a hard ceiling, which every first shot must fit;
 //  2. memory: what the counter has forgotten, or added for a call without an answer, is put right;
-//  3. asks: a counter that does not answer is asked for a part of the jobs only;
-//  4. room: the work out at a server is bounded by what it finishes inside the agreed time;
+//  3. asks: a counter that does not answer is asked for some of the customers only;
+//  4. room: the work out is bounded by what is answered well inside the agreed time, at a server and in all;
 //  5. standing: a server that shows no life is set aside until it has answered, and its jobs go elsewhere;
 //  6. beyond: a job past its quota goes in where its plan earns by it and there is plenty of room.
 package choice
@@ -42,6 +42,7 @@
 	part     float64 // the largest job over the number of limiters: the least limit of a server
 	room     float64 // units that may be out at all servers together
 	load     float64 // units that were out at them, faded over the agreed time
+	slow     float64 // the fading share of answers that were late or full
 	busy     bool    // more than half of it was taken when a job last looked for room
 	mild     bool    // some track's jobs may run again
 }
@@ -54,16 +55,17 @@
 	askMore      = 1.0 / 16 // and rises so with each answer; it is never less
 	beats        = 20       // looks at the servers in one agreed time
 	fade         = 40       // answers after which an old one has lost most of its weight
+	slowFade     = 16       // the same for the share of slow answers
 	wellInside   = 2        // an answer within this part of the agreed time is prompt
 	late         = 10       // a late shot takes off so many times what a prompt one adds to a limit
-	lateAll      = 4        // and so many times from what may be out in all
+	lateAll      = 4        // and at most so many times from the room at all servers
+	slowLeast    = 1.0 / 32 // that is by a shot for each such share of slow answers
 	swing        = 4        // the room grows to the load and so many times the deviation of a random one
 	grow         = 8        // prompt answers that raise a limit by their own size
 	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
 	badMost      = 0.55     // a larger share sets a server aside: three in a row
-	asideMost    = 3        // at most so many
-	asideOf      = 4        // of so many servers are set aside
+	asideMost    = 0.75     // the share of the servers that may be set aside
 	spareMost    = 10       // one second shot for so many first ones
 )
 
@@ -82,7 +84,7 @@
 func New(now int64, set *Settings, seed int64, deeds Deeds) *Limiter {
 	l := &Limiter{set: set, deeds: deeds, rng: rand.New(rand.NewSource(seed)), began: now,
 		servers: map[string]*server{}, jobs: map[string]*job{}, timers: map[int64]*job{},
-		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, asks: 1,
+		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, asks: 1, slow: 1,
 		part: set.MostUnits / float64(set.Limiters)}
 	agreed := int64(math.MaxInt64)
 	for _, t := range set.Tracks {
@@ -102,17 +104,17 @@
 		}
 	}
 	for _, e := range entries {
-		s := l.servers[e.ID]
+		s, fresh := l.servers[e.ID], server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now}
 		if s == nil {
-			s = &server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now,
-				// Limiters that start together, all knowing nothing, must not all begin at the same server.
-				credit: l.rng.Float64()}
+			// Limiters that start together, all knowing nothing, must not all begin at the same server.
+			fresh.credit = l.rng.Float64()
+			s = &fresh
 			l.servers[e.ID] = s
 			l.order = append(l.order, s)
 		} else if e.Since > s.warmFrom {
 			// A new process: nothing known of the old one holds for it.
-			*s = server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now,
-				shots: s.shots, out: s.out}
+			fresh.shots, fresh.out = s.shots, s.out
+			*s = fresh
 		}
 		s.zone, s.cell, s.listing, s.hint = e.Zone, e.Cell, e.Listing, e.Hint
 	}
@@ -570,10 +572,7 @@
 
 // again sends a further shot where the track's kind, the time, the shots left and the pressure allow it.
 func (l *Limiter) again(now int64, j *job) bool {
-	if j.end <= now || len(j.shots) >= l.set.MostShots || l.spare < 1 {
-		return false
-	}
-	if j.open > 0 && !l.set.SecondCopies {
+	if j.end <= now || len(j.shots) >= l.set.MostShots || l.spare < 1 || j.open > 0 && !l.set.SecondCopies {
 		return false
 	}
 	for _, sh := range j.shots {
@@ -600,12 +599,12 @@
 	}
 }
 
-// narrow takes from the room at all servers as much as a prompt answer adds, so that half of the answers are prompt
-// when it is used up. One limiter among hundreds sees a server too seldom to learn its limit in time; what it sees
-// of all of them together tells in a second or two that they fill up. Fewer than half of the servers being slow or
-// silent does not shrink it.
+// narrow takes from the room at all servers for a shot that is late or full. One limiter among hundreds sees a server
+// too seldom to learn its limit in time; what it sees of all tells in a second or two that they fill up. Where those
+// that answer are prompt the others are silent, not overrun, and it takes no more than a prompt answer adds.
 func (l *Limiter) narrow(j *job) {
-	l.room = max(l.room-j.units*lateAll/grow, l.least())
+	times := math.Min(lateAll, l.slow/slowLeast)
+	l.room = max(l.room-j.units*max(1, times)/grow, l.least())
 }
 
 // least is the room that is always there: the largest job at each server, over all limiters.
@@ -632,16 +631,21 @@
 		took := seconds(r.Took)
 		s.took, s.did = s.took*(1-1.0/fade)+took, s.did*(1-1.0/fade)+u
 		l.took, l.did = l.took*(1-0.1/fade)+took, l.did*(1-0.1/fade)+u
-		if !sh.late && (s.out+u > s.limit/2 || l.busy) {
+		if l.slow -= l.slow / slowFade; sh.late {
+			l.slow += 1.0 / slowFade
+			break
+		}
+		if s.out+u > s.limit/2 || l.busy {
 			s.limit += u / grow
 		}
 		// The room is what can come together by chance, not the load: few jobs out swing the most.
-		if !sh.late && l.room < l.load+swing*math.Sqrt(l.load*l.set.MostUnits) {
+		if l.room < l.load+swing*math.Sqrt(l.load*l.set.MostUnits) {
 			l.room += u / grow
 		}
 	case Full:
 		s.heard, s.fullTill = now, now+l.beat
 		s.limit = math.Min(s.limit, s.out)
+		l.slow += (1 - l.slow) / slowFade
 		l.narrow(sh.job)
 	case Broke, Unconnected, Reset:
 		// A server that fails is quick at it: its answers say nothing of its pace, or it would draw all jobs.
@@ -663,7 +667,7 @@
 			}
 		}
 	}
-	if s.standing == aside || (away+1)*asideOf > ready*asideMost {
+	if s.standing == aside || float64(away+1) > float64(ready)*asideMost {
 		return
 	}
 	l.log("server %s %s, set aside", s.id, why)
@@ -673,13 +677,7 @@
 
 // look is the regular look at the servers: it finds the silent ones and lets others come back.
 func (l *Limiter) look(now int64) {
-	out := 0.0
-	for _, s := range l.order {
-		if s.listing == Ready && s.standing != aside {
-			out += s.out
-		}
-	}
-	l.load += (out - l.load) / beats
+	l.load -= l.load / beats
 	for _, s := range l.order {
 		for _, sh := range s.shots {
 			l.overdue(now, sh)
@@ -699,6 +697,7 @@
 			}
 			continue
 		}
+		l.load += s.out / beats
 		if len(s.shots) == 0 {
 			continue
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -562,3 +562,21 @@
 		}
 	})
 }
+
+func TestNarrow(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		slow, left float64
+	}{
+		{"where answers are slow a late shot takes four times what a prompt one adds", 0.5, 11},
+		{"where answers are prompt, the others silent, it takes as much", 0, 11.75},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, _ := made()
+			l.slow = c.slow
+			if l.narrow(&job{units: 2}); l.room != c.left {
+				t.Fatal("left", l.room)
+			}
+		})
+	}
+}
