--- a/choice/choice.go
+++ b/choice/choice.go
@@ -553,8 +553,8 @@
 	l.learn(now, sh, r)
 	if r.Outcome == Done && r.Final && !j.ended() {
 		l.settle(now, j, r.Units)
-		if len(j.shots) > 1 && !sh.late {
-			l.spare++ // it was well spent: where some servers are bad and others good, more may follow
+		if !sh.late { // further shots were well spent: where some servers are bad and others good, more may follow
+			l.spare += float64(len(j.shots) - 1)
 		}
 		l.move(j, Served)
 	}
@@ -649,7 +649,8 @@
 		l.narrow(sh.job)
 	case Broke, Unconnected, Reset:
 		// A server that fails is quick at it: its answers say nothing of its pace, or it would draw all jobs.
-		if s.bad += badStep * (1 - s.bad); s.bad > badMost {
+		// One that takes no connection is not tried three times: among many limiters, each would do so.
+		if s.bad += badStep * (1 - s.bad); s.bad > badMost || r.Outcome == Unconnected {
 			l.setAside(now, s, "fails")
 		}
 	}
@@ -671,7 +672,7 @@
 		return
 	}
 	l.log("server %s %s, set aside", s.id, why)
-	s.rest = min(max(2*s.rest, l.set.DialTimeout), l.set.WarmWithin)
+	s.rest = min(max(2*s.rest, l.beat*beats), l.set.WarmWithin)
 	s.standing, s.probes, s.next = aside, 0, now+s.rest
 }
 
