--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -580,3 +580,38 @@
 		})
 	}
 }
+
+func TestLearn(t *testing.T) {
+	t.Run("a server that takes no connection is set aside at once, for the agreed time", func(t *testing.T) {
+		l, _ := made()
+		j := sent(l, "read")
+		l.learn(0, j.shots[0], Reply{Outcome: Unconnected})
+		if s := l.servers["a"]; s.standing != aside || s.next != second {
+			t.Fatal("standing", s.standing, "until", s.next)
+		}
+	})
+	t.Run("the room grows to what chance brings together and no further", func(t *testing.T) {
+		l, _ := made()
+		j := sent(l, "read")
+		l.load, l.room = 4, 19.9 // the load and four deviations of it are 20
+		for range 3 {
+			l.learn(0, j.shots[0], Reply{Outcome: Done, Took: 1})
+		}
+		if l.room != 20.15 {
+			t.Fatal("it is", l.room)
+		}
+	})
+}
+
+func TestMembersBeginAnywhere(t *testing.T) {
+	first := map[string]bool{}
+	for seed := range int64(20) {
+		d := &deeds{}
+		l := New(0, &Settings{Limiters: 20, MostUnits: 1, WarmWithin: 1}, seed, d)
+		l.Members(0, true, []Entry{{ID: "a"}, {ID: "b"}})
+		first[l.pick(0, &job{units: 1, track: &Track{}}).id] = true
+	}
+	if len(first) != 2 {
+		t.Fatal("all begin at", first)
+	}
+}
