--- a/choice/choice.go
+++ b/choice/choice.go
@@ -104,7 +104,8 @@
 		}
 	}
 	for _, e := range entries {
-		s, fresh := l.servers[e.ID], server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now}
+		s := l.servers[e.ID]
+		fresh := server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now}
 		if s == nil {
 			// Limiters that start together, all knowing nothing, must not all begin at the same server.
 			fresh.credit = l.rng.Float64()
@@ -178,9 +179,9 @@
 	return acc
 }
 
-// asked tells whether a crowded counter is asked for a customer. It is asked for few customers, and always, rather
-// than for all now and then: a count that holds a part of the use says little. All limiters choose the same ones,
-// more of them in the plans where a job beyond the quota costs more. A call now and then finds out if it is back.
+// asked tells whether a crowded counter is asked for a customer: always for some, the same at all limiters
+// (a count of a part of the use says little), more of them where going beyond the quota costs more. The rest
+// find out if it is back.
 func (l *Limiter) asked(a *account) bool {
 	stake := max(0, a.plan.BeyondCosts-a.plan.BeyondEarns) * a.plan.Benefit
 	l.stake += (stake - l.stake) / fade
@@ -198,16 +199,15 @@
 
 func (a *account) name() uint64 { return mix(mix(a.id)^uint64(a.window)) >> 1 }
 
-// span is the length of the customer's windows. At each turn what was added before goes unseen, so turns should
-// be rare; a lease of two windows must not be longer than the counter keeps a name.
+// span is the length of the customer's windows. At each turn what was added before goes unseen, so turns are
+// rare; a lease of two windows must not be longer than the counter keeps a name.
 func (l *Limiter) span(p *Plan) int64 {
 	return min(nanos(windowBursts*p.Burst/p.Rate), l.set.LongestLease/2)
 }
 
-// turn moves the account to the window that holds now and tells what an add of one unit weighs in it. Adds weigh
-// more the later they come, by e for each filling of the store: a total over the present weight is then the use
-// of all limiters with the old use faded out, and tells a limiter that never saw the customer before how much of
-// the store is gone, however it was spread over the window.
+// turn moves the account to the window that holds now and tells what an add of one unit weighs in it. Adds
+// weigh more the later they come, by e for each filling of the store: the total over the present weight is
+// the use of all limiters, the old faded out. So a first look tells what the store holds.
 func (l *Limiter) turn(now int64, a *account) float64 {
 	span := l.span(a.plan)
 	since := now + a.phase%span
@@ -461,8 +461,8 @@
 	return same && now < sh.at+t.Repeats
 }
 
-// able lists the servers that have room for the job, if there is room in all: with many limiters, one job of each
-// at each server would be too much already. What may be out shrinks with the servers that can be used.
+// able lists the servers that have room for the job, if there is room in all: among many limiters one job at
+// each server is too much already. What may be out shrinks with the servers that can be used.
 func (l *Limiter) able(now int64, j *job) []*server {
 	var able []*server
 	out, usable, ready := j.units, 0.0, 0.0
@@ -553,7 +553,7 @@
 	l.learn(now, sh, r)
 	if r.Outcome == Done && r.Final && !j.ended() {
 		l.settle(now, j, r.Units)
-		if !sh.late { // further shots were well spent: where some servers are bad and others good, more may follow
+		if !sh.late { // well spent: where some servers are bad and others good, more may follow
 			l.spare += float64(len(j.shots) - 1)
 		}
 		l.move(j, Served)
@@ -599,9 +599,9 @@
 	}
 }
 
-// narrow takes from the room at all servers for a shot that is late or full. One limiter among hundreds sees a server
-// too seldom to learn its limit in time; what it sees of all tells in a second or two that they fill up. Where those
-// that answer are prompt the others are silent, not overrun, and it takes no more than a prompt answer adds.
+// narrow takes from the room at all servers for a shot that is late or full. One limiter among hundreds sees
+// a server too seldom to learn its limit in time; all together soon tell that they fill up. Where answers are
+// prompt the rest are silent, not overrun, and it takes no more than a prompt answer adds.
 func (l *Limiter) narrow(j *job) {
 	times := math.Min(lateAll, l.slow/slowLeast)
 	l.room = max(l.room-j.units*max(1, times)/grow, l.least())
