--- /dev/null
+++ b/internal/buffer/buffer.go
@@ -0,0 +1,43 @@
+// Package buffer holds the one buffer of a connection.
+package buffer
+
+// Least is what a buffer holds at first and keeps when it is empty.
+const Least = 4 << 10
+
+// Buffer holds what was read and not yet used up. The zero value is empty.
+type Buffer struct {
+	data     []byte
+	from, to int
+}
+
+// Bytes are those not yet used up, valid until the next Space.
+func (b *Buffer) Bytes() []byte { return b.data[b.from:b.to] }
+
+// Space makes room for n more bytes and gives it: it moves what is left to the front, and grows where that is
+// not enough.
+func (b *Buffer) Space(n int) []byte {
+	if b.from > 0 && len(b.data)-b.to < n {
+		b.to = copy(b.data, b.data[b.from:b.to])
+		b.from = 0
+	}
+	if want := b.to + n; len(b.data) < want {
+		larger := make([]byte, max(want, 2*len(b.data), Least))
+		b.to = copy(larger, b.data[b.from:b.to])
+		b.from, b.data = 0, larger
+	}
+	return b.data[b.to : b.to+n]
+}
+
+// Filled says that n bytes of the space were filled.
+func (b *Buffer) Filled(n int) { b.to += n }
+
+// Use drops the first n bytes. An empty buffer that has grown is let go, so that one large value does not stay.
+func (b *Buffer) Use(n int) {
+	if b.from += n; b.from < b.to {
+		return
+	}
+	b.from, b.to = 0, 0
+	if len(b.data) > Least {
+		b.data = nil
+	}
+}
--- /dev/null
+++ b/internal/resp/resp.go
@@ -0,0 +1,169 @@
+// Package resp reads and writes RESP2, the protocol of clients and servers.
+package resp
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+const (
+	// MostValue is the longest value there may be.
+	MostValue = 64 << 10
+	// MostBytes is the longest command or answer that is read.
+	MostBytes = MostValue + 16<<10
+	mostWords = 64
+	mostLine  = 1 << 10
+	mostDepth = 4
+)
+
+var (
+	// ErrMalformed is for bytes that are no RESP2.
+	ErrMalformed = errors.New("malformed")
+	// ErrTooLong is for what passes the limits above.
+	ErrTooLong = errors.New("too long")
+)
+
+// Value is one value; its text points into the bytes it was read from.
+type Value struct {
+	Kind byte // '+', '-', ':', '$' or '*'
+	Null bool
+	Text []byte
+	List []Value
+}
+
+// line gives the text up to the first line end and what comes behind it; rest is nil while there is no line end.
+func line(b []byte) (text, rest []byte, err error) {
+	head := b[:min(len(b), mostLine)]
+	i := bytes.IndexByte(head, '\n')
+	switch {
+	case i < 0 && len(b) >= mostLine:
+		return nil, nil, ErrTooLong
+	case i < 0:
+		return nil, nil, nil
+	case i == 0 || b[i-1] != '\r':
+		return nil, nil, ErrMalformed
+	}
+	return b[:i-1], b[i+1:], nil
+}
+
+func size(text []byte, most int) (int, error) {
+	n, err := strconv.Atoi(string(text))
+	switch {
+	case err != nil || n < -1 || len(text) > 0 && text[0] == '+':
+		return 0, ErrMalformed
+	case n > most:
+		return 0, ErrTooLong
+	}
+	return n, nil
+}
+
+// Read reads one value and tells how many bytes it took: 0 while it is not whole.
+func Read(b []byte) (Value, int, error) {
+	v, rest, err := read(b, mostDepth)
+	if err == nil && rest == nil {
+		if len(b) > MostBytes {
+			err = ErrTooLong
+		}
+		return Value{}, 0, err
+	}
+	return v, len(b) - len(rest), err
+}
+
+// read gives a nil rest while the value is not whole.
+func read(b []byte, depth int) (v Value, rest []byte, err error) {
+	if len(b) == 0 {
+		return v, nil, nil
+	}
+	v.Kind = b[0]
+	switch v.Kind {
+	case '+', '-', ':', '$', '*':
+	default:
+		return v, nil, ErrMalformed
+	}
+	text, rest, err := line(b[1:])
+	if err != nil || rest == nil {
+		return v, nil, err
+	}
+	switch v.Kind {
+	case ':':
+		_, err = strconv.ParseInt(string(text), 10, 64)
+		if v.Text = text; err != nil {
+			err = ErrMalformed
+		}
+	case '$':
+		n, err := size(text, MostValue)
+		if err != nil || n < 0 {
+			v.Null = true
+			return v, rest, err
+		}
+		if len(rest) < n+2 {
+			return v, nil, nil
+		}
+		if rest[n] != '\r' || rest[n+1] != '\n' {
+			return v, nil, ErrMalformed
+		}
+		v.Text, rest = rest[:n], rest[n+2:]
+	case '*':
+		n, err := size(text, mostWords)
+		if err != nil || n < 0 {
+			v.Null = true
+			return v, rest, err
+		}
+		if depth == 0 {
+			return v, nil, ErrMalformed
+		}
+		for range n {
+			var item Value
+			if item, rest, err = read(rest, depth-1); err != nil || rest == nil {
+				return v, nil, err
+			}
+			v.List = append(v.List, item)
+		}
+	default:
+		v.Text = text
+	}
+	return v, rest, err
+}
+
+// ReadCommand reads a command, an array of bulk strings, and tells how many bytes it took: 0 while it is not whole.
+func ReadCommand(b []byte, words [][]byte) ([][]byte, int, error) {
+	// What cannot become a command is told at its first byte, not when its line ends.
+	if len(b) > 0 && b[0] != '*' {
+		return words, 0, ErrMalformed
+	}
+	v, n, err := Read(b)
+	if err != nil || n == 0 {
+		return words, 0, err
+	}
+	if len(v.List) == 0 {
+		return words, 0, ErrMalformed
+	}
+	for _, w := range v.List {
+		if w.Kind != '$' || w.Null {
+			return words, 0, ErrMalformed
+		}
+		words = append(words, w.Text)
+	}
+	return words, n, nil
+}
+
+// AppendBulk writes one bulk string.
+func AppendBulk(to, text []byte) []byte {
+	to = append(to, '$')
+	to = strconv.AppendInt(to, int64(len(text)), 10)
+	to = append(to, "\r\n"...)
+	to = append(to, text...)
+	return append(to, "\r\n"...)
+}
+
+// AppendCommand writes a command.
+func AppendCommand(to []byte, words ...[]byte) []byte {
+	to = append(to, '*')
+	to = strconv.AppendInt(to, int64(len(words)), 10)
+	to = append(to, "\r\n"...)
+	for _, w := range words {
+		to = AppendBulk(to, w)
+	}
+	return to
+}
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,9 +1,12 @@
-package simwire
+// Package settings decodes what a limiter is told at its start: the settings, which the simulator's first message
+// and the configuration of a real limiter hold alike, and that configuration.
+package settings
 
 import (
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 
 	"ospreycroft/choice"
 )
@@ -11,8 +14,6 @@
 // longestLease is the wire's own limit on a count's lifetime.
 const longestLease = 60e9
 
-var listings = map[string]choice.Listing{"U": choice.Ready, "L": choice.Draining, "D": choice.Gone}
-
 var effects = map[string]choice.Effect{
 	"free": choice.Retriable, "guarded": choice.Fingerprinted, "single_shot": choice.Binding,
 }
@@ -52,6 +53,7 @@
 	Permissions struct {
 		AttemptsCap   int     `json:"attempts-cap"`
 		DialTimeout   float64 `json:"dial-timeout"`
+		IdleClose     float64 `json:"idle-close"`
 		MaxRetryAfter float64 `json:"max-retry-after"`
 		RetryAfter    bool    `json:"retry-after"`
 		Probes        bool    `json:"probes"`
@@ -66,8 +68,16 @@
 	value float64
 }
 
-// settings decodes what the module reads and refuses what cannot work.
-func settings(text []byte) (*choice.Settings, error) {
+func nanos(seconds float64) int64 { return int64(math.Round(seconds * 1e9)) }
+
+// Settings are the module's settings and, beside them, what only sockets read.
+type Settings struct {
+	*choice.Settings
+	IdleClose int64 // a server closes a connection that has been idle for so long
+}
+
+// Decode reads the settings and refuses what cannot work.
+func Decode(text []byte) (*Settings, error) {
 	var f facts
 	if len(text) == 0 || string(text) == "null" {
 		return nil, errors.New("missing")
@@ -124,5 +134,5 @@
 			return nil, fmt.Errorf("%s is %v", f.name, f.value)
 		}
 	}
-	return s, nil
+	return &Settings{s, nanos(f.Permissions.IdleClose)}, nil
 }
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -12,8 +12,11 @@
 	"math"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/settings"
 )
 
+var listings = map[string]choice.Listing{"U": choice.Ready, "L": choice.Draining, "D": choice.Gone}
+
 type batch struct {
 	Wall  *float64          `json:"wall"`
 	Batch *int64            `json:"batch"`
@@ -152,13 +155,13 @@
 		if r.missing != "" {
 			break
 		}
-		set, err := settings(it.Facts)
+		set, err := settings.Decode(it.Facts)
 		if err != nil {
 			return fmt.Errorf("%s: facts: %w", kind, err)
 		}
 		in = &instance{host: h, id: id, wall: wall}
 		h.instances[id] = in
-		do = func(*choice.Limiter) { in.logic = choice.New(wall, set, seed, in) }
+		do = func(*choice.Limiter) { in.logic = choice.New(wall, set.Settings, seed, in) }
 	case "retire":
 		delete(h.instances, id)
 		return nil
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,68 @@
+// Package tally reads and writes the counter's lines.
+package tally
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+)
+
+const mostLine = 256
+
+// ErrMalformed is for a line that the counter does not write.
+var ErrMalformed = errors.New("malformed")
+
+// Kind is what the counter said.
+type Kind uint8
+
+const (
+	Added   Kind = iota // and what the total is now
+	Busy                // nothing was added
+	Refused             // no such call, nothing was added
+	Pong
+)
+
+// AppendCall writes a call; the life is in nanoseconds.
+func AppendCall(to []byte, name uint64, amount float64, life int64) []byte {
+	to = append(to, "tally "...)
+	to = strconv.AppendUint(to, name, 10)
+	to = append(to, ' ')
+	to = strconv.AppendFloat(to, amount, 'f', -1, 64)
+	to = append(to, ' ')
+	to = strconv.AppendInt(to, max(1, (life+1e6-1)/1e6), 10)
+	return append(to, "\r\n"...)
+}
+
+// AppendPing writes a ping.
+func AppendPing(to []byte) []byte { return append(to, "ping\r\n"...) }
+
+// Read reads one answer and tells how many bytes it took: 0 while it is not whole.
+func Read(b []byte) (kind Kind, total float64, n int, err error) {
+	i := bytes.IndexByte(b[:min(len(b), mostLine)], '\n')
+	if i < 0 {
+		if len(b) >= mostLine {
+			err = ErrMalformed
+		}
+		return 0, 0, 0, err
+	}
+	if i == 0 || b[i-1] != '\r' {
+		return 0, 0, 0, ErrMalformed
+	}
+	word, rest, _ := bytes.Cut(b[:i-1], []byte(" "))
+	switch string(word) {
+	case "ok":
+		total, err = strconv.ParseFloat(string(rest), 64)
+		if err != nil || math.IsNaN(total) || math.IsInf(total, 0) {
+			return 0, 0, 0, ErrMalformed
+		}
+		return Added, total, i + 1, nil
+	case "busy":
+		return Busy, 0, i + 1, nil
+	case "error":
+		return Refused, 0, i + 1, nil
+	case "pong":
+		return Pong, 0, i + 1, nil
+	}
+	return 0, 0, 0, ErrMalformed
+}
