--- /dev/null
+++ b/cmd/ospreycroft/main.go
@@ -0,0 +1,60 @@
+// Command ospreycroft is one real limiter: it takes clients' jobs and sends them to servers as package choice decides.
+package main
+
+import (
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"ospreycroft/internal/limiter"
+	"ospreycroft/internal/settings"
+	"ospreycroft/internal/sockets"
+)
+
+func main() {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	if err := run(); err != nil {
+		log.Fatalf("event=failed error=%q", err)
+	}
+}
+
+func run() error {
+	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+	if err != nil {
+		return err
+	}
+	config, err := settings.ReadConfig(text)
+	if err != nil {
+		return err
+	}
+	// Two threads run Go code at most, one of which waits in the poller; the rest of the memory is for what the
+	// runtime does not count.
+	runtime.GOMAXPROCS(2)
+	debug.SetMemoryLimit(config.Memory * 3 / 4)
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	s, err := sockets.Listen(config.Listen, limiter.MostClients(config), config.Sockets)
+	if err != nil {
+		return err
+	}
+	// All limiters name their counts by one clock, so it begins as the system's; from then on it only goes forward.
+	start := time.Now()
+	clock := func() int64 { return start.UnixNano() + int64(time.Since(start)) }
+	l, err := limiter.New(clock(), config, s)
+	if err != nil {
+		return err
+	}
+	log.Printf("event=started name=%s listen=%s", config.Name, config.Listen)
+	s.Run(clock, l, stop)
+	log.Printf("event=stopped name=%s", config.Name)
+	return nil
+}
--- /dev/null
+++ b/internal/limiter/counter.go
@@ -0,0 +1,186 @@
+package limiter
+
+import (
+	"log"
+	"slices"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/tally"
+)
+
+const (
+	mostLines  = 8  // connections to the counter, which holds 32 of a limiter
+	silentFor  = 20 // a line whose first call is unanswered for so many time-outs is given up
+	pingsAfter = 40 // one that is idle for so many is pinged, before the counter closes it
+)
+
+// counter holds the connections to the counter.
+type counter struct {
+	l     *Limiter
+	lines []*line
+	down  bool // as logged
+}
+
+// line is one connection to the counter; answers come in the order of its calls.
+type line struct {
+	counter *counter
+	c       *conn
+	calls   []*call
+}
+
+type call struct {
+	name   uint64
+	amount float64
+	life   int64
+	at     int64
+	ping   bool
+	last   int64 // the place of its last byte among all that was written, 0 before
+	told   bool  // the module has had its answer; a late one belongs to nobody
+}
+
+// open dials one more line.
+func (k *counter) open() *line {
+	ln := &line{counter: k}
+	k.lines = append(k.lines, ln)
+	ln.c = k.l.dial(ln, k.l.config.Counter)
+	return ln
+}
+
+// Count is a deed of the module. Calls on one name that are out go on one line, so that they are answered in their
+// order.
+func (l *Limiter) Count(name uint64, amount float64, lifetime int64) {
+	k := &l.counter
+	c := &call{name: name, amount: amount, life: lifetime, at: l.now}
+	ln := k.line(name)
+	ln.calls = append(ln.calls, c)
+	if ln.c.open {
+		ln.write(c)
+	}
+	l.at(l.now+l.set.CounterWait, func() { ln.late(c) })
+}
+
+// line chooses the line for a call.
+func (k *counter) line(name uint64) *line {
+	var best *line
+	for _, ln := range k.lines {
+		for _, c := range ln.calls {
+			if !c.ping && c.name == name {
+				return ln
+			}
+		}
+		if best == nil || len(ln.calls) < len(best.calls) {
+			best = ln
+		}
+	}
+	if best == nil || len(best.calls) > 0 && len(k.lines) < mostLines {
+		return k.open()
+	}
+	return best
+}
+
+func (ln *line) write(c *call) {
+	l := ln.counter.l
+	if c.ping {
+		l.scratch = tally.AppendPing(l.scratch[:0])
+	} else {
+		l.scratch = tally.AppendCall(l.scratch[:0], c.name, c.amount, c.life)
+	}
+	l.write(ln.c, l.scratch)
+	c.last = ln.c.sent
+}
+
+// late ends a call that has no answer in time. Where it was not written yet it never will be.
+func (ln *line) late(c *call) {
+	if c.told {
+		return
+	}
+	if c.last == 0 {
+		ln.calls = slices.DeleteFunc(ln.calls, func(o *call) bool { return o == c })
+	}
+	ln.counter.tell(c, TimeOver.counted(c.last > 0), 0)
+}
+
+// tell owes the module the answer to a call, once.
+func (k *counter) tell(c *call, outcome choice.Outcome, total float64) {
+	if c.told || c.ping {
+		return
+	}
+	c.told = true
+	k.l.owed = append(k.l.owed, owed{call: true, name: c.name, outcome: outcome, total: total})
+	if down := outcome != choice.Done && outcome != choice.Full; down != k.down {
+		k.down = down
+		log.Printf("event=counter answers=%v", !down)
+	}
+}
+
+func (ln *line) up() {
+	for _, c := range ln.calls {
+		ln.write(c)
+	}
+}
+
+func (ln *line) read(b []byte) (int, error) {
+	kind, total, n, err := tally.Read(b)
+	if err != nil {
+		log.Printf("event=counter-line error=%q", err)
+		return 0, err
+	}
+	if n == 0 {
+		return 0, nil
+	}
+	if len(ln.calls) == 0 {
+		return 0, errUnasked
+	}
+	c := ln.calls[0]
+	if c.ping != (kind == tally.Pong) {
+		log.Printf("event=counter-line error=%q", "an answer to another call")
+		return 0, errUnasked
+	}
+	ln.calls = ln.calls[1:]
+	switch kind {
+	case tally.Added:
+		ln.counter.tell(c, choice.Done, total)
+	case tally.Busy:
+		ln.counter.tell(c, choice.Full, 0)
+	case tally.Refused:
+		log.Printf("event=counter-refused name=%d amount=%v", c.name, c.amount)
+		ln.counter.tell(c, Refused.counted(false), 0)
+	}
+	return n, nil
+}
+
+func (ln *line) ended(end End, written int64) {
+	k := ln.counter
+	k.lines = slices.DeleteFunc(k.lines, func(o *line) bool { return o == ln })
+	for _, c := range ln.calls {
+		k.tell(c, end.counted(c.last > 0 && written >= c.last), 0)
+	}
+}
+
+// sweep gives up silent lines and keeps idle ones from being closed by the counter.
+func (k *counter) sweep() {
+	l := k.l
+	for _, ln := range slices.Clone(k.lines) {
+		switch {
+		case !ln.c.open:
+		case len(ln.calls) > 0 && l.now-ln.calls[0].at > silentFor*l.set.CounterWait:
+			l.over(ln.c, Silent)
+		case len(ln.calls) == 0 && l.now-ln.c.since > pingsAfter*l.set.CounterWait:
+			c := &call{ping: true, at: l.now}
+			ln.calls = append(ln.calls, c)
+			ln.write(c)
+		}
+	}
+}
+
+// waits tells whether a call is out that the module waits for.
+func (k *counter) waits() bool {
+	for _, ln := range k.lines {
+		for _, c := range ln.calls {
+			if !c.told && !c.ping {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/limiter/jobs.go
@@ -0,0 +1,146 @@
+package limiter
+
+import (
+	"bytes"
+	"strconv"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/resp"
+)
+
+// State is where a job stands; move is the only function that changes it.
+type State uint8
+
+const (
+	Taken State = iota
+	Served
+	Rejected
+	WrittenOff
+	Left // its client has gone
+)
+
+type job struct {
+	id     string
+	state  State
+	client *client
+	answer *answer // its place among the client's answers
+	cutOff int64
+	shots  []*shot
+	open   int // shots that are out
+	size   int64
+	// The command as the client sent it: its words, and the third of them around the time that it gives.
+	words        [][]byte
+	before, past []byte
+}
+
+type shot struct {
+	job     *job
+	number  int
+	at      int64
+	open    bool
+	backend *backend
+	last    int64 // the place of its last byte among all that was written on its connection, 0 before
+}
+
+var (
+	rejectedPlain = []byte("-BUSY\r\n")
+	writtenOff    = []byte("-ERR written off\r\n")
+)
+
+// take makes a job of a command; the words are copied, for they stand in the connection's buffer.
+func (l *Limiter) take(c *client, a *answer, words [][]byte, before, past int, budget int64) *job {
+	size := 0
+	for _, w := range words {
+		size += len(w)
+	}
+	text := make([]byte, 0, size)
+	j := &job{id: string(words[2]), client: c, answer: a, cutOff: l.now + budget, size: int64(size),
+		words: make([][]byte, len(words))}
+	for i, w := range words {
+		text = append(text, w...)
+		j.words[i] = text[len(text)-len(w):]
+	}
+	j.before, j.past = j.words[3][:before], j.words[3][past:]
+	l.held += j.size
+	l.jobs[j.id] = j
+	return j
+}
+
+// move is the only place where a job changes its state. A job ends once, with one answer to its client.
+func (l *Limiter) move(j *job, to State, text []byte) {
+	if j.state != Taken {
+		return
+	}
+	j.state = to
+	if to != Left {
+		j.client.answer(j.answer, text)
+	}
+	l.drop(j)
+}
+
+// drop lets go of a job that has ended, once nothing of it is out.
+func (l *Limiter) drop(j *job) {
+	if j.state != Taken && j.open == 0 && l.jobs[j.id] == j {
+		l.held -= j.size
+		delete(l.jobs, j.id)
+	}
+}
+
+// command writes the job's command with the time that is left.
+func (j *job) command(to []byte, now int64) []byte {
+	left := strconv.AppendInt(nil, max(1, (j.cutOff-now)/1e6), 10)
+	list := bytes.Join([][]byte{j.before, left, j.past}, nil)
+	words := append(append(make([][]byte, 0, len(j.words)), j.words[:3]...), list)
+	return resp.AppendCommand(to, append(words, j.words[4:]...)...)
+}
+
+// Send is a deed of the module. A shot that cannot be sent any more was never sent.
+func (l *Limiter) Send(id, server string) {
+	j := l.jobs[id]
+	s := &shot{job: j, number: len(j.shots), at: l.now, open: true}
+	j.shots = append(j.shots, s)
+	j.open++
+	if j.state != Taken || l.now >= j.cutOff || len(j.shots) > l.set.MostShots {
+		l.endShot(s, choice.Moot, 0)
+		return
+	}
+	l.pools[server].send(s)
+}
+
+// Cancel is a deed of the module: it closes the shot's connection.
+func (l *Limiter) Cancel(id string, number int) {
+	j := l.jobs[id]
+	if j == nil || number >= len(j.shots) || !j.shots[number].open || j.shots[number].backend == nil {
+		return
+	}
+	l.over(j.shots[number].backend.c, CalledOff)
+}
+
+// endShot ends a shot, once, and owes the module its answer.
+func (l *Limiter) endShot(s *shot, outcome choice.Outcome, units float64) {
+	j := s.job
+	s.open, s.backend = false, nil
+	j.open--
+	l.owed = append(l.owed, owed{reply: choice.Reply{Job: j.id, Shot: s.number, Outcome: outcome,
+		Took: l.now - s.at, Final: j.state != Taken, Units: units}})
+	l.drop(j)
+}
+
+// Reject is a deed of the module.
+func (l *Limiter) Reject(id string, retryAfter int64) {
+	text := rejectedPlain
+	if retryAfter > 0 {
+		text = strconv.AppendInt([]byte("-BUSY "), (retryAfter+1e6-1)/1e6, 10)
+		text = append(text, "\r\n"...)
+	}
+	if j := l.jobs[id]; j != nil {
+		l.move(j, Rejected, text)
+	}
+}
+
+// WriteOff is a deed of the module.
+func (l *Limiter) WriteOff(id string) {
+	if j := l.jobs[id]; j != nil {
+		l.move(j, WrittenOff, writtenOff)
+	}
+}
--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,308 @@
+// Package limiter holds the whole state of one real limiter and the one reducer that changes it.
+//
+// Step takes what happened on the sockets, one happening at a time and always on the same goroutine. It turns it
+// into calls on the module (package choice), does what the module asks for, and asks for effects on the sockets.
+// It decides nothing about jobs: those decisions all stand in choice/choice.go.
+package limiter
+
+import (
+	"container/heap"
+	"log"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/buffer"
+	"ospreycroft/internal/settings"
+)
+
+// ID names a connection.
+type ID uint64
+
+// Kind says what happened.
+type Kind uint8
+
+const (
+	Accepted  Kind = iota // a client has connected
+	Connected             // a connection that was dialled is up
+	Readable              // bytes have come
+	Ended                 // a connection has ended from the other side
+	Due                   // the time of a wake has come
+	Stopping              // the process is to end
+)
+
+// Happening is what the sockets tell.
+type Happening struct {
+	Kind Kind
+	Conn ID
+	Size int // bytes to read
+	End  End
+}
+
+// Effects are what the reducer asks of the sockets.
+type Effects interface {
+	// Dial begins a connection; Connected or Ended follows.
+	Dial(address string, timeout int64) ID
+	// Read copies the bytes that the present happening told of.
+	Read(into []byte)
+	Write(id ID, bytes []byte)
+	// Written tells how many bytes the kernel has taken.
+	Written(id ID) int64
+	// Close ends the connection, if it has not ended yet; no happening follows. It tells how many bytes the
+	// kernel had taken, which will not become more.
+	Close(id ID) int64
+	// Wake asks for Due at a time; only the latest wish counts.
+	Wake(at int64)
+}
+
+// party is the other side of a connection.
+type party interface {
+	up()
+	// read takes from the bytes that have come and tells how many it has used up.
+	read(bytes []byte) (used int, err error)
+	ended(end End, written int64)
+}
+
+type conn struct {
+	id    ID
+	party party
+	open  bool
+	in    buffer.Buffer
+	sent  int64 // bytes that were written, whether the kernel has taken them or not
+	since int64 // when it was last used
+}
+
+// Limiter is one real limiter. It is not safe for concurrent use.
+type Limiter struct {
+	config   *settings.Config
+	set      *settings.Settings
+	effects  Effects
+	logic    *choice.Limiter
+	now      int64
+	conns    map[ID]*conn
+	jobs     map[string]*job
+	held     int64 // bytes of the commands in jobs
+	owed     []owed
+	timers   timers
+	order    int64
+	pools    map[string]*pool
+	servers  []*pool
+	backends int // connections to servers
+	clients  int
+	counter  counter
+	watch    watch
+	ready    bool
+	stopping int64 // when that was asked for, 0 before
+	quiet    int64 // the latest time at which an answer was written
+	scratch  []byte
+	words    [][]byte
+}
+
+// owed is what the module is told once its present call is over.
+type owed struct {
+	reply   choice.Reply
+	call    bool
+	name    uint64
+	outcome choice.Outcome
+	total   float64
+	probed  string
+	left    string
+}
+
+const (
+	clientShare  = 2  // one descriptor in so many is for clients
+	serverShare  = 4  // and one in so many for servers
+	heldShare    = 8  // one byte of memory in so many may hold commands, and as many the answers that wait
+	sweeps       = 32 // looks at idle connections in the time after which a server closes them
+	idleShare    = 2  // an idle connection is closed after this part of that time
+	lingers      = 500e6
+	mostPipeline = 1024 // commands that may wait on one client's connection
+)
+
+// New makes a limiter from its configuration. It knows the servers that the configuration lists.
+func New(now int64, config *settings.Config, effects Effects) (*Limiter, error) {
+	l := &Limiter{config: config, set: config.Settings, effects: effects, now: now, conns: map[ID]*conn{},
+		jobs: map[string]*job{}, pools: map[string]*pool{}}
+	l.counter.l, l.watch.l = l, l
+	l.logic = choice.New(now, l.set.Settings, config.Seed, l)
+	if err := l.watch.known(config.Known); err != nil {
+		return nil, err
+	}
+	l.watch.dial()
+	if l.set.CounterWait > 0 {
+		l.counter.open()
+	}
+	l.at(now+l.set.DialTimeout, l.readyNow)
+	l.sweep()
+	l.arm()
+	return l, nil
+}
+
+// readyNow: discovery has said what it knows, or is down, and the list of the configuration must do.
+func (l *Limiter) readyNow() {
+	if !l.ready {
+		l.ready = true
+		log.Printf("event=ready servers=%d generation=%d", len(l.servers), l.watch.version)
+	}
+}
+
+// Step takes one happening.
+func (l *Limiter) Step(now int64, h Happening) {
+	l.now = now
+	c := l.conns[h.Conn]
+	switch {
+	case h.Kind == Accepted:
+		l.accept(h.Conn)
+	case h.Kind == Due:
+		for len(l.timers) > 0 && l.timers[0].at <= now {
+			heap.Pop(&l.timers).(*timer).run()
+			l.tell()
+		}
+	case h.Kind == Stopping:
+		l.stop()
+	case c == nil: // it has ended already
+	case h.Kind == Connected:
+		c.open, c.since = true, now
+		c.party.up()
+	case h.Kind == Readable:
+		l.effects.Read(c.in.Space(h.Size))
+		c.in.Filled(h.Size)
+		l.consume(c)
+	case h.Kind == Ended:
+		l.over(c, h.End)
+	}
+	l.tell()
+	l.arm()
+}
+
+// consume lets the other side's bytes be used as far as they are whole.
+func (l *Limiter) consume(c *conn) {
+	c.since = l.now
+	for l.conns[c.id] == c {
+		used, err := c.party.read(c.in.Bytes())
+		if err != nil {
+			if l.conns[c.id] == c {
+				l.over(c, Garbled)
+			}
+			return
+		}
+		if used == 0 {
+			return
+		}
+		c.in.Use(used)
+	}
+}
+
+// tell tells the module what it is owed, in order; each call on it may bring more.
+func (l *Limiter) tell() {
+	for i := 0; i < len(l.owed); i++ {
+		switch o := l.owed[i]; {
+		case o.call:
+			l.logic.Counted(l.now, o.name, o.outcome, o.total)
+		case o.probed != "":
+			l.logic.Probed(l.now, o.probed, o.outcome)
+		case o.left != "":
+			l.logic.Left(l.now, o.left)
+		default:
+			l.logic.Answer(l.now, o.reply)
+		}
+	}
+	l.owed = l.owed[:0]
+}
+
+// dial begins a connection for a party, which is told when it is up or has ended. It ends in time even where the
+// sockets say nothing.
+func (l *Limiter) dial(p party, address string) *conn {
+	c := &conn{id: l.effects.Dial(address, l.set.DialTimeout), party: p, since: l.now}
+	l.conns[c.id] = c
+	l.at(l.now+l.set.DialTimeout, func() {
+		if l.conns[c.id] == c && !c.open {
+			l.over(c, DialOver)
+		}
+	})
+	return c
+}
+
+func (l *Limiter) write(c *conn, bytes []byte) {
+	c.sent += int64(len(bytes))
+	c.since = l.now
+	l.effects.Write(c.id, bytes)
+}
+
+// over is the only place where a connection ends.
+func (l *Limiter) over(c *conn, end End) {
+	delete(l.conns, c.id)
+	c.party.ended(end, l.effects.Close(c.id))
+}
+
+// sweep closes connections that have been idle, before the other side does.
+func (l *Limiter) sweep() {
+	for _, p := range l.servers {
+		p.sweep()
+	}
+	l.counter.sweep()
+	l.at(l.now+l.set.IdleClose/sweeps, l.sweep)
+}
+
+// Wake is a deed of the module.
+func (l *Limiter) Wake(at, token int64) {
+	l.at(at, func() { l.logic.Woken(l.now, token) })
+}
+
+// Log is a deed of the module.
+func (l *Limiter) Log(text string) { log.Printf("event=decision text=%q", text) }
+
+type timer struct {
+	at, order int64
+	run       func()
+}
+
+type timers []*timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].order < t[j].order
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(*timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = nil
+	*t = (*t)[:last]
+	return x
+}
+
+func (l *Limiter) at(at int64, run func()) {
+	l.order++
+	heap.Push(&l.timers, &timer{at, l.order, run})
+}
+
+func (l *Limiter) arm() { l.effects.Wake(l.timers[0].at) }
+
+// stop begins the end: clients still come for a while, and what was taken is answered.
+func (l *Limiter) stop() {
+	if l.stopping != 0 {
+		return
+	}
+	l.stopping = l.now
+	log.Printf("event=stopping jobs=%d clients=%d", len(l.jobs), l.clients)
+	l.at(l.now+lingers, func() {
+		for _, c := range l.byID() {
+			if cl, is := c.party.(*client); is {
+				cl.leave()
+			}
+		}
+	})
+}
+
+// Finished tells whether nothing is left to do after Stopping.
+func (l *Limiter) Finished() bool {
+	if l.stopping == 0 || l.now < l.stopping+lingers {
+		return false
+	}
+	for _, j := range l.jobs {
+		if j.state == Taken {
+			return false
+		}
+	}
+	return !l.counter.waits() && (l.clients == 0 || l.now > l.quiet+lingers)
+}
--- /dev/null
+++ b/internal/limiter/servers.go
@@ -0,0 +1,198 @@
+package limiter
+
+import (
+	"bytes"
+	"errors"
+	"log"
+	"slices"
+	"strconv"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/resp"
+)
+
+// pool holds the connections to one server.
+type pool struct {
+	l       *Limiter
+	id      string
+	address string
+	idle    []*backend // the one used last at the end
+}
+
+// backend is one connection to a server, with at most one command out on it: one behind another would wait for the
+// other's answer.
+type backend struct {
+	pool  *pool
+	c     *conn
+	shot  *shot
+	probe bool
+}
+
+var errUnasked = errors.New("an answer that nobody asked for")
+
+// backend takes the connection that was used last or opens one; nil if there is no descriptor for it.
+func (p *pool) backend() *backend {
+	l := p.l
+	if n := len(p.idle); n > 0 {
+		b := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return b
+	}
+	if l.backends >= l.config.Sockets/serverShare && !l.freeBackend() {
+		return nil
+	}
+	l.backends++
+	return &backend{pool: p}
+}
+
+// freeBackend closes the connection to a server that has been idle longest.
+func (l *Limiter) freeBackend() bool {
+	var oldest *conn
+	for _, p := range l.servers {
+		if len(p.idle) > 0 && (oldest == nil || p.idle[0].c.since < oldest.since) {
+			oldest = p.idle[0].c
+		}
+	}
+	if oldest != nil {
+		l.over(oldest, Unused)
+	}
+	return oldest != nil
+}
+
+// begin puts the connection to use: at once where it is open, else when it comes up.
+func (b *backend) begin() {
+	if b.c == nil {
+		b.c = b.pool.l.dial(b, b.pool.address)
+	} else {
+		b.up()
+	}
+}
+
+func (p *pool) send(s *shot) {
+	l := p.l
+	b := p.backend()
+	if b == nil {
+		l.endShot(s, NoRoom.outcome(false), 0)
+		return
+	}
+	b.shot, s.backend = s, b
+	l.at(s.job.cutOff, func() {
+		if s.open {
+			l.over(s.backend.c, TimeOver)
+		}
+	})
+	b.begin()
+}
+
+// Probe is a deed of the module: the server answers a command that does no work.
+func (l *Limiter) Probe(server string) {
+	b := l.pools[server].backend()
+	if b == nil {
+		l.owed = append(l.owed, owed{probed: server, outcome: NoRoom.outcome(false)})
+		return
+	}
+	b.probe = true
+	l.at(l.now+l.set.DialTimeout, func() {
+		if b.probe {
+			l.over(b.c, TimeOver)
+		}
+	})
+	b.begin()
+}
+
+func (b *backend) up() {
+	l := b.pool.l
+	l.scratch = l.scratch[:0]
+	if b.probe {
+		l.scratch = resp.AppendCommand(l.scratch, []byte("SELECT"), []byte("0"))
+	} else {
+		l.scratch = b.shot.job.command(l.scratch, l.now)
+	}
+	l.write(b.c, l.scratch)
+	if b.shot != nil {
+		b.shot.last = b.c.sent
+	}
+}
+
+// read takes the answer to the command that is out.
+func (b *backend) read(bytes []byte) (int, error) {
+	if len(bytes) == 0 {
+		return 0, nil
+	}
+	if b.shot == nil && !b.probe {
+		return 0, errUnasked
+	}
+	v, n, err := resp.Read(bytes)
+	if err != nil || n == 0 {
+		return 0, err
+	}
+	l, s := b.pool.l, b.shot
+	if b.probe {
+		b.probe = false
+		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: choice.Done})
+	} else {
+		outcome, value, units := judge(v)
+		if outcome == choice.Done {
+			l.move(s.job, Served, resp.AppendBulk(nil, value))
+		}
+		b.shot = nil
+		l.endShot(s, outcome, units)
+	}
+	if n < len(bytes) {
+		return 0, errUnasked
+	}
+	b.pool.idle = append(b.pool.idle, b)
+	return n, nil
+}
+
+// judge tells what a server's answer means, its value and the true units where it gives them.
+func judge(v resp.Value) (outcome choice.Outcome, value []byte, units float64) {
+	switch {
+	case v.Kind == '*' && len(v.List) > 0 && v.List[0].Kind == '$' && !v.List[0].Null:
+		if len(v.List) > 1 {
+			units = cost(v.List[1].Text)
+		}
+		return choice.Done, v.List[0].Text, units
+	case v.Kind == '-' && (string(v.Text) == "BUSY" || bytes.HasPrefix(v.Text, []byte("BUSY "))):
+		return choice.Full, nil, 0
+	}
+	return choice.Broke, nil, 0
+}
+
+// cost finds the true units among the figures on use.
+func cost(figures []byte) float64 {
+	for _, field := range bytes.Split(figures, []byte(",")) {
+		if name, value, _ := bytes.Cut(field, []byte("=")); string(name) == "cost" {
+			if x, err := strconv.ParseFloat(string(value), 64); err == nil && x > 0 {
+				return x
+			}
+		}
+	}
+	return 0
+}
+
+func (b *backend) ended(end End, written int64) {
+	l, s := b.pool.l, b.shot
+	l.backends--
+	if i := slices.Index(b.pool.idle, b); i >= 0 {
+		b.pool.idle = slices.Delete(b.pool.idle, i, i+1)
+	}
+	if end == Garbled {
+		log.Printf("event=server-garbled server=%s", b.pool.id)
+	}
+	if s != nil {
+		b.shot = nil
+		l.endShot(s, end.outcome(s.last > 0 && written >= s.last), 0)
+	}
+	if b.probe {
+		b.probe = false
+		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: end.outcome(written > 0)})
+	}
+}
+
+// sweep closes what has been idle for long: a command that crosses with the server's closing counts as sent.
+func (p *pool) sweep() {
+	for len(p.idle) > 0 && p.l.now-p.idle[0].c.since > p.l.set.IdleClose/idleShare {
+		p.l.over(p.idle[0].c, Unused)
+	}
+}
--- /dev/null
+++ b/internal/limiter/watch.go
@@ -0,0 +1,125 @@
+package limiter
+
+import (
+	"fmt"
+	"log"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/discovery"
+)
+
+const (
+	holds   = int64(20e9) // how long a watch waits for news
+	retries = 4           // a failed connection is tried again after this part of the dial time-out
+)
+
+// watch is the connection to discovery.
+type watch struct {
+	l       *Limiter
+	c       *conn
+	version int64
+	fetched bool // discovery itself has told the list
+	calls   int64
+	told    bool // the connection has brought an answer
+}
+
+// known takes the list of the configuration, which may be old.
+func (w *watch) known(text []byte) error {
+	if len(text) == 0 || string(text) == "null" {
+		return nil
+	}
+	list, err := discovery.Decode(text)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	list.Whole = true
+	w.apply(list)
+	return nil
+}
+
+func (w *watch) dial() {
+	w.told = false
+	w.c = w.l.dial(w, w.l.config.Discovery)
+}
+
+func (w *watch) up() { w.ask() }
+
+// ask calls for the whole list first and then waits for what is newer.
+func (w *watch) ask() {
+	l, wait := w.l, int64(0)
+	if w.fetched {
+		wait = holds
+		l.scratch = discovery.AppendWatch(l.scratch[:0], l.config.Discovery, w.version, holds)
+	} else {
+		l.scratch = discovery.AppendFetch(l.scratch[:0], l.config.Discovery)
+	}
+	l.write(w.c, l.scratch)
+	w.calls++
+	call := w.calls
+	l.at(l.now+wait+retries*l.set.DialTimeout, func() {
+		if w.calls == call && l.conns[w.c.id] == w.c {
+			l.over(w.c, Silent)
+		}
+	})
+}
+
+func (w *watch) read(b []byte) (int, error) {
+	a, n, err := discovery.Read(b)
+	if err != nil || n == 0 {
+		return 0, err
+	}
+	w.told = true
+	var list *discovery.List
+	if err = fmt.Errorf("status %d", a.Status); a.Status == 200 {
+		list, err = discovery.Decode(a.Body)
+	}
+	if err != nil {
+		// The last good list stays. Asked at once again, it would be as bad.
+		log.Printf("event=list-refused error=%q", err)
+		w.fetched, w.told = false, false
+		return 0, err
+	}
+	w.fetched = true
+	w.apply(list)
+	w.l.readyNow()
+	if a.Last {
+		w.l.over(w.c, PeerClosed)
+	} else {
+		w.ask()
+	}
+	return n, nil
+}
+
+// ended renews the connection: at once where it has served, else after a while.
+func (w *watch) ended(end End, _ int64) {
+	if w.told {
+		w.dial()
+		return
+	}
+	w.l.at(w.l.now+w.l.set.DialTimeout/retries, w.dial)
+}
+
+// apply takes a list in: addresses for the pools, the rest for the module.
+func (w *watch) apply(list *discovery.List) {
+	l := w.l
+	w.version = list.Version
+	entries := make([]choice.Entry, len(list.Entries))
+	for i, e := range list.Entries {
+		entries[i] = e.Entry
+		p := l.pools[e.ID]
+		if p == nil {
+			p = &pool{l: l, id: e.ID}
+			l.pools[e.ID] = p
+			l.servers = append(l.servers, p)
+		}
+		if e.Address != "" && e.Address != p.address {
+			for p.address = e.Address; len(p.idle) > 0; {
+				l.over(p.idle[0].c, Unused)
+			}
+		}
+	}
+	if len(entries) > 0 || list.Whole {
+		log.Printf("event=list generation=%d whole=%v entries=%d", list.Version, list.Whole, len(entries))
+		l.logic.Members(l.now, list.Whole, entries)
+	}
+}
