--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -18,7 +18,8 @@
 type counter struct {
 	l     *Limiter
 	lines []*line
-	down  bool // as logged
+	heard int64 // when the counter last answered
+	down  bool  // as logged: it has not for long
 }
 
 // line is one connection to the counter; answers come in the order of its calls.
@@ -107,9 +108,17 @@
 	}
 	c.told = true
 	k.l.owed = append(k.l.owed, owed{call: true, name: c.name, outcome: outcome, total: total})
-	if down := outcome != choice.Done && outcome != choice.Full; down != k.down {
-		k.down = down
-		log.Printf("event=counter answers=%v", !down)
+	if down := k.l.now-k.heard > silentFor*k.l.set.CounterWait; down && !k.down {
+		k.down = true
+		log.Printf("event=counter answers=false")
+	}
+}
+
+// answered notes a sign of life.
+func (k *counter) answered() {
+	if k.heard = k.l.now; k.down {
+		k.down = false
+		log.Printf("event=counter answers=true")
 	}
 }
 
@@ -137,6 +146,7 @@
 		return 0, errUnasked
 	}
 	ln.calls = ln.calls[1:]
+	ln.counter.answered()
 	switch kind {
 	case tally.Added:
 		ln.counter.tell(c, choice.Done, total)
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -121,7 +121,7 @@
 func New(now int64, config *settings.Config, effects Effects) (*Limiter, error) {
 	l := &Limiter{config: config, set: config.Settings, effects: effects, now: now, conns: map[ID]*conn{},
 		jobs: map[string]*job{}, pools: map[string]*pool{}}
-	l.counter.l, l.watch.l = l, l
+	l.counter.l, l.counter.heard, l.watch.l = l, now, l
 	l.logic = choice.New(now, l.set.Settings, config.Seed, l)
 	if err := l.watch.known(config.Known); err != nil {
 		return nil, err
