--- a/internal/limiter/jobs.go
+++ b/internal/limiter/jobs.go
@@ -75,6 +75,12 @@
 	if to != Left {
 		j.client.answer(j.answer, text)
 	}
+	for _, s := range j.shots {
+		// A command of which the kernel has only a part must not become whole after the job's end.
+		if s.open && s.last > 0 && l.effects.Written(s.backend.c.id) < s.last {
+			l.over(s.backend.c, CalledOff)
+		}
+	}
 	l.drop(j)
 }
 
@@ -118,6 +124,9 @@
 
 // endShot ends a shot, once, and owes the module its answer.
 func (l *Limiter) endShot(s *shot, outcome choice.Outcome, units float64) {
+	if !s.open {
+		return
+	}
 	j := s.job
 	s.open, s.backend = false, nil
 	j.open--
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -90,7 +90,7 @@
 	counter  counter
 	watch    watch
 	ready    bool
-	stopping int64 // when that was asked for, 0 before
+	stopping int64 // until when clients still come once the end was asked for, 0 before
 	quiet    int64 // the latest time at which an answer was written
 	scratch  []byte
 	words    [][]byte
@@ -162,10 +162,12 @@
 	case h.Kind == Connected:
 		c.open, c.since = true, now
 		c.party.up()
+		l.consume(c)
 	case h.Kind == Readable:
 		l.effects.Read(c.in.Space(h.Size))
-		c.in.Filled(h.Size)
-		l.consume(c)
+		if c.in.Filled(h.Size); c.open { // bytes may come before the word that the connection is up
+			l.consume(c)
+		}
 	case h.Kind == Ended:
 		l.over(c, h.End)
 	}
@@ -283,9 +285,9 @@
 	if l.stopping != 0 {
 		return
 	}
-	l.stopping = l.now
+	l.stopping = l.now + lingers
 	log.Printf("event=stopping jobs=%d clients=%d", len(l.jobs), l.clients)
-	l.at(l.now+lingers, func() {
+	l.at(l.stopping, func() {
 		for _, c := range l.byID() {
 			if cl, is := c.party.(*client); is {
 				cl.leave()
@@ -296,7 +298,7 @@
 
 // Finished tells whether nothing is left to do after Stopping.
 func (l *Limiter) Finished() bool {
-	if l.stopping == 0 || l.now < l.stopping+lingers {
+	if l.stopping == 0 || l.now < l.stopping {
 		return false
 	}
 	for _, j := range l.jobs {
--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,449 @@
+package limiter
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/resp"
+	"ospreycroft/internal/settings"
+)
+
+const second = int64(1e9)
+
+// wire stands in for the sockets and writes down what was asked of them.
+type wire struct {
+	last   ID
+	dialed map[ID]string
+	wrote  map[ID]string
+	kernel map[ID]int64 // what the kernel takes, where that is not all
+	closed []ID
+	coming string
+	wake   int64
+}
+
+func (w *wire) Dial(address string, _ int64) ID {
+	w.last++
+	w.dialed[w.last] = address
+	return w.last
+}
+func (w *wire) Read(into []byte)         { copy(into, w.coming) }
+func (w *wire) Write(id ID, text []byte) { w.wrote[id] += string(text) }
+func (w *wire) Written(id ID) int64 {
+	if most, is := w.kernel[id]; is {
+		return most
+	}
+	return int64(len(w.wrote[id]))
+}
+func (w *wire) Close(id ID) int64 {
+	w.closed = append(w.closed, id)
+	return w.Written(id)
+}
+func (w *wire) Wake(at int64) { w.wake = at }
+
+const (
+	watching ID = 1 // the connections that a limiter dials at its start
+	counting ID = 2
+	visitor  ID = 100
+)
+
+const known = `{"generation":7,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:9","lifecycle":"in_service","weight":1}]}`
+
+// made is a limiter that has one server, with its connections to discovery and the counter up and one client.
+func made(t *testing.T) (*Limiter, *wire) {
+	t.Helper()
+	w := &wire{dialed: map[ID]string{}, wrote: map[ID]string{}, kernel: map[ID]int64{}}
+	l, err := New(0, &settings.Config{Discovery: "disco", Counter: "counter", Memory: 1 << 27, Sockets: 64, Known: []byte(known),
+		Settings: &settings.Settings{IdleClose: 15 * second, Settings: &choice.Settings{
+			Tracks: map[string]*choice.Track{"read": {Agreed: second}, "write": {Agreed: second, Effect: choice.Binding}},
+			Plans:  map[string]*choice.Plan{"plain": {Rate: 5, Burst: 100}},
+			// With one limiter and large jobs the first room holds several of them.
+			CounterWait: second / 20, MostUnits: 8, LongestLease: 60 * second, Limiters: 1, ColdFrom: 0.25,
+			WarmWithin: 10 * second, DialTimeout: second / 4, MostShots: 3, MostAdvice: second, Granularity: second / 250,
+		}}}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Step(0, Happening{Kind: Connected, Conn: watching})
+	l.Step(0, Happening{Kind: Connected, Conn: counting})
+	l.Step(0, Happening{Kind: Accepted, Conn: visitor})
+	return l, w
+}
+
+func (w *wire) say(l *Limiter, now int64, id ID, text string) {
+	w.coming = text
+	l.Step(now, Happening{Kind: Readable, Conn: id, Size: len(text)})
+}
+
+// command is a job with so many milliseconds left.
+func command(id, track, left string) string {
+	list := "c=" + track + ",t=plain,d=" + left + ",units=2,spread=1,first=0"
+	return string(resp.AppendCommand(nil, []byte("SVC.SUBMIT"), []byte("ff"), []byte(id), []byte(list), []byte("BODY")))
+}
+
+// dialling is a limiter with one job, whose shot waits for its connection.
+func dialling(t *testing.T, track string) (*Limiter, *wire, ID) {
+	t.Helper()
+	l, w := made(t)
+	w.say(l, 0, visitor, command("j", track, "480"))
+	w.say(l, 0, counting, "ok 2\r\n")
+	if w.dialed[w.last] != "127.0.0.1:9" {
+		t.Fatalf("dialled %v, wrote %v", w.dialed, w.wrote)
+	}
+	return l, w, w.last
+}
+
+// sent is the same with the shot written.
+func sent(t *testing.T, track string) (*Limiter, *wire, ID) {
+	t.Helper()
+	l, w, id := dialling(t, track)
+	l.Step(0, Happening{Kind: Connected, Conn: id})
+	return l, w, id
+}
+
+func expect(t *testing.T, got, want string) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+}
+
+func TestOutcome(t *testing.T) {
+	for _, c := range []struct {
+		end         End
+		part, whole choice.Outcome
+	}{
+		{Refused, choice.Unconnected, choice.Reset}, {DialOver, choice.Unconnected, choice.Reset},
+		{PeerClosed, choice.Unconnected, choice.Reset}, {PeerReset, choice.Unconnected, choice.Reset},
+		{Garbled, choice.Unconnected, choice.Reset}, {CalledOff, choice.Moot, choice.Cancelled},
+		{TimeOver, choice.Moot, choice.TimedOut}, {NoRoom, choice.Moot, choice.Reset},
+	} {
+		t.Run(c.end.String(), func(t *testing.T) {
+			if part, whole := c.end.outcome(false), c.end.outcome(true); part != c.part || whole != c.whole {
+				t.Fatalf("outcome %d, of a whole shot %d", part, whole)
+			}
+			if c.end.counted(false) != choice.Unconnected || c.end.counted(true) != choice.TimedOut {
+				t.Fatal("a whole call may have been added, one that is not was not")
+			}
+		})
+	}
+}
+
+func TestClientRead(t *testing.T) {
+	for _, c := range []struct {
+		name, in, out string
+		closed        bool
+	}{
+		{"ready", "*1\r\n$4\r\nPING\r\n", "-LOADING not ready yet\r\n", false},
+		{"an unknown command", "*1\r\n$4\r\nECHO\r\n", "-ERR unknown command\r\n", false},
+		{"an unknown class", command("j", "odd", "480"), "-ERR unknown class\r\n", false},
+		{"an unknown plan", strings.Replace(command("j", "read", "480"), "plain", "plaid", 1), "-ERR unknown plan\r\n", false},
+		{"no time", command("j", "read", "0"), "-ERR d is not a time\r\n", false},
+		{"too few words", "*1\r\n$9\r\nSVC.QUERY\r\n", "-ERR wrong number of arguments\r\n", false},
+		{"malformed", "HELLO\r\n", "-ERR malformed\r\n", true},
+		{"oversized", "*1\r\n$70000\r\n", "-ERR too long\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, w := made(t)
+			counted := w.wrote[counting]
+			for _, b := range c.in { // one byte at a time
+				w.say(l, 0, visitor, string(b))
+			}
+			l.Step(second/100, Happening{Kind: Due})
+			expect(t, w.wrote[visitor], c.out)
+			if slices.Contains(w.closed, visitor) != c.closed || w.wrote[counting] != counted || len(l.jobs) > 0 {
+				t.Fatalf("closed %v, counted %q, jobs %d", w.closed, w.wrote[counting], len(l.jobs))
+			}
+		})
+	}
+	t.Run("answers go out in the order of the commands", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, visitor, command("j", "read", "480")+"*1\r\n$4\r\nECHO\r\n")
+		expect(t, w.wrote[visitor], "")
+		w.say(l, 0, counting, "ok 2\r\n")
+		l.Step(0, Happening{Kind: Connected, Conn: w.last})
+		w.say(l, 0, w.last, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+		expect(t, w.wrote[visitor], "$1\r\nv\r\n-ERR unknown command\r\n")
+	})
+	t.Run("an id that is in use", func(t *testing.T) {
+		l, w, _ := sent(t, "read")
+		l.Step(0, Happening{Kind: Accepted, Conn: visitor + 1})
+		w.say(l, 0, visitor+1, command("j", "read", "480"))
+		expect(t, w.wrote[visitor+1], "-ERR id is in use\r\n")
+	})
+}
+
+func TestReady(t *testing.T) {
+	t.Run("once discovery has told its list", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, watching, httpAnswer(strings.Replace(known, "7", "8", 1)))
+		w.say(l, 0, visitor, "*1\r\n$4\r\nPING\r\n")
+		expect(t, w.wrote[visitor], "+PONG\r\n")
+	})
+	t.Run("or is silent: the configuration's list must do", func(t *testing.T) {
+		l, w := made(t)
+		l.Step(second/4, Happening{Kind: Due})
+		w.say(l, second/4, visitor, "*1\r\n$4\r\nPING\r\n")
+		expect(t, w.wrote[visitor], "+PONG\r\n")
+	})
+}
+
+func TestCommand(t *testing.T) {
+	l, w, id := dialling(t, "read")
+	l.Step(second/10, Happening{Kind: Connected, Conn: id})
+	expect(t, w.wrote[id], command("j", "read", "380")) // all as the client sent it, but for the time that is left
+}
+
+func TestShotEnds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(l *Limiter, w *wire, id ID)
+		out  string
+	}{
+		{"before its last byte is written: it never ran", func(l *Limiter, w *wire, id ID) {
+			w.kernel[id] = int64(len(w.wrote[id])) - 1
+			l.Step(0, Happening{Kind: Ended, Conn: id, End: PeerReset})
+		}, "-BUSY 2"},
+		{"after it: it may have run", func(l *Limiter, w *wire, id ID) {
+			l.Step(0, Happening{Kind: Ended, Conn: id, End: PeerClosed})
+		}, "-ERR written off"},
+		{"turned away: the module words the answer", func(l *Limiter, w *wire, id ID) {
+			w.say(l, 0, id, "-BUSY 7777\r\n")
+		}, "-BUSY 2"},
+		{"an error: it may have run", func(l *Limiter, w *wire, id ID) {
+			w.say(l, 0, id, "-ERR failed\r\n")
+		}, "-ERR written off"},
+		{"a null is no answer", func(l *Limiter, w *wire, id ID) {
+			w.say(l, 0, id, "*3\r\n$-1\r\n$-1\r\n$-1\r\n")
+		}, "-ERR written off"},
+		{"not understood", func(l *Limiter, w *wire, id ID) {
+			w.say(l, 0, id, "what\r\n")
+		}, "-ERR written off"},
+		{"served", func(l *Limiter, w *wire, id ID) {
+			w.say(l, 0, id, "*3\r\n$1\r\n")
+			w.say(l, 0, id, "v\r\n$6\r\ncost=9\r\n$-1\r\n")
+		}, "$1\r\nv\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, w, id := sent(t, "write")
+			c.end(l, w, id)
+			if got := w.wrote[visitor]; !strings.HasPrefix(got, c.out) || strings.Count(got, "\r\n") != strings.Count(c.out+"\r\n", "\r\n")-strings.Count(c.out, "v\r\n") {
+				t.Fatalf("client got %q, want %q", got, c.out)
+			}
+			if len(l.jobs) > 0 || l.held != 0 {
+				t.Fatalf("%d jobs and %d bytes are held", len(l.jobs), l.held)
+			}
+		})
+	}
+}
+
+// A job may end while its shot waits for the connection. Sent then, it would run for nobody, or twice.
+func TestUp(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(l *Limiter)
+		now  int64
+	}{
+		{"the client has left", func(l *Limiter) { l.Step(0, Happening{Kind: Ended, Conn: visitor, End: PeerClosed}) }, 0},
+		{"its time is over", func(l *Limiter) {}, second / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, w, id := dialling(t, "write")
+			c.end(l)
+			l.Step(c.now, Happening{Kind: Connected, Conn: id})
+			expect(t, w.wrote[id], "")
+			if b := l.pools["s"]; len(b.idle) != 1 || len(l.jobs) > 1 {
+				t.Fatalf("%d idle connections, %d jobs", len(b.idle), len(l.jobs))
+			}
+		})
+	}
+}
+
+func TestMove(t *testing.T) {
+	t.Run("what is only partly in the kernel is not finished for a job that has ended", func(t *testing.T) {
+		l, w, id := sent(t, "write")
+		w.kernel[id] = 5
+		l.Step(0, Happening{Kind: Ended, Conn: visitor, End: PeerClosed})
+		if !slices.Contains(w.closed, id) || len(l.jobs) > 0 {
+			t.Fatalf("closed %v, %d jobs", w.closed, len(l.jobs))
+		}
+	})
+	t.Run("what is whole may come to its end", func(t *testing.T) {
+		l, w, id := sent(t, "write")
+		l.Step(0, Happening{Kind: Ended, Conn: visitor, End: PeerClosed})
+		w.say(l, 0, id, "*1\r\n$1\r\nv\r\n")
+		if slices.Contains(w.closed, id) || len(l.pools["s"].idle) != 1 || len(l.jobs) > 0 {
+			t.Fatalf("closed %v, %d jobs", w.closed, len(l.jobs))
+		}
+	})
+}
+
+func TestCutOff(t *testing.T) {
+	l, w, id := sent(t, "write")
+	l.Step(second/2, Happening{Kind: Due})
+	expect(t, w.wrote[visitor], string(writtenOff))
+	if !slices.Contains(w.closed, id) || len(l.jobs) > 0 || l.backends != 0 {
+		t.Fatalf("closed %v, %d jobs, %d connections", w.closed, len(l.jobs), l.backends)
+	}
+}
+
+// A late answer of the counter must not be taken for the answer to the next call.
+func TestLateCount(t *testing.T) {
+	l, w := made(t)
+	w.say(l, 0, visitor, command("j", "read", "480"))
+	l.Step(second/20, Happening{Kind: Due})
+	first := l.counter.lines[0].calls[0]
+	if !first.told {
+		t.Fatal("a call without an answer was not given up")
+	}
+	l.Count(first.name, 3, second)
+	w.say(l, second/20, counting, "ok 2\r\n")
+	if calls := l.counter.lines[0].calls; len(calls) != 1 || calls[0].told || calls[0].amount != 3 {
+		t.Fatalf("calls %+v", calls)
+	}
+	w.say(l, second/20, counting, "ok 5\r\n")
+	if calls := l.counter.lines[0].calls; len(calls) != 0 {
+		t.Fatalf("calls %+v", calls)
+	}
+}
+
+func TestCounterLine(t *testing.T) {
+	t.Run("a call that was not written in time never will be", func(t *testing.T) {
+		l, w := made(t)
+		l.Step(0, Happening{Kind: Ended, Conn: counting, End: PeerClosed})
+		l.Count(1, 2, second)
+		line := w.last
+		l.Step(second/20, Happening{Kind: Due})
+		l.Step(second/20, Happening{Kind: Connected, Conn: line})
+		expect(t, w.wrote[line], "")
+	})
+	t.Run("calls on one name keep to one line, others spread", func(t *testing.T) {
+		l, _ := made(t)
+		for _, name := range []uint64{1, 1, 2} {
+			l.Count(name, 2, second)
+		}
+		if lines := l.counter.lines; len(lines) != 2 || len(lines[0].calls) != 2 {
+			t.Fatalf("%d lines, %d calls on the first", len(lines), len(lines[0].calls))
+		}
+	})
+	t.Run("a silent one is given up, an idle one pinged", func(t *testing.T) {
+		l, w := made(t)
+		l.Step(3*second, Happening{Kind: Due})
+		if !strings.HasSuffix(w.wrote[counting], "ping\r\n") {
+			t.Fatalf("wrote %q", w.wrote[counting])
+		}
+		l.Step(5*second, Happening{Kind: Due})
+		if !slices.Contains(w.closed, counting) {
+			t.Fatalf("closed %v", w.closed)
+		}
+	})
+	t.Run("what the counter never writes ends it", func(t *testing.T) {
+		l, w := made(t)
+		l.Count(1, 2, second)
+		w.say(l, 0, counting, "okay\r\n")
+		if !slices.Contains(w.closed, counting) || len(l.counter.lines) != 0 {
+			t.Fatalf("closed %v", w.closed)
+		}
+	})
+}
+
+func httpAnswer(body string) string {
+	return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func TestWatch(t *testing.T) {
+	t.Run("each answer is followed by the next watch at once", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, watching, httpAnswer(strings.Replace(known, "7", "8", 1)))
+		if !strings.Contains(w.wrote[watching], "from=8&hold_ms=20000 ") {
+			t.Fatalf("wrote %q", w.wrote[watching])
+		}
+	})
+	t.Run("with its connection too", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, watching, httpAnswer(known))
+		l.Step(0, Happening{Kind: Ended, Conn: watching, End: PeerClosed})
+		if w.dialed[w.last] != "disco" || w.last == watching {
+			t.Fatalf("dialled %v", w.dialed)
+		}
+	})
+	t.Run("a bad list is refused and asked for again", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, watching, httpAnswer(`{"generation":8,"reset":true,"instances":[{"instanceId":"s","lifecycle":"odd"}]}`))
+		if l.watch.version != 7 || len(l.servers) != 1 || !slices.Contains(w.closed, watching) {
+			t.Fatalf("version %d, closed %v", l.watch.version, w.closed)
+		}
+		l.Step(second/10, Happening{Kind: Due})
+		l.Step(second/10, Happening{Kind: Connected, Conn: w.last})
+		if !strings.HasPrefix(w.wrote[w.last], "GET /discovery/hosts HTTP") {
+			t.Fatalf("wrote %q", w.wrote[w.last])
+		}
+	})
+}
+
+// A connection may take longer to come up than the grace after word that its server drains.
+func TestRetire(t *testing.T) {
+	for _, c := range []struct{ name, list string }{
+		{"it drains", strings.Replace(known, "in_service", "terminating", 1)},
+		{"it is not on the list", `{"generation":8,"reset":true,"instances":[]}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, w, id := dialling(t, "write")
+			w.say(l, 0, watching, httpAnswer(c.list))
+			if !slices.Contains(w.closed, id) || len(l.jobs) > 0 || !strings.HasPrefix(w.wrote[visitor], "-BUSY") {
+				t.Fatalf("closed %v, %d jobs, client got %q", w.closed, len(l.jobs), w.wrote[visitor])
+			}
+		})
+	}
+}
+
+func TestFreeBackend(t *testing.T) {
+	l, w, id := sent(t, "read")
+	l.backends = l.config.Sockets / serverShare
+	t.Run("a shot without a descriptor was never sent", func(t *testing.T) {
+		if l.freeBackend() || l.pools["s"].backend() != nil {
+			t.Fatal("a connection in use was given away")
+		}
+	})
+	t.Run("an idle connection makes room", func(t *testing.T) {
+		w.say(l, 0, id, "*1\r\n$1\r\nv\r\n")
+		if !l.freeBackend() || l.backends != l.config.Sockets/serverShare-1 || !slices.Contains(w.closed, id) {
+			t.Fatalf("closed %v, %d connections", w.closed, l.backends)
+		}
+	})
+}
+
+func TestSweep(t *testing.T) {
+	l, w, id := sent(t, "read")
+	w.say(l, 0, id, "*1\r\n$1\r\nv\r\n")
+	l.now = l.set.IdleClose/idleShare + 1
+	l.pools["s"].sweep()
+	if !slices.Contains(w.closed, id) {
+		t.Fatalf("an idle connection was kept: closed %v", w.closed)
+	}
+}
+
+func TestStop(t *testing.T) {
+	l, w, id := sent(t, "read")
+	l.Step(0, Happening{Kind: Stopping})
+	l.Step(lingers/2, Happening{Kind: Accepted, Conn: visitor + 1})
+	w.say(l, lingers/2, visitor+1, "*1\r\n$4\r\nECHO\r\n")
+	expect(t, w.wrote[visitor+1], "-ERR unknown command\r\n") // it is served still
+	w.kernel[visitor] = 0
+	l.now = lingers
+	for _, c := range l.byID() {
+		if cl, is := c.party.(*client); is {
+			cl.leave()
+		}
+	}
+	if slices.Contains(w.closed, visitor) || l.Finished() {
+		t.Fatal("what was taken has no answer yet")
+	}
+	delete(w.kernel, visitor)
+	w.say(l, lingers, id, "*1\r\n$1\r\nv\r\n")
+	if !slices.Contains(w.closed, visitor) || !slices.Contains(w.closed, visitor+1) || !l.Finished() {
+		t.Fatalf("closed %v, finished %v", w.closed, l.Finished())
+	}
+}
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -25,7 +25,7 @@
 	pool  *pool
 	c     *conn
 	shot  *shot
-	probe bool
+	probe int64 // when the probe that is out began, 0 if none is
 }
 
 var errUnasked = errors.New("an answer that nobody asked for")
@@ -91,9 +91,10 @@
 		l.owed = append(l.owed, owed{probed: server, outcome: NoRoom.outcome(false)})
 		return
 	}
-	b.probe = true
+	began := l.now
+	b.probe = began
 	l.at(l.now+l.set.DialTimeout, func() {
-		if b.probe {
+		if b.probe == began {
 			l.over(b.c, TimeOver)
 		}
 	})
@@ -102,8 +103,17 @@
 
 func (b *backend) up() {
 	l := b.pool.l
+	if s := b.shot; s != nil && (s.job.state != Taken || l.now >= s.job.cutOff) {
+		// The job has ended while its connection came up, and nothing may be sent for it any more.
+		b.shot = nil
+		l.endShot(s, TimeOver.outcome(false), 0)
+	}
+	if b.shot == nil && b.probe == 0 {
+		b.pool.idle = append(b.pool.idle, b)
+		return
+	}
 	l.scratch = l.scratch[:0]
-	if b.probe {
+	if b.probe != 0 {
 		l.scratch = resp.AppendCommand(l.scratch, []byte("SELECT"), []byte("0"))
 	} else {
 		l.scratch = b.shot.job.command(l.scratch, l.now)
@@ -119,7 +129,7 @@
 	if len(bytes) == 0 {
 		return 0, nil
 	}
-	if b.shot == nil && !b.probe {
+	if b.shot == nil && b.probe == 0 {
 		return 0, errUnasked
 	}
 	v, n, err := resp.Read(bytes)
@@ -127,8 +137,8 @@
 		return 0, err
 	}
 	l, s := b.pool.l, b.shot
-	if b.probe {
-		b.probe = false
+	if b.probe != 0 {
+		b.probe = 0
 		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: choice.Done})
 	} else {
 		outcome, value, units := judge(v)
@@ -138,7 +148,7 @@
 		b.shot = nil
 		l.endShot(s, outcome, units)
 	}
-	if n < len(bytes) {
+	if n < len(bytes) || l.conns[b.c.id] != b.c {
 		return 0, errUnasked
 	}
 	b.pool.idle = append(b.pool.idle, b)
@@ -184,12 +194,25 @@
 		b.shot = nil
 		l.endShot(s, end.outcome(s.last > 0 && written >= s.last), 0)
 	}
-	if b.probe {
-		b.probe = false
+	if b.probe != 0 {
+		b.probe = 0
 		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: end.outcome(written > 0)})
 	}
 }
 
+// retire ends what is not in use of the connections to a server that drains or is gone. A shot whose connection is
+// not up yet is taken back: by the time it is up the grace may be over.
+func (p *pool) retire() {
+	for len(p.idle) > 0 {
+		p.l.over(p.idle[0].c, Unused)
+	}
+	for _, c := range p.l.byID() {
+		if b, is := c.party.(*backend); is && b.pool == p && !c.open {
+			p.l.over(c, CalledOff)
+		}
+	}
+}
+
 // sweep closes what has been idle for long: a command that crosses with the server's closing counts as sent.
 func (p *pool) sweep() {
 	for len(p.idle) > 0 && p.l.now-p.idle[0].c.since > p.l.set.IdleClose/idleShare {
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log"
+	"slices"
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/discovery"
@@ -104,6 +105,10 @@
 	l := w.l
 	w.version = list.Version
 	entries := make([]choice.Entry, len(list.Entries))
+	var retiring []*pool
+	if list.Whole { // what it does not name is gone
+		retiring = l.missing(list)
+	}
 	for i, e := range list.Entries {
 		entries[i] = e.Entry
 		p := l.pools[e.ID]
@@ -112,14 +117,28 @@
 			l.pools[e.ID] = p
 			l.servers = append(l.servers, p)
 		}
-		if e.Address != "" && e.Address != p.address {
-			for p.address = e.Address; len(p.idle) > 0; {
-				l.over(p.idle[0].c, Unused)
-			}
+		if e.Listing != choice.Ready || e.Address != p.address {
+			retiring = append(retiring, p)
+		}
+		if e.Address != "" {
+			p.address = e.Address
 		}
 	}
 	if len(entries) > 0 || list.Whole {
 		log.Printf("event=list generation=%d whole=%v entries=%d", list.Version, list.Whole, len(entries))
 		l.logic.Members(l.now, list.Whole, entries)
 	}
+	// Only now, or the module would send what is taken back to the same server again.
+	for _, p := range retiring {
+		p.retire()
+	}
+}
+
+// missing are the servers that a list does not name.
+func (l *Limiter) missing(list *discovery.List) []*pool {
+	named := map[string]bool{}
+	for _, e := range list.Entries {
+		named[e.ID] = true
+	}
+	return slices.DeleteFunc(slices.Clone(l.servers), func(p *pool) bool { return named[p.id] })
 }
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,103 @@
+package resp
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestReadCommand(t *testing.T) {
+	whole := "*2\r\n$4\r\nPING\r\n$2\r\n\r\n\r\n"
+	for _, c := range []struct {
+		name, in string
+		used     int
+		err      error
+	}{
+		{"whole, with a line end inside a word", whole, len(whole), nil},
+		{"with another one behind", whole + "*1", len(whole), nil},
+		{"nothing", "", 0, nil},
+		{"no array", "PING\r\n", 0, ErrMalformed},
+		{"an empty array", "*0\r\n", 0, ErrMalformed},
+		{"a null array", "*-1\r\n", 0, ErrMalformed},
+		{"a null word", "*1\r\n$-1\r\n", 0, ErrMalformed},
+		{"a word that is no bulk string", "*1\r\n+PING\r\n", 0, ErrMalformed},
+		{"a length below null", "*1\r\n$-2\r\n", 0, ErrMalformed},
+		{"a length with a sign", "*1\r\n$+4\r\nPING\r\n", 0, ErrMalformed},
+		{"a word longer than told", "*1\r\n$3\r\nPING\r\n", 0, ErrMalformed},
+		{"a line that ends without a return", "*1\n", 0, ErrMalformed},
+		{"too many words", "*65\r\n", 0, ErrTooLong},
+		{"too long a word", "*1\r\n$65537\r\n", 0, ErrTooLong},
+		{"a line without an end", "*" + strings.Repeat("1", mostLine), 0, ErrTooLong},
+		{"too much without an end", "*64\r\n" + strings.Repeat("$32768\r\n"+strings.Repeat("x", 32768)+"\r\n", 3), 0, ErrTooLong},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			words, used, err := ReadCommand([]byte(c.in), nil)
+			if used != c.used || !errors.Is(err, c.err) || used > 0 && (len(words) != 2 || string(words[1]) != "\r\n") {
+				t.Fatalf("words %q, used %d, error %v", words, used, err)
+			}
+		})
+	}
+	t.Run("each part of a whole one waits for more", func(t *testing.T) {
+		for i := range whole {
+			if _, used, err := ReadCommand([]byte(whole[:i]), nil); used != 0 || err != nil {
+				t.Fatalf("%d bytes: used %d, error %v", i, used, err)
+			}
+		}
+	})
+}
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		name, in string
+		list     int
+		null     bool
+		err      error
+	}{
+		{"an answer with nulls", "*3\r\n$1\r\nv\r\n$-1\r\n*-1\r\n", 3, false, nil},
+		{"null", "$-1\r\n", 0, true, nil},
+		{"a number", ":-12\r\n", 0, false, nil},
+		{"no number", ":x\r\n", 0, false, ErrMalformed},
+		{"too deep", strings.Repeat("*1\r\n", 6), 0, false, ErrMalformed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v, used, err := Read([]byte(c.in))
+			if !errors.Is(err, c.err) || err == nil && (used != len(c.in) || len(v.List) != c.list || v.Null != c.null) {
+				t.Fatalf("value %+v, used %d, error %v", v, used, err)
+			}
+		})
+	}
+}
+
+// FuzzRead: what is read whole is the same when it comes with more behind it, and a command that is read can be
+// written and read again.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("*2\r\n$4\r\nPING\r\n$0\r\n\r\n"))
+	f.Add([]byte("*3\r\n$1\r\nv\r\n$-1\r\n:5\r\n"))
+	f.Add([]byte("-BUSY 20\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		_, used, err := Read(in)
+		if used > len(in) || used > 0 && err != nil {
+			t.Fatalf("used %d of %d, error %v", used, len(in), err)
+		}
+		if used > 0 {
+			if _, again, err := Read(append(bytes.Clone(in[:used]), "+x\r\n"...)); again != used || err != nil {
+				t.Fatalf("used %d, with more behind it %d, error %v", used, again, err)
+			}
+		}
+		words, used, err := ReadCommand(in, nil)
+		if err != nil || used == 0 {
+			return
+		}
+		written := AppendCommand(nil, words...)
+		again, n, err := ReadCommand(written, nil)
+		if err != nil || n != len(written) || len(again) != len(words) {
+			t.Fatalf("%q became %q, error %v", words, again, err)
+		}
+		for i := range words {
+			if !bytes.Equal(words[i], again[i]) {
+				t.Fatalf("%q became %q", words[i], again[i])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/config_test.go
@@ -0,0 +1,39 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","counter":"127.0.0.1:3","seed":"ff",` +
+	`"limits":{"memory_mb":192,"sockets":1024},"known":{"generation":1},"settings":{"balancers":1,"classes":` +
+	`[{"name":"c","aim":1,"effect":"free","group":"all"}],"tariffs":[{"name":"p","rate":5,"most-at-once":10}],` +
+	`"family-info":{"has-counter":true,"count-wait":0.05,"units-top":4},"contract":{"cold-from":0.3,"warm-within":10},` +
+	`"permissions":{"attempts-cap":3,"dial-timeout":0.25,"idle-close":15},"granularity":0.004}}`
+
+func TestReadConfig(t *testing.T) {
+	c, err := ReadConfig([]byte(good))
+	if err != nil || c.Seed != 255 || c.Memory != 192<<20 || c.Settings.IdleClose != 15e9 || c.Settings.CounterWait != 5e7 {
+		t.Fatalf("config %+v, error %v", c, err)
+	}
+	for _, c := range []struct{ name, old, new, want string }{
+		{"no object", good, `[]`, "array"},
+		{"no settings", `"settings":{`, `"other":{`, "settings: missing"},
+		{"an unknown effect", `"free"`, `"dear"`, "settings: classes: c"},
+		{"an agreed time of 0", `"aim":1`, `"aim":0`, "settings: classes: c: aim"},
+		{"a rate below 0", `"rate":5`, `"rate":-5`, "settings: tariffs: p: rate"},
+		{"no dial time-out", `"dial-timeout":0.25,`, "", "settings: idle-close or dial-timeout"},
+		{"no address to listen on", `"listen":"127.0.0.1:1",`, "", "listen"},
+		{"an address without a port", `"127.0.0.1:2"`, `"127.0.0.1"`, "discovery"},
+		{"no counter where there is one", `"counter":"127.0.0.1:3",`, "", "counter: missing"},
+		{"a seed that is no number", `"ff"`, `"xy"`, "seed"},
+		{"no memory", `"memory_mb":192,`, "", "limits: memory_mb"},
+		{"too few sockets", `1024`, `8`, "limits: sockets"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := ReadConfig([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("error %v, want %s", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -41,9 +41,9 @@
 // Sockets is safe for use by nbio's goroutines and the one that calls Run; Effects are for the latter alone.
 type Sockets struct {
 	engine  *nbio.Engine
-	lastID  atomic.Uint64
 	waking  chan struct{}
 	mutex   sync.Mutex
+	lastID  limiter.ID
 	drained sync.Cond // the reducer has taken the batch
 	next    batch
 	// The rest belongs to the reducer's goroutine.
@@ -76,14 +76,14 @@
 		if c.Session() != nil {
 			return // we have dialled it
 		}
-		l := &link{id: limiter.ID(s.lastID.Add(1)), gate: gate}
+		l := s.link(nil, gate)
 		l.conn.Store(c)
 		c.SetSession(l)
-		s.post(limiter.Happening{Kind: limiter.Accepted, Conn: l.id}, nil, l)
+		s.post(l, limiter.Happening{Kind: limiter.Accepted}, nil)
 	})
 	s.engine.OnData(func(c *nbio.Conn, data []byte) {
 		if l, is := c.Session().(*link); is {
-			s.post(limiter.Happening{Kind: limiter.Readable, Conn: l.id, Size: len(data)}, data, nil)
+			s.post(l, limiter.Happening{Kind: limiter.Readable, Size: len(data)}, data)
 		}
 	})
 	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
@@ -96,14 +96,14 @@
 		if !is {
 			return
 		}
-		if l.gate != nil {
-			l.gate.leave()
-		}
 		end := limiter.PeerClosed
 		if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
 			end = limiter.PeerReset
 		}
-		s.post(limiter.Happening{Kind: limiter.Ended, Conn: l.id, End: end}, nil, nil)
+		s.post(l, limiter.Happening{Kind: limiter.Ended, End: end}, nil)
+		if l.gate != nil {
+			l.gate.leave()
+		}
 	})
 	if err := s.engine.Start(); err != nil {
 		return nil, err
@@ -128,14 +128,23 @@
 
 func (g *gate) leave() { <-g.free }
 
-// post hands a happening to the reducer.
-func (s *Sockets) post(h limiter.Happening, data []byte, accepted *link) {
+// link makes the record of a new connection.
+func (s *Sockets) link(cancel context.CancelFunc, gate *gate) *link {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastID++
+	return &link{id: s.lastID, cancel: cancel, gate: gate}
+}
+
+// post hands a happening on a connection to the reducer.
+func (s *Sockets) post(l *link, h limiter.Happening, data []byte) {
 	s.mutex.Lock()
+	h.Conn = l.id
 	for len(s.next.bytes) > mostWaiting {
 		s.drained.Wait()
 	}
-	if accepted != nil {
-		s.next.accepted = append(s.next.accepted, accepted)
+	if h.Kind == limiter.Accepted {
+		s.next.accepted = append(s.next.accepted, l)
 	}
 	s.next.happenings = append(s.next.happenings, h)
 	s.next.bytes = append(s.next.bytes, data...)
@@ -199,7 +208,7 @@
 // 0.0.0.0, and it takes a refused connection for one that is up.
 func (s *Sockets) Dial(address string, timeout int64) limiter.ID {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(timeout))
-	l := &link{id: limiter.ID(s.lastID.Add(1)), cancel: cancel}
+	l := s.link(cancel, nil)
 	s.links[l.id] = l
 	go func() {
 		defer cancel()
@@ -208,10 +217,10 @@
 			if ctx.Err() != nil {
 				end = limiter.DialOver
 			}
-			s.post(limiter.Happening{Kind: limiter.Ended, Conn: l.id, End: end}, nil, nil)
+			s.post(l, limiter.Happening{Kind: limiter.Ended, End: end}, nil)
 			return
 		}
-		s.post(limiter.Happening{Kind: limiter.Connected, Conn: l.id}, nil, nil)
+		s.post(l, limiter.Happening{Kind: limiter.Connected}, nil)
 	}()
 	return l.id
 }
--- /dev/null
+++ b/internal/sockets/sockets_test.go
@@ -0,0 +1,172 @@
+package sockets
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"ospreycroft/internal/limiter"
+)
+
+const patience = 5 * time.Second
+
+// listening is a Sockets that takes so many clients, and its address.
+func listening(t *testing.T, clients int) (*Sockets, string) {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	_ = free.Close()
+	s, err := Listen(address, clients, 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.engine.Stop() })
+	return s, address
+}
+
+// next waits for the next happening and reads what it tells of.
+func next(t *testing.T, s *Sockets) (limiter.Happening, string) {
+	t.Helper()
+	for len(s.now.happenings) == 0 {
+		select {
+		case <-s.waking:
+			s.take()
+		case <-time.After(patience):
+			t.Fatal("nothing happened")
+		}
+	}
+	h := s.now.happenings[0]
+	s.now.happenings = s.now.happenings[1:]
+	into := make([]byte, h.Size)
+	s.Read(into)
+	s.read += h.Size
+	return h, string(into)
+}
+
+func expect(t *testing.T, s *Sockets, kind limiter.Kind, id limiter.ID) limiter.Happening {
+	t.Helper()
+	h, _ := next(t, s)
+	for h.Conn < id { // it has been closed, and the limiter knows it no more
+		h, _ = next(t, s)
+	}
+	if h.Kind != kind || h.Conn != id {
+		t.Fatalf("happening %+v, want kind %d on %d", h, kind, id)
+	}
+	return h
+}
+
+func TestDial(t *testing.T) {
+	s, _ := listening(t, 1)
+	other, err := net.Listen("tcp", "127.3.2.1:0") // not what 0.0.0.0 stands for
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := other.Addr().String()
+	t.Run("a connection comes up where it was dialled", func(t *testing.T) {
+		id := s.Dial(address, int64(patience))
+		expect(t, s, limiter.Connected, id)
+		s.Write(id, []byte("abc"))
+		far, err := other.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make([]byte, 3)
+		if _, err := far.Read(got); err != nil || string(got) != "abc" || s.Written(id) != 3 {
+			t.Fatalf("read %q, error %v, written %d", got, err, s.Written(id))
+		}
+		// What came before the end is told before it.
+		if _, err := far.Write([]byte("last")); err != nil {
+			t.Fatal(err)
+		}
+		_ = far.Close()
+		if h, text := next(t, s); h.Kind != limiter.Readable || text != "last" {
+			t.Fatalf("happening %+v with %q", h, text)
+		}
+		expect(t, s, limiter.Ended, id)
+	})
+	t.Run("it breaks", func(t *testing.T) {
+		id := s.Dial(address, int64(patience))
+		expect(t, s, limiter.Connected, id)
+		far, err := other.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = far.(*net.TCPConn).SetLinger(0)
+		_ = far.Close()
+		if h := expect(t, s, limiter.Ended, id); h.End != limiter.PeerReset && h.End != limiter.PeerClosed {
+			t.Fatalf("end %s", h.End)
+		}
+	})
+	t.Run("what the kernel does not take is not written", func(t *testing.T) {
+		id := s.Dial(address, int64(patience))
+		expect(t, s, limiter.Connected, id)
+		far, err := other.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = far.Close() }()
+		text := make([]byte, 32<<20)
+		s.Write(id, text)
+		if written := s.Close(id); written == 0 || written >= int64(len(text)) {
+			t.Fatalf("written %d of %d", written, len(text))
+		}
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		_ = other.Close()
+		id := s.Dial(address, int64(patience))
+		if h := expect(t, s, limiter.Ended, id); h.End != limiter.Refused {
+			t.Fatalf("end %s", h.End)
+		}
+	})
+}
+
+func TestClose(t *testing.T) {
+	s, address := listening(t, 1)
+	far, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, _ := next(t, s)
+	s.Write(h.Conn, []byte("answer"))
+	if written := s.Close(h.Conn); written != 6 || s.Written(h.Conn) != 0 {
+		t.Fatalf("written %d, then %d", written, s.Written(h.Conn))
+	}
+	got := make([]byte, 9)
+	if n, err := far.Read(got); err != nil || string(got[:n]) != "answer" {
+		t.Fatalf("the client read %q, error %v", got[:n], err)
+	}
+	if _, err := far.Read(got); err == nil {
+		t.Fatal("the connection is open still")
+	}
+}
+
+// Connections past the limit wait in the kernel: taken in and closed, their jobs would be lost.
+func TestAccept(t *testing.T) {
+	s, address := listening(t, 1)
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, _ := next(t, s)
+	second, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := second.Write([]byte("early")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.take()
+	if len(s.now.happenings) > 0 {
+		t.Fatalf("happening %+v, want none", s.now.happenings[0])
+	}
+	_ = first.Close()
+	expect(t, s, limiter.Ended, h.Conn)
+	h, _ = next(t, s)
+	if got, text := next(t, s); h.Kind != limiter.Accepted || got.Conn != h.Conn || text != "early" {
+		t.Fatalf("happenings %+v, %+v with %q", h, got, text)
+	}
+}
--- /dev/null
+++ b/internal/tally/tally_test.go
@@ -0,0 +1,65 @@
+package tally
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestAppendCall(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		amount float64
+		life   int64
+		want   string
+	}{
+		{"a part of a millisecond counts as a whole one", -2.5, 4e9 + 1, "tally 7 -2.5 4001\r\n"},
+		{"a life is never 0", 1, 0, "tally 7 1 1\r\n"},
+		{"no exponents", 123456789.25, 1e6, "tally 7 123456789.25 1\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := string(AppendCall(nil, 7, c.amount, c.life)); got != c.want {
+				t.Fatalf("wrote %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		in    string
+		kind  Kind
+		total float64
+		used  int
+		err   error
+	}{
+		{"ok 38.5\r\nok 1\r\n", Added, 38.5, 9, nil},
+		{"busy\r\n", Busy, 0, 6, nil},
+		{"error\r\n", Refused, 0, 7, nil},
+		{"pong\r\n", Pong, 0, 6, nil},
+		{"ok 3", 0, 0, 0, nil},
+		{"ok\r\n", 0, 0, 0, ErrMalformed},
+		{"ok NaN\r\n", 0, 0, 0, ErrMalformed},
+		{"ok 1\n", 0, 0, 0, ErrMalformed},
+		{"what\r\n", 0, 0, 0, ErrMalformed},
+		{strings.Repeat("x", mostLine), 0, 0, 0, ErrMalformed},
+	} {
+		t.Run(c.in[:min(8, len(c.in))], func(t *testing.T) {
+			kind, total, used, err := Read([]byte(c.in))
+			if kind != c.kind || total != c.total || used != c.used || !errors.Is(err, c.err) {
+				t.Fatalf("kind %d, total %v, used %d, error %v", kind, total, used, err)
+			}
+		})
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("ok 38\r\n"))
+	f.Add([]byte("busy\r\npong\r\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		_, total, used, err := Read(in)
+		if used > len(in) || used > 0 && err != nil || total != total {
+			t.Fatalf("used %d of %d, total %v, error %v", used, len(in), total, err)
+		}
+	})
+}
