--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -44,6 +44,8 @@
 	// Read copies the bytes that the present happening told of.
 	Read(into []byte)
 	Write(id ID, bytes []byte)
+	// Alive tells whether a connection that is up has not ended, as far as the sockets know.
+	Alive(id ID) bool
 	// Written tells how many bytes the kernel has taken.
 	Written(id ID) int64
 	// Close ends the connection, if it has not ended yet; no happening follows. It tells how many bytes the
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -20,6 +20,7 @@
 	wrote  map[ID]string
 	kernel map[ID]int64 // what the kernel takes, where that is not all
 	closed []ID
+	dead   map[ID]bool
 	coming string
 	wake   int64
 }
@@ -31,6 +32,7 @@
 }
 func (w *wire) Read(into []byte)         { copy(into, w.coming) }
 func (w *wire) Write(id ID, text []byte) { w.wrote[id] += string(text) }
+func (w *wire) Alive(id ID) bool         { return !w.dead[id] }
 func (w *wire) Written(id ID) int64 {
 	if most, is := w.kernel[id]; is {
 		return most
@@ -415,6 +417,35 @@
 	})
 }
 
+func TestUse(t *testing.T) {
+	l, w, id := sent(t, "write")
+	w.say(l, 0, id, "*1\r\n$1\r\nv\r\n")
+	w.dead = map[ID]bool{id: true}
+	p := l.pools["s"]
+	if !p.use(func(b *backend) {}) || w.last == id || l.backends != 1 || !slices.Contains(w.closed, id) {
+		t.Fatalf("dialled %v, closed %v, %d connections", w.dialed, w.closed, l.backends)
+	}
+}
+
+// A machine that has vanished says nothing, so what was idle then may be dead too.
+func TestBackendEnded(t *testing.T) {
+	for _, c := range []struct {
+		end  End
+		idle int
+	}{{TimeOver, 0}, {CalledOff, 0}, {PeerReset, 0}, {Refused, 1}} {
+		t.Run(c.end.String(), func(t *testing.T) {
+			l, w, id := sent(t, "read")
+			p := l.pools["s"]
+			p.idle = append(p.idle, &backend{pool: p, c: l.dial(nil, "")})
+			p.idle[0].c.party = p.idle[0]
+			l.over(l.conns[id], c.end)
+			if len(p.idle) != c.idle {
+				t.Fatalf("%d idle connections, closed %v", len(p.idle), w.closed)
+			}
+		})
+	}
+}
+
 func TestSweep(t *testing.T) {
 	l, w, id := sent(t, "read")
 	w.say(l, 0, id, "*1\r\n$1\r\nv\r\n")
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -59,36 +59,48 @@
 	return oldest != nil
 }
 
-// begin puts the connection to use: at once where it is open, else when it comes up.
-func (b *backend) begin() {
-	if b.c == nil {
-		b.c = b.pool.l.dial(b, b.pool.address)
-	} else {
-		b.up()
+// use takes a connection for a command that begin puts on it: at once where it is open, else when it comes up.
+// One that had ended already, which the sockets have yet to tell, took nothing of the command: the next one is
+// tried, or the server would be blamed for closing an idle connection.
+func (p *pool) use(begin func(b *backend)) bool {
+	for {
+		b := p.backend()
+		if b == nil {
+			return false
+		}
+		if b.c == nil {
+			begin(b)
+			b.c = p.l.dial(b, p.address)
+			return true
+		}
+		if p.l.effects.Alive(b.c.id) {
+			begin(b)
+			b.up()
+			return true
+		}
+		p.l.over(b.c, PeerClosed)
 	}
 }
 
 func (p *pool) send(s *shot) {
 	l := p.l
-	b := p.backend()
-	if b == nil {
+	begin := func(b *backend) {
+		b.shot, s.backend = s, b
+		s.limit = l.at(s.job.cutOff, func() { l.over(s.backend.c, TimeOver) })
+	}
+	if !p.use(begin) {
 		l.endShot(s, NoRoom.outcome(false), 0)
-		return
 	}
-	b.shot, s.backend = s, b
-	s.limit = l.at(s.job.cutOff, func() { l.over(s.backend.c, TimeOver) })
-	b.begin()
 }
 
 // Probe is a deed of the module: the server answers a command that does no work.
 func (l *Limiter) Probe(server string) {
-	b := l.pools[server].backend()
-	if b == nil {
+	begin := func(b *backend) {
+		b.probe = l.at(l.now+l.set.DialTimeout, func() { l.over(b.c, TimeOver) })
+	}
+	if !l.pools[server].use(begin) {
 		l.owed = append(l.owed, owed{probed: server, outcome: NoRoom.outcome(false)})
-		return
 	}
-	b.probe = l.at(l.now+l.set.DialTimeout, func() { l.over(b.c, TimeOver) })
-	b.begin()
 }
 
 func (b *backend) up() {
@@ -178,6 +190,11 @@
 	if i := slices.Index(b.pool.idle, b); i >= 0 {
 		b.pool.idle = slices.Delete(b.pool.idle, i, i+1)
 	}
+	if (s != nil || b.probe != nil) && end != Refused {
+		// What is still idle may be as dead, where a machine has vanished and says nothing: a command on it might
+		// have run for all we know, while one for which no connection comes up has not.
+		b.pool.retireIdle()
+	}
 	if end == Garbled {
 		log.Printf("event=server-garbled server=%s", b.pool.id)
 	}
@@ -195,9 +212,7 @@
 // retire ends what is not in use of the connections to a server that drains or is gone. A shot whose connection is
 // not up yet is taken back: by the time it is up the grace may be over.
 func (p *pool) retire() {
-	for len(p.idle) > 0 {
-		p.l.over(p.idle[0].c, Unused)
-	}
+	p.retireIdle()
 	for _, c := range p.l.byID() {
 		if b, is := c.party.(*backend); is && b.pool == p && !c.open {
 			p.l.over(c, CalledOff)
@@ -205,6 +220,12 @@
 	}
 }
 
+func (p *pool) retireIdle() {
+	for len(p.idle) > 0 {
+		p.l.over(p.idle[0].c, Unused)
+	}
+}
+
 // sweep closes what has been idle for long: a command that crosses with the server's closing counts as sent.
 func (p *pool) sweep() {
 	for len(p.idle) > 0 && p.l.now-p.idle[0].c.since > p.l.set.IdleClose/idleShare {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -255,6 +255,16 @@
 	}
 }
 
+// Alive is an effect.
+func (s *Sockets) Alive(id limiter.ID) bool {
+	l := s.links[id]
+	if l == nil {
+		return false
+	}
+	closed, _ := l.conn.Load().IsClosed()
+	return !closed
+}
+
 // Written is an effect.
 func (s *Sockets) Written(id limiter.ID) int64 {
 	if l := s.links[id]; l != nil {
