Tests for what a change by hand to the reducer had left unnoticed

Twenty lines were changed by hand, one at a time; six of them no test had noticed: pairing of late counter answers, the fetch after a bad list, bytes before a connection is up, a client that leaves, the bounds on memory. A seventh was a check that the next one repeats; it is gone.

--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -241,6 +241,49 @@
 	}
 }
 
+func TestStep(t *testing.T) {
+	t.Run("bytes that come before the word that a connection is up wait for it", func(t *testing.T) {
+		l, w, id := dialling(t, "write")
+		w.say(l, 0, id, "-BUSY\r\n")
+		expect(t, w.wrote[visitor], "")
+		l.Step(0, Happening{Kind: Connected, Conn: id})
+		if got := w.wrote[visitor]; !strings.HasPrefix(got, "-BUSY ") || len(l.pools["s"].idle) != 1 {
+			t.Fatalf("client got %q, %d idle connections", got, len(l.pools["s"].idle))
+		}
+	})
+	t.Run("the module hears that a client has left", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, visitor, command("j", "read", "480"))
+		l.Step(0, Happening{Kind: Ended, Conn: visitor, End: PeerClosed})
+		w.say(l, 0, counting, "ok 2\r\n")
+		if w.last != counting || !strings.Contains(w.wrote[counting], " -2") {
+			t.Fatalf("dialled %v, counted %q", w.dialed, w.wrote[counting])
+		}
+	})
+	t.Run("more than was asked for ends a server's connection", func(t *testing.T) {
+		l, w, id := sent(t, "read")
+		w.say(l, 0, id, "*1\r\n$1\r\nv\r\n+OK\r\n")
+		expect(t, w.wrote[visitor], "$1\r\nv\r\n")
+		if !slices.Contains(w.closed, id) || len(l.pools["s"].idle) != 0 {
+			t.Fatalf("closed %v", w.closed)
+		}
+	})
+	t.Run("commands past the memory for them are turned away", func(t *testing.T) {
+		l, w := made(t)
+		l.held = l.config.Memory/heldShare + 1
+		w.say(l, 0, visitor, command("j", "read", "480"))
+		expect(t, w.wrote[visitor], "-BUSY\r\n")
+	})
+	t.Run("a client that does not read is closed", func(t *testing.T) {
+		l, w := made(t)
+		w.kernel[visitor], l.conns[visitor].sent = 0, l.config.Memory
+		w.say(l, 0, visitor, "*1\r\n$4\r\nECHO\r\n")
+		if !slices.Contains(w.closed, visitor) {
+			t.Fatalf("closed %v", w.closed)
+		}
+	})
+}
+
 // A job may end while its shot waits for the connection. Sent then, it would run for nobody, or twice.
 func TestUp(t *testing.T) {
 	for _, c := range []struct {
@@ -301,7 +344,9 @@
 		t.Fatal("a call without an answer was not given up")
 	}
 	l.Count(first.name, 3, second)
-	w.say(l, second/20, counting, "ok 2\r\n")
+	if used, err := l.counter.lines[0].read([]byte("ok 2\r\n")); used != 6 || err != nil || len(l.owed) != 0 {
+		t.Fatalf("used %d, error %v, the module is owed %+v", used, err, l.owed)
+	}
 	if calls := l.counter.lines[0].calls; len(calls) != 1 || calls[0].told || calls[0].amount != 3 {
 		t.Fatalf("calls %+v", calls)
 	}
@@ -373,6 +418,7 @@
 	})
 	t.Run("a bad list is refused and asked for again", func(t *testing.T) {
 		l, w := made(t)
+		w.say(l, 0, watching, httpAnswer(known))
 		w.say(l, 0, watching, httpAnswer(`{"generation":8,"reset":true,"instances":[{"instanceId":"s","lifecycle":"odd"}]}`))
 		if l.watch.version != 7 || len(l.servers) != 1 || !slices.Contains(w.closed, watching) {
 			t.Fatalf("version %d, closed %v", l.watch.version, w.closed)
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -151,10 +151,9 @@
 		b.shot = nil
 		l.endShot(s, outcome, units)
 	}
-	if n < len(bytes) || l.conns[b.c.id] != b.c {
-		return 0, errUnasked
+	if l.conns[b.c.id] == b.c {
+		b.pool.idle = append(b.pool.idle, b)
 	}
-	b.pool.idle = append(b.pool.idle, b)
 	return n, nil
 }
 
