What clients leave half sent or unread is bounded by the memory, all of them together

By arithmetic, not seen: 512 clients with a buffer grown to 128 KiB each and 160 KiB of unread answers each are 144 MB of 192. Now parts of commands may take an eighth of the memory and unread answers another, whoever holds them; a client that would pass that gets -ERR or is closed. Held commands had their eighth already. The end waits for answers that are still on their way into the kernel, up to the time after which idle connections close (half a second before).

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -13,6 +13,9 @@
 // Bytes are those not yet used up, valid until the next Space.
 func (b *Buffer) Bytes() []byte { return b.data[b.from:b.to] }
 
+// Size is what the buffer takes of memory.
+func (b *Buffer) Size() int { return len(b.data) }
+
 // Space makes room for n more bytes and gives it: it moves what is left to the front, and grows where that is
 // not enough.
 func (b *Buffer) Space(n int) []byte {
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/buffer"
 	"ospreycroft/internal/resp"
 	"ospreycroft/internal/settings"
 )
@@ -106,7 +107,8 @@
 	}
 	words, n, err := resp.ReadCommand(b, cl.l.words[:0])
 	cl.l.words = words[:0]
-	if err == nil && len(cl.answers) >= mostPipeline {
+	crowded := n == 0 && len(b) > buffer.Least && cl.l.buffered > cl.l.config.Memory/heldShare
+	if err == nil && (crowded || len(cl.answers) >= mostPipeline) {
 		err = resp.ErrTooLong
 	}
 	if err != nil {
@@ -252,14 +254,20 @@
 	cl.answers = cl.answers[due:]
 	l.write(cl.c, l.scratch)
 	l.quiet = l.now
-	if cl.c.sent-l.effects.Written(cl.c.id) > cl.mostBacklog() {
+	if l.effects.Written(cl.c.id) < cl.c.sent && l.backlog() > l.config.Memory/heldShare {
 		l.over(cl.c, Overrun)
 	} else if cl.closing {
 		cl.leave()
 	}
 }
 
-// mostBacklog is how much may wait for a client that does not read.
-func (cl *client) mostBacklog() int64 {
-	return max(cl.l.config.Memory/heldShare/int64(MostClients(cl.l.config)), 2*resp.MostBytes)
+// backlog is how many bytes wait for clients that do not read.
+func (l *Limiter) backlog() int64 {
+	waiting := int64(0)
+	for id, c := range l.conns {
+		if _, is := c.party.(*client); is {
+			waiting += c.sent - l.effects.Written(id)
+		}
+	}
+	return waiting
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -71,6 +71,7 @@
 	sent  int64  // bytes that were written, whether the kernel has taken them or not
 	since int64  // when it was last used
 	limit *timer // until when it must come up
+	size  int64  // its buffer's part of buffered
 }
 
 // Limiter is one real limiter. It is not safe for concurrent use.
@@ -83,6 +84,7 @@
 	conns    map[ID]*conn
 	jobs     map[string]*job
 	held     int64 // bytes of the commands in jobs
+	buffered int64 // bytes of the connections' buffers
 	owed     []owed
 	timers   timers
 	order    int64
@@ -113,7 +115,7 @@
 const (
 	clientShare  = 2  // one descriptor in so many is for clients
 	serverShare  = 4  // and one in so many for servers
-	heldShare    = 8  // one byte of memory in so many may hold commands, and as many the answers that wait
+	heldShare    = 8  // one byte of memory in so many may hold commands, as many parts of them, as many answers that wait
 	sweeps       = 32 // looks at idle connections in the time after which a server closes them
 	idleShare    = 2  // an idle connection is closed after this part of that time
 	lingers      = 500e6
@@ -184,17 +186,18 @@
 	c.since = l.now
 	for l.conns[c.id] == c {
 		used, err := c.party.read(c.in.Bytes())
-		if err != nil {
-			if l.conns[c.id] == c {
-				l.over(c, Garbled)
-			}
-			return
+		if err != nil && l.conns[c.id] == c {
+			l.over(c, Garbled)
 		}
-		if used == 0 {
-			return
+		if err != nil || used == 0 {
+			break
 		}
 		c.in.Use(used)
 	}
+	if l.conns[c.id] == c {
+		l.buffered += int64(c.in.Size()) - c.size
+		c.size = int64(c.in.Size())
+	}
 }
 
 // tell tells the module what it is owed, in order; each call on it may bring more.
@@ -232,6 +235,7 @@
 // over is the only place where a connection ends.
 func (l *Limiter) over(c *conn, end End) {
 	delete(l.conns, c.id)
+	l.buffered -= c.size
 	l.timers.drop(c.limit)
 	c.party.ended(end, l.effects.Close(c.id))
 }
@@ -324,5 +328,5 @@
 			return false
 		}
 	}
-	return !l.counter.waits() && (l.clients == 0 || l.now > l.quiet+lingers)
+	return !l.counter.waits() && (l.clients == 0 || l.now > max(l.quiet, l.stopping)+l.set.IdleClose)
 }
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/buffer"
 	"ospreycroft/internal/resp"
 	"ospreycroft/internal/settings"
 )
@@ -274,6 +275,22 @@
 		w.say(l, 0, visitor, command("j", "read", "480"))
 		expect(t, w.wrote[visitor], "-BUSY\r\n")
 	})
+	t.Run("parts of commands past the memory for them too", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, visitor, strings.Repeat("*1\r\n$4\r\nECHO\r\n", 1000)) // used up at once, it takes nothing
+		if l.buffered > buffer.Least*3 {
+			t.Fatalf("%d bytes are held", l.buffered)
+		}
+		l.buffered = l.config.Memory/heldShare + 1
+		w.say(l, 0, visitor, "*1\r\n$4\r\nECHO\r\n*1\r\n$9000\r\n")
+		if strings.HasSuffix(w.wrote[visitor], "-ERR too long\r\n") {
+			t.Fatal("a small part was turned away")
+		}
+		w.say(l, 0, visitor, strings.Repeat("x", buffer.Least))
+		if !strings.HasSuffix(w.wrote[visitor], "-ERR unknown command\r\n-ERR too long\r\n") {
+			t.Fatalf("client got %q", w.wrote[visitor][len(w.wrote[visitor])-60:])
+		}
+	})
 	t.Run("a client that does not read is closed", func(t *testing.T) {
 		l, w := made(t)
 		w.kernel[visitor], l.conns[visitor].sent = 0, l.config.Memory
