--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -32,7 +32,7 @@
 	c.party = &client{l: l, c: c}
 	l.conns[id] = c
 	if l.clients++; l.clients >= MostClients(l.config)*3/4 {
-		l.freeClient()
+		l.freeClient(id)
 	}
 }
 
@@ -40,11 +40,12 @@
 func MostClients(config *settings.Config) int { return config.Sockets / clientShare }
 
 // freeClient closes the client connection that has been idle longest, so that others can come. One that has sent a
-// part of a command and then nothing for as long as servers let a connection idle counts as idle too.
-func (l *Limiter) freeClient() {
+// part of a command and then nothing for as long as servers let a connection idle counts as idle too. The newcomer,
+// whose command may be on its way, stays.
+func (l *Limiter) freeClient(newcomer ID) {
 	var oldest *conn
 	for _, c := range l.byID() {
-		if cl, is := c.party.(*client); is && len(cl.answers) == 0 && (oldest == nil || c.since < oldest.since) &&
+		if cl, is := c.party.(*client); is && c.id != newcomer && len(cl.answers) == 0 && (oldest == nil || c.since < oldest.since) &&
 			(cl.idle() || l.now-c.since > l.set.IdleClose) {
 			oldest = c
 		}
--- a/internal/limiter/jobs.go
+++ b/internal/limiter/jobs.go
@@ -13,7 +13,7 @@
 
 const (
 	Taken State = iota
-	Served
+	Done
 	Rejected
 	WrittenOff
 	Left // its client has gone
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -470,6 +470,7 @@
 	w.say(l, 2, visitor+1, "*1\r\n$4\r\nPI") // has begun a command
 	l.Step(3, Happening{Kind: Accepted, Conn: visitor + 2})
 	w.say(l, 4, visitor+2, command("j", "read", "480")) // is owed an answer
+	l.Step(0, Happening{Kind: Accepted, Conn: visitor + 3})
 	for _, c := range []struct {
 		name string
 		now  int64
@@ -481,7 +482,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l.now = c.now
-			if l.freeClient(); !slices.Equal(w.closed, c.want) {
+			if l.freeClient(visitor + 3); !slices.Equal(w.closed, c.want) {
 				t.Fatalf("closed %v, want %v", w.closed, c.want)
 			}
 		})
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -146,7 +146,7 @@
 	} else {
 		outcome, value, units := judge(v)
 		if outcome == choice.Done {
-			l.move(s.job, Served, resp.AppendBulk(nil, value))
+			l.move(s.job, Done, resp.AppendBulk(nil, value))
 		}
 		b.shot = nil
 		l.endShot(s, outcome, units)
