--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -505,6 +505,53 @@
 	})
 }
 
+func TestProbe(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(l *Limiter, b *backend)
+		want choice.Outcome
+	}{
+		{"answered", func(l *Limiter, b *backend) { _, _ = b.read([]byte("+OK\r\n")) }, choice.Done},
+		{"not in time", func(l *Limiter, b *backend) { b.probe.run() }, choice.TimedOut},
+		{"broken", func(l *Limiter, b *backend) { l.over(b.c, PeerReset) }, choice.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, w := made(t)
+			l.Probe("s")
+			l.Step(0, Happening{Kind: Connected, Conn: w.last})
+			expect(t, w.wrote[w.last], "*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n")
+			b := l.conns[w.last].party.(*backend)
+			c.end(l, b)
+			if b.probe != nil || len(l.owed) != 1 || l.owed[0].probed != "s" || l.owed[0].outcome != c.want {
+				t.Fatalf("the module is owed %+v", l.owed)
+			}
+		})
+	}
+}
+
+func TestJudge(t *testing.T) {
+	for _, c := range []struct {
+		in      string
+		outcome choice.Outcome
+		units   float64
+	}{
+		{"*3\r\n$1\r\nv\r\n$14\r\nused=86,cost=3\r\n$-1\r\n", choice.Done, 3},
+		{"*3\r\n$1\r\nv\r\n$-1\r\n$10\r\ninflight=1\r\n", choice.Done, 0},
+		{"-BUSY inflight=7\r\n", choice.Full, 0},
+		{"-BUSYBODY\r\n", choice.Broke, 0},
+		{"-ERR failed inflight=7\r\n", choice.Broke, 0},
+		{"$1\r\nv\r\n", choice.Broke, 0},
+		{"*0\r\n", choice.Broke, 0},
+	} {
+		t.Run(strconv.Quote(c.in), func(t *testing.T) {
+			v, _, err := resp.Read([]byte(c.in))
+			if outcome, _, units := judge(v); err != nil || outcome != c.outcome || units != c.units {
+				t.Fatalf("outcome %d, units %v, error %v", outcome, units, err)
+			}
+		})
+	}
+}
+
 func TestUse(t *testing.T) {
 	l, w, id := sent(t, "write")
 	w.say(l, 0, id, "*1\r\n$1\r\nv\r\n")
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -148,6 +148,7 @@
 	if _, err := far.Read(got); err == nil {
 		t.Fatal("the connection is open still")
 	}
+	expect(t, s, limiter.Ended, h.Conn) // the poller has closed the descriptor
 }
 
 // Connections past the limit wait in the kernel: taken in and closed, their jobs would be lost.
