--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -403,6 +403,23 @@
 			t.Fatalf("closed %v", w.closed)
 		}
 	})
+	// Told with each call, a crowded counter wrote a line a job into the log.
+	t.Run("the counter is down once nothing was answered for long, and up with the first answer", func(t *testing.T) {
+		l, w := made(t)
+		for _, c := range []struct {
+			at   int64
+			down bool
+		}{{0, false}, {silentFor * l.set.CounterWait, false}, {silentFor*l.set.CounterWait + 1, true}} {
+			l.now = c.at
+			if l.counter.tell(&call{}, choice.TimedOut, 0); l.counter.down != c.down {
+				t.Fatalf("down %v after %d", l.counter.down, c.at)
+			}
+		}
+		l.Count(1, 2, second)
+		if w.say(l, l.now, counting, "ok 2\r\n"); l.counter.down {
+			t.Fatal("it has answered")
+		}
+	})
 	t.Run("what the counter never writes ends it", func(t *testing.T) {
 		l, w := made(t)
 		l.Count(1, 2, second)
