SIGHUP reads the configuration again; watch and counter's lines move under load

Checked: the log ends without a word of the limiter's; main.go handled SIGTERM and SIGINT only, so the runtime's default ended it. The file is read again, one more happening for the reducer: the watch asks the new discovery for its whole list, calls that are out stay paired on their old lines, calls that were not written move once.

--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -23,11 +23,9 @@
 }
 
 func run() error {
-	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
-	if err != nil {
-		return err
-	}
-	config, err := settings.ReadConfig(text)
+	hups := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	signal.Notify(hups, syscall.SIGHUP)
+	config, err := read()
 	if err != nil {
 		return err
 	}
@@ -42,6 +40,16 @@
 		<-signals
 		close(stop)
 	}()
+	renewed := make(chan *settings.Config)
+	go func() {
+		for range hups {
+			if config, err := read(); err == nil {
+				renewed <- config
+			} else { // the one that is held stays
+				log.Printf("event=config-refused error=%q", err)
+			}
+		}
+	}()
 	s, err := sockets.Listen(config.Listen, limiter.MostClients(config), config.Sockets)
 	if err != nil {
 		return err
@@ -54,7 +62,16 @@
 		return err
 	}
 	log.Printf("event=started name=%s listen=%s", config.Name, config.Listen)
-	s.Run(clock, l, stop)
+	s.Run(clock, l, stop, renewed)
 	log.Printf("event=stopped name=%s", config.Name)
 	return nil
 }
+
+// read reads the configuration, at the start and again when SIGHUP says that it was replaced.
+func read() (*settings.Config, error) {
+	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+	if err != nil {
+		return nil, err
+	}
+	return settings.ReadConfig(text)
+}
--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -27,9 +27,11 @@
 	counter *counter
 	c       *conn
 	calls   []*call
+	leaving bool // the counter has moved: nothing new is written, and it is closed once all is answered
 }
 
 type call struct {
+	line   *line
 	name   uint64
 	amount float64
 	life   int64
@@ -53,33 +55,69 @@
 func (l *Limiter) Count(name uint64, amount float64, lifetime int64) {
 	k := &l.counter
 	c := &call{name: name, amount: amount, life: lifetime, at: l.now}
-	ln := k.line(name)
-	ln.calls = append(ln.calls, c)
+	k.put(c)
+	c.limit = l.at(l.now+l.set.CounterWait, func() { c.line.late(c) })
+}
+
+// put puts a call on a line.
+func (k *counter) put(c *call) {
+	ln := k.line(c.name)
+	c.line, ln.calls = ln, append(ln.calls, c)
 	if ln.c.open {
 		ln.write(c)
 	}
-	c.limit = l.at(l.now+l.set.CounterWait, func() { ln.late(c) })
 }
 
 // line chooses the line for a call.
 func (k *counter) line(name uint64) *line {
 	var best *line
+	lines := 0
 	for _, ln := range k.lines {
 		for _, c := range ln.calls {
-			if !c.ping && c.name == name {
+			if !c.ping && c.name == name && !(c.told && ln.leaving) {
 				return ln
 			}
 		}
-		if best == nil || len(ln.calls) < len(best.calls) {
+		if ln.leaving {
+			continue
+		}
+		if lines++; best == nil || len(ln.calls) < len(best.calls) {
 			best = ln
 		}
 	}
-	if best == nil || len(best.calls) > 0 && len(k.lines) < mostLines {
+	if best == nil || len(best.calls) > 0 && lines < mostLines {
 		return k.open()
 	}
 	return best
 }
 
+// move goes to the counter's new address. What was written is answered on its old line, or ends with it; what was not
+// is written on a new one, once.
+func (k *counter) move() {
+	var waiting []*call
+	for _, ln := range slices.Clone(k.lines) {
+		ln.leaving = true
+		if !ln.c.open {
+			waiting = append(waiting, ln.calls...)
+			ln.calls = nil
+		}
+		ln.leave()
+	}
+	for _, c := range waiting {
+		k.put(c)
+	}
+	if len(waiting) == 0 {
+		k.open()
+	}
+}
+
+// leave closes a line to the old address that nothing is out on any more.
+func (ln *line) leave() {
+	if ln.leaving && len(ln.calls) == 0 {
+		ln.counter.l.over(ln.c, Unused)
+	}
+}
+
 func (ln *line) write(c *call) {
 	l := ln.counter.l
 	if c.ping {
@@ -155,6 +193,7 @@
 		log.Printf("event=counter-refused name=%d amount=%v", c.name, c.amount)
 		ln.counter.tell(c, Refused.counted(false), 0)
 	}
+	ln.leave()
 	return n, nil
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -27,6 +27,7 @@
 	Ended                 // a connection has ended from the other side
 	Due                   // the time of a wake has come
 	Stopping              // the process is to end
+	Renewed               // the configuration was replaced
 )
 
 // Happening is what the sockets tell.
@@ -35,6 +36,8 @@
 	Conn ID
 	Size int // bytes to read
 	End  End
+	// Config is the new configuration.
+	Config *settings.Config
 }
 
 // Effects are what the reducer asks of the sockets.
@@ -163,6 +166,8 @@
 		}
 	case h.Kind == Stopping:
 		l.stop()
+	case h.Kind == Renewed:
+		l.renew(h.Config)
 	case c == nil: // it has ended already
 	case h.Kind == Connected:
 		c.open, c.since = true, now
@@ -302,6 +307,25 @@
 
 func (l *Limiter) arm() { l.effects.Wake(l.timers[0].at) }
 
+// renew goes on by a configuration that has replaced the present one under load. Discovery and the counter may move;
+// what else differs holds from the next start on.
+func (l *Limiter) renew(config *settings.Config) {
+	if key := l.config.Fixed(config); key != "" {
+		log.Printf("event=config-kept key=%s", key)
+	}
+	moved := *l.config
+	moved.Discovery, moved.Counter = config.Discovery, config.Counter
+	discovery, counter := moved.Discovery != l.config.Discovery, moved.Counter != l.config.Counter
+	l.config = &moved
+	log.Printf("event=config-read discovery=%s counter=%s", moved.Discovery, moved.Counter)
+	if discovery {
+		l.watch.move()
+	}
+	if counter && l.set.CounterWait > 0 {
+		l.counter.move()
+	}
+}
+
 // stop begins the end: clients still come for a while, and what was taken is answered.
 func (l *Limiter) stop() {
 	if l.stopping != 0 {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -450,6 +450,13 @@
 			t.Fatalf("dialled %v", w.dialed)
 		}
 	})
+	t.Run("what comes ahead of an answer is passed over", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, watching, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+httpAnswer(strings.Replace(known, "7", "8", 1)))
+		if l.watch.version != 8 || slices.Contains(w.closed, watching) {
+			t.Fatalf("version %d, closed %v", l.watch.version, w.closed)
+		}
+	})
 	t.Run("a bad list is refused and asked for again", func(t *testing.T) {
 		l, w := made(t)
 		w.say(l, 0, watching, httpAnswer(known))
@@ -465,6 +472,61 @@
 	})
 }
 
+// Under load, discovery and the counter move to other addresses, and the old ones soon close what is open.
+func TestRenew(t *testing.T) {
+	moved := func(l *Limiter) Happening {
+		config := *l.config
+		config.Discovery, config.Counter = "disco 2", "counter 2"
+		return Happening{Kind: Renewed, Config: &config}
+	}
+	t.Run("the whole list is asked for at discovery's new address", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, watching, httpAnswer(known))
+		l.Step(0, moved(l))
+		watch := l.watch.c.id
+		l.Step(0, Happening{Kind: Connected, Conn: watch})
+		if w.dialed[watch] != "disco 2" || !slices.Contains(w.closed, watching) || len(l.servers) != 1 {
+			t.Fatalf("dialled %v, closed %v", w.dialed, w.closed)
+		}
+		expect(t, w.wrote[watch], "GET /discovery/hosts HTTP/1.1\r\nHost: disco 2\r\n\r\n")
+	})
+	t.Run("a call that is out is answered on its old line, the next goes to the new one", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, visitor, command("j", "read", "480"))
+		before := w.wrote[counting]
+		l.Step(0, moved(l))
+		line := w.last
+		l.Step(0, Happening{Kind: Connected, Conn: line})
+		l.Count(1, 2, second)
+		w.say(l, 0, counting, "ok 2\r\n")
+		if w.dialed[w.last] != "127.0.0.1:9" || w.wrote[counting] != before || !slices.Contains(w.closed, counting) {
+			t.Fatalf("dialled %v, wrote %v, closed %v", w.dialed, w.wrote, w.closed)
+		}
+		if w.dialed[line] != "counter 2" || w.wrote[line] != "tally 1 2 1000\r\n" {
+			t.Fatalf("dialled %v, wrote %q", w.dialed, w.wrote[line])
+		}
+	})
+	t.Run("a call that was not written moves, once, and on to where the next one says", func(t *testing.T) {
+		l, w := made(t)
+		l.Step(0, Happening{Kind: Ended, Conn: counting, End: PeerClosed})
+		l.Count(1, 2, second)
+		line := w.last
+		for range 2 {
+			l.Step(0, moved(l))
+			l.config.Counter = "counter" // so that the next one moves it again
+		}
+		if !slices.Contains(w.closed, line) || len(l.owed) > 0 || len(l.counter.lines) != 1 {
+			t.Fatalf("closed %v, the module is owed %+v, %d lines", w.closed, l.owed, len(l.counter.lines))
+		}
+		l.Step(0, Happening{Kind: Connected, Conn: l.counter.lines[0].c.id})
+		expect(t, w.wrote[l.counter.lines[0].c.id], "tally 1 2 1000\r\n")
+		l.Step(second/20, Happening{Kind: Due})
+		if !l.counter.lines[0].calls[0].told {
+			t.Fatal("its time is over, and the module has not heard so")
+		}
+	})
+}
+
 // A connection may take longer to come up than the grace after word that its server drains.
 func TestRetire(t *testing.T) {
 	for _, c := range []struct{ name, list string }{
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -19,9 +19,9 @@
 	l       *Limiter
 	c       *conn
 	version int64
-	fetched bool // discovery itself has told the list
-	calls   int64
-	told    bool // the connection has brought an answer
+	fetched bool   // discovery itself has told the list
+	limit   *timer // until when the call that is out must be answered
+	told    bool   // the connection has brought an answer
 }
 
 // known takes the list of the configuration, which may be old.
@@ -55,19 +55,14 @@
 		l.scratch = discovery.AppendFetch(l.scratch[:0], l.config.Discovery)
 	}
 	l.write(w.c, l.scratch)
-	w.calls++
-	call := w.calls
-	l.at(l.now+wait+retries*l.set.DialTimeout, func() {
-		if w.calls == call && l.conns[w.c.id] == w.c {
-			l.over(w.c, Silent)
-		}
-	})
+	l.timers.drop(w.limit)
+	w.limit = l.at(l.now+wait+retries*l.set.DialTimeout, func() { l.over(w.c, Silent) })
 }
 
 func (w *watch) read(b []byte) (int, error) {
 	a, n, err := discovery.Read(b)
-	if err != nil || n == 0 {
-		return 0, err
+	if err != nil || n == 0 || a.Status < 200 { // the answer itself comes behind a status of 1xx
+		return n, err
 	}
 	w.told = true
 	var list *discovery.List
@@ -93,6 +88,7 @@
 
 // ended renews the connection: at once where it has served, else after a while.
 func (w *watch) ended(end End, _ int64) {
+	w.l.timers.drop(w.limit)
 	if w.told {
 		w.dial()
 		return
@@ -100,6 +96,16 @@
 	w.l.at(w.l.now+w.l.set.DialTimeout/retries, w.dial)
 }
 
+// move goes to discovery's new address, which may count its lists otherwise: the whole of it is asked for there, and
+// the last good one holds meanwhile.
+func (w *watch) move() {
+	w.fetched = false
+	if w.l.conns[w.c.id] == w.c { // else a new one is dialled before long
+		w.told = true
+		w.l.over(w.c, Unused)
+	}
+}
+
 // apply takes a list in: addresses for the pools, the rest for the module.
 func (w *watch) apply(list *discovery.List) {
 	l := w.l
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"reflect"
 	"strconv"
 )
 
@@ -21,6 +22,21 @@
 	Settings  *Settings
 }
 
+// Fixed names what differs in another configuration and cannot change before the next start; empty if nothing does.
+func (c *Config) Fixed(other *Config) string {
+	switch {
+	case c.Name != other.Name:
+		return "name"
+	case c.Listen != other.Listen:
+		return "listen"
+	case c.Memory != other.Memory || c.Sockets != other.Sockets:
+		return "limits"
+	case !reflect.DeepEqual(c.Settings, other.Settings):
+		return "settings"
+	}
+	return ""
+}
+
 // leastSockets are a connection for each party beside what the runtime and the poller hold themselves.
 const leastSockets = 32
 
--- a/internal/settings/config_test.go
+++ b/internal/settings/config_test.go
@@ -37,3 +37,22 @@
 		})
 	}
 }
+
+func TestFixed(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{"127.0.0.1:2", "127.0.0.1:5", ""},
+		{"127.0.0.1:3", "127.0.0.1:5", ""},
+		{"127.0.0.1:1", "127.0.0.1:5", "listen"},
+		{`"n"`, `"m"`, "name"},
+		{"1024", "512", "limits"},
+		{`"rate":5`, `"rate":6`, "settings"},
+	} {
+		t.Run(c.new, func(t *testing.T) {
+			held, err := ReadConfig([]byte(good))
+			other, otherErr := ReadConfig([]byte(strings.Replace(good, c.old, c.new, 1)))
+			if err != nil || otherErr != nil || held.Fixed(other) != c.want {
+				t.Fatalf("errors %v, %v, differs in %q", err, otherErr, held.Fixed(other))
+			}
+		})
+	}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -17,6 +17,7 @@
 	"github.com/lesismal/nbio/logging"
 
 	"ospreycroft/internal/limiter"
+	"ospreycroft/internal/settings"
 )
 
 // mostWaiting is how many bytes may wait for the reducer; past that the poller waits, and then the kernel.
@@ -178,7 +179,7 @@
 }
 
 // Run tells the limiter what happens until it has finished.
-func (s *Sockets) Run(clock func() int64, l *limiter.Limiter, stop <-chan struct{}) {
+func (s *Sockets) Run(clock func() int64, l *limiter.Limiter, stop <-chan struct{}, renewed <-chan *settings.Config) {
 	timer := time.NewTimer(0)
 	for !l.Finished() {
 		select {
@@ -187,6 +188,8 @@
 		case <-stop:
 			stop = nil
 			l.Step(clock(), limiter.Happening{Kind: limiter.Stopping})
+		case config := <-renewed:
+			l.Step(clock(), limiter.Happening{Kind: limiter.Renewed, Config: config})
 		}
 		s.take()
 		for _, h := range s.now.happenings {
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -199,7 +199,7 @@
 	}
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
-		s.Run(clock, l, stop)
+		s.Run(clock, l, stop, nil)
 		close(stopped)
 	}()
 	client, err := net.Dial("tcp", address)
