Clients' commands are checked as the protocol has them; silent clients and spoilt answers end soon

At fault: arrival in clients.go, read, judge and ended in servers.go. Checked: a second copy comes in the same segment as the answer, behind it, so a connection that rests for one tick before its next command never pairs it.

--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"cmp"
-	"log"
+	"container/list"
+	"math"
 	"slices"
 	"strconv"
 
@@ -18,8 +19,14 @@
 	l       *Limiter
 	c       *conn
 	answers []*answer
-	closing bool // it is closed once it is answered
-	deaf    bool // what it sent was malformed, and what comes behind that is not read
+	closing bool          // it is closed once it is answered
+	deaf    bool          // what it sent was malformed, and what comes behind that is not read
+	reading bool          // what has come is being read: its answers go out together behind that
+	since   int64         // when it connected
+	used    int64         // when its present command began, or its last one was answered
+	half    bool          // a command has begun and is not whole
+	regular bool          // it has brought a job
+	place   *list.Element // among the strangers or the regulars
 }
 
 type answer struct {
@@ -29,29 +36,95 @@
 
 func (l *Limiter) accept(id ID) {
 	c := &conn{id: id, open: true, since: l.now}
-	c.party = &client{l: l, c: c}
-	l.conns[id] = c
-	if l.clients++; l.clients >= MostClients(l.config)*3/4 {
-		l.freeClient(id)
-	}
+	cl := &client{l: l, c: c, since: l.now, used: l.now}
+	cl.place = l.strangers.PushBack(cl)
+	c.party, l.conns[id] = cl, c
+	l.clients++
+	l.makeRoom()
 }
 
 // MostClients is how many connections clients may hold together.
 func MostClients(config *settings.Config) int { return config.Sockets / clientShare }
 
-// freeClient closes the client connection that has been idle longest, so that others can come. One that has sent a
-// part of a command and then nothing for as long as servers let a connection idle counts as idle too. The newcomer,
-// whose command may be on its way, stays.
-func (l *Limiter) freeClient(newcomer ID) {
-	var oldest *conn
-	for _, c := range l.byID() {
-		if cl, is := c.party.(*client); is && c.id != newcomer && len(cl.answers) == 0 && (oldest == nil || c.since < oldest.since) &&
-			(cl.idle() || l.now-c.since > l.set.IdleClose) {
-			oldest = c
+// crowded: past this newcomers would soon wait in the kernel.
+func (l *Limiter) crowded() bool { return l.clients >= MostClients(l.config)*3/4 }
+
+// makeRoom closes clients' connections without an open job, so that others can come: first those that never brought
+// one and had time to, then those that may be closed, the one idle longest first.
+func (l *Limiter) makeRoom() {
+	for l.crowded() {
+		victim := l.idlest(&l.strangers, l.now-l.set.DialTimeout/settled)
+		if victim == nil {
+			victim = l.idlest(&l.regulars, l.now-mayClose)
+		}
+		if victim == nil {
+			return
 		}
+		l.over(victim.c, Unused)
 	}
-	if oldest != nil {
-		l.over(oldest, Unused)
+}
+
+// idlest is the first of a list that has been idle since a time.
+func (l *Limiter) idlest(clients *list.List, since int64) *client {
+	for e := clients.Front(); e != nil; e = e.Next() {
+		if cl := e.Value.(*client); cl.used > since {
+			return nil
+		} else if cl.idle() {
+			return cl
+		}
+	}
+	return nil
+}
+
+// visit looks at the clients at intervals. One that says nothing or half a command is closed: it would hold its place
+// for good.
+func (l *Limiter) visit() {
+	for _, clients := range []*list.List{&l.strangers, &l.regulars} {
+		for e := clients.Front(); e != nil; {
+			cl := e.Value.(*client)
+			e = e.Next()
+			switch idle := l.now - cl.used; {
+			case len(cl.answers) > 0 || cl.closing || idle < mayClose:
+			case cl.half:
+				l.seen.silent++
+				cl.refuse("too slow")
+			case !cl.idle(): // an answer is on its way into the kernel
+			case !cl.regular, idle > l.set.IdleClose/idleShare:
+				l.seen.silent++
+				l.over(cl.c, Unused)
+			}
+		}
+	}
+	l.makeRoom()
+	every := l.set.DialTimeout
+	if l.crowded() {
+		every /= crowdLooks
+	}
+	l.at(l.now+every, l.visit)
+}
+
+// touch notes that a regular is in use.
+func (cl *client) touch() {
+	if cl.regular {
+		cl.used = cl.l.now
+		cl.l.regulars.MoveToBack(cl.place)
+	}
+}
+
+// refuse tells a client why it is closed, behind the answers to what it sent before. Where these take too long they are
+// written off: it is owed an error or a close soon.
+func (cl *client) refuse(why string) {
+	l := cl.l
+	cl.deaf, cl.closing = true, true
+	cl.own("-ERR " + why)
+	if len(cl.answers) > 0 && l.conns[cl.c.id] == cl.c {
+		l.at(max(cl.since+mayClose, l.now+l.set.DialTimeout), func() {
+			for len(cl.answers) > 0 && l.conns[cl.c.id] == cl.c {
+				j := cl.answers[0].job
+				l.owed = append(l.owed, owed{left: j.id})
+				l.move(j, WrittenOff, writtenOff)
+			}
+		})
 	}
 }
 
@@ -65,9 +138,9 @@
 	return list
 }
 
-// idle: nothing is owed to the client, all is written and no part of a command has come.
+// idle: nothing is owed to the client, all is written and no part of a command has come that is still to be read.
 func (cl *client) idle() bool {
-	return len(cl.answers) == 0 && len(cl.c.in.Bytes()) == 0 && cl.l.effects.Written(cl.c.id) >= cl.c.sent
+	return len(cl.answers) == 0 && (cl.deaf || len(cl.c.in.Bytes()) == 0) && cl.l.effects.Written(cl.c.id) >= cl.c.sent
 }
 
 // leave closes the connection as soon as that loses nothing.
@@ -90,8 +163,13 @@
 func (cl *client) ended(end End, _ int64) {
 	l := cl.l
 	l.clients--
+	if cl.regular {
+		l.regulars.Remove(cl.place)
+	} else {
+		l.strangers.Remove(cl.place)
+	}
 	if end == Overrun {
-		log.Printf("event=client-overrun")
+		l.seen.unread++
 	}
 	for _, a := range cl.answers {
 		if a.job != nil && a.job.state == Taken {
@@ -101,28 +179,44 @@
 	}
 }
 
-// read takes one command.
-func (cl *client) read(b []byte) (int, error) {
+// read takes the commands that have come, and answers together what can be answered at once.
+func (cl *client) read(b []byte) (used int, err error) {
+	cl.reading = true
+	for n := 1; n > 0 && used < len(b) && !cl.deaf; used += n {
+		n = cl.next(b[used:])
+	}
 	if cl.deaf {
-		return len(b), nil
+		used = len(b)
+	}
+	if half := used < len(b); half != cl.half {
+		cl.half = half
+		cl.touch()
 	}
+	cl.reading = false
+	cl.flush()
+	return used, nil
+}
+
+// next takes one command.
+func (cl *client) next(b []byte) int {
 	words, n, err := resp.ReadCommand(b, cl.l.words[:0])
 	cl.l.words = words[:0]
+	if len(cl.answers) >= mostPipeline {
+		cl.flush()
+	}
 	crowded := n == 0 && len(b) > buffer.Least && cl.l.buffered > cl.l.config.Memory/heldShare
 	if err == nil && (crowded || len(cl.answers) >= mostPipeline) {
 		err = resp.ErrTooLong
 	}
 	if err != nil {
-		// It is told why behind the answers to what it sent before, and then the connection is closed.
-		cl.deaf, cl.closing = true, true
-		log.Printf("event=client-malformed error=%q", err)
-		cl.own("-ERR " + err.Error())
-		return len(b), nil
+		cl.l.seen.malformed++
+		cl.refuse(err.Error())
+		return len(b)
 	}
 	if n > 0 {
 		cl.command(words)
 	}
-	return n, nil
+	return n
 }
 
 // own answers a command without the module.
@@ -144,15 +238,21 @@
 			cl.own("-LOADING not ready yet")
 		}
 	default:
-		cl.own("-ERR unknown command")
+		cl.fault("unknown command")
 	}
 }
 
+// fault answers a command that can never be right; -BUSY would say that it may be sent again.
+func (cl *client) fault(why string) {
+	cl.l.seen.faulty++
+	cl.own("-ERR " + why)
+}
+
 // job hands a job to the module, or answers what no module can make sense of.
 func (cl *client) job(words [][]byte) {
 	l := cl.l
 	if len(words) < 4 || len(words) > 5 {
-		cl.own("-ERR wrong number of arguments")
+		cl.fault("wrong number of arguments")
 		return
 	}
 	arrival, before, past, fault := l.arrival(words)
@@ -160,7 +260,7 @@
 		fault = "id is in use"
 	}
 	if fault != "" {
-		cl.own("-ERR " + fault)
+		cl.fault(fault)
 		return
 	}
 	if l.held > l.config.Memory/heldShare {
@@ -168,31 +268,41 @@
 		cl.own("-BUSY")
 		return
 	}
+	if !cl.regular {
+		l.strangers.Remove(cl.place)
+		cl.regular, cl.place = true, l.regulars.PushBack(cl)
+	}
+	cl.touch()
 	a := &answer{}
 	cl.answers = append(cl.answers, a)
 	a.job = l.take(cl, a, words, before, past, arrival.Budget)
 	l.logic.Job(l.now, arrival)
 }
 
-// arrival reads a job's command; before and past enclose the time in its list of names and values.
+// arrival reads a job's command; before and past enclose the time in its list of names and values. It is as strict as
+// the protocol: what a server turns away costs that server's connection and its standing, and what is not so may spoil
+// the record of a customer that others share.
 func (l *Limiter) arrival(words [][]byte) (a choice.Arrival, before, past int, fault string) {
 	var err error
-	if a.Customer, err = strconv.ParseUint(string(words[1]), 16, 64); err != nil {
-		return a, 0, 0, "customer is not a number"
+	if a.Customer, err = strconv.ParseUint(string(words[1]), 16, 64); err != nil || len(words[1]) != 16 || a.Customer >= 1<<33 {
+		return a, 0, 0, "customer is not a number below 2^33 in 16 digits"
 	}
-	if len(words[2]) == 0 {
-		return a, 0, 0, "id is empty"
+	if len(words[2]) == 0 || len(words[2]) > mostID {
+		return a, 0, 0, "id is empty or too long"
 	}
 	a.ID = string(words[2])
+	names, first := make([][]byte, 0, 8), -1.0
 	for from := 0; from <= len(words[3]); {
 		field := words[3][from:]
 		if i := bytes.IndexByte(field, ','); i >= 0 {
 			field = field[:i]
 		}
 		name, value, found := bytes.Cut(field, []byte("="))
-		if !found {
-			return a, 0, 0, "a value without a name"
+		twice := slices.ContainsFunc(names, func(o []byte) bool { return bytes.Equal(o, name) })
+		if !found || len(value) == 0 || twice {
+			return a, 0, 0, "a name without a value, or twice"
 		}
+		names = append(names, name)
 		switch string(name) {
 		case "c":
 			a.Track = string(value)
@@ -206,42 +316,66 @@
 			a.Budget = int64(left * 1e6)
 			before, past = from+len("d="), from+len(field)
 		case "units":
-			if a.Units, err = number(value); err != nil || a.Units < 0 {
-				return a, 0, 0, "units is not a number"
+			if a.Units, err = number(value); err != nil || a.Units <= 0 || a.Units > l.set.MostUnits {
+				return a, 0, 0, "units is not a number of units"
 			}
 		case "spread":
-			if a.Spread, err = strconv.Atoi(string(value)); err != nil || a.Spread < 1 {
-				return a, 0, 0, "spread is not a number"
+			if a.Spread, err = strconv.Atoi(string(value)); err != nil || a.Spread < 1 || a.Spread > l.set.Limiters {
+				return a, 0, 0, "spread is not a number of limiters"
+			}
+		case "first":
+			if first, err = number(value); err != nil || first >= float64(l.set.Limiters) || first != math.Trunc(first) {
+				return a, 0, 0, "first is not a limiter's number"
+			}
+		case "r":
+			if string(value) != "0" && string(value) != "1" {
+				return a, 0, 0, "r is neither 0 nor 1"
 			}
 		}
 		from += len(field) + 1
 	}
+	t := l.set.Tracks[a.Track]
 	switch {
-	case l.set.Tracks[a.Track] == nil:
+	case t == nil:
 		return a, 0, 0, "unknown class"
 	case l.set.Plans[a.Plan] == nil:
 		return a, 0, 0, "unknown plan"
 	case a.Budget == 0:
 		return a, 0, 0, "d is missing"
-	case a.Spread == 0:
-		return a, 0, 0, "spread is missing"
+	case a.Spread == 0 || first < 0:
+		return a, 0, 0, "spread or first is missing"
+	case a.Units == 0:
+		return a, 0, 0, "units is missing"
+	case bytes.EqualFold(words[0], []byte("SVC.QUERY")) != (t.Effect == choice.Retriable):
+		return a, 0, 0, "the class goes by the other command"
+	case (len(words) == 4) != (t.Effect == choice.Retriable):
+		return a, 0, 0, "a body that is missing or too much"
 	}
 	return a, before, past, ""
 }
 
-// number reads what fits any count of units or milliseconds.
+// number reads what fits any count of units or milliseconds: digits, with a point among them or none.
 func number(text []byte) (float64, error) {
+	if len(bytes.Trim(text, "0123456789.")) > 0 {
+		return 0, strconv.ErrSyntax
+	}
 	x, err := strconv.ParseFloat(string(text), 64)
-	if err == nil && !(x >= -1e9 && x <= 1e9) {
+	if err == nil && x > 1e9 {
 		err = strconv.ErrRange
 	}
 	return x, err
 }
 
-// answer fills one place and writes what is due: answers go out in the order of the commands.
+// answer fills one place and writes what is due, unless more is to come: answers go out in the order of the commands.
 func (cl *client) answer(a *answer, text []byte) {
+	if a.text = text; !cl.reading {
+		cl.flush()
+	}
+}
+
+// flush writes the answers that are due.
+func (cl *client) flush() {
 	l := cl.l
-	a.text = text
 	due := 0
 	l.scratch = l.scratch[:0]
 	for due < len(cl.answers) && cl.answers[due].text != nil {
@@ -252,7 +386,10 @@
 	if due == 0 || l.conns[cl.c.id] != cl.c {
 		return
 	}
-	cl.answers = cl.answers[due:]
+	if cl.answers = cl.answers[due:]; len(cl.answers) == 0 {
+		cl.answers = nil // what many at once have taken is let go
+	}
+	cl.touch()
 	l.write(cl.c, l.scratch)
 	l.quiet = l.now
 	if l.effects.Written(cl.c.id) < cl.c.sent && l.backlog() > l.config.Memory/heldShare {
--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -168,7 +168,7 @@
 func (ln *line) read(b []byte) (int, error) {
 	kind, total, n, err := tally.Read(b)
 	if err != nil {
-		log.Printf("event=counter-line error=%q", err)
+		ln.counter.l.seen.spoilt++
 		return 0, err
 	}
 	if n == 0 {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -7,7 +7,9 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"log"
+	"slices"
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/buffer"
@@ -95,13 +97,17 @@
 	servers  []*pool
 	backends int // connections to servers
 	clients  int
-	counter  counter
-	watch    watch
-	ready    bool
-	stopping int64 // until when clients still come once the end was asked for, 0 before
-	quiet    int64 // the latest time at which an answer was written
-	scratch  []byte
-	words    [][]byte
+	// Clients' connections that have brought no job yet, the oldest first, and the others, the one used last at the end.
+	strangers, regulars list.List
+	seen                seen
+	counted             int64 // when seen was last logged
+	counter             counter
+	watch               watch
+	ready               bool
+	stopping            int64 // until when clients still come once the end was asked for, 0 before
+	quiet               int64 // the latest time at which an answer was written
+	scratch             []byte
+	words               [][]byte
 }
 
 // owed is what the module is told once its present call is over.
@@ -116,12 +122,16 @@
 }
 
 const (
-	clientShare  = 2  // one descriptor in so many is for clients
-	serverShare  = 4  // and one in so many for servers
-	heldShare    = 8  // one byte of memory in so many may hold commands, as many parts of them, as many answers that wait
-	sweeps       = 32 // looks at idle connections in the time after which a server closes them
-	idleShare    = 2  // an idle connection is closed after this part of that time
+	clientShare  = 2   // one descriptor in so many is for clients
+	serverShare  = 4   // and one in so many for servers
+	heldShare    = 8   // one byte of memory in so many may hold commands, as many parts of them, as many answers that wait
+	sweeps       = 32  // looks at idle connections in the time after which a server closes them
+	crowdLooks   = 8   // looks at clients in a dial time-out while there are many
+	settled      = 4   // a newcomer that said nothing for this part of a dial time-out may be closed to make room
+	mayClose     = 2e9 // a client's connection without an open job may be closed from then on
+	idleShare    = 2   // an idle connection is closed after this part of that time
 	lingers      = 500e6
+	mostID       = 64   // bytes of a job's id
 	mostPipeline = 1024 // commands that may wait on one client's connection
 )
 
@@ -140,6 +150,7 @@
 	}
 	l.at(now+l.set.DialTimeout, l.readyNow)
 	l.sweep()
+	l.visit()
 	l.arm()
 	return l, nil
 }
@@ -247,13 +258,28 @@
 
 // sweep closes connections that have been idle, before the other side does.
 func (l *Limiter) sweep() {
-	for _, p := range l.servers {
+	for _, p := range slices.Clone(l.servers) { // closing may let go of one
 		p.sweep()
 	}
 	l.counter.sweep()
+	if l.seen != (seen{}) && l.now-l.counted >= l.set.IdleClose {
+		log.Printf("event=turned-away malformed=%d faulty=%d silent=%d unread=%d garbled=%d spoilt=%d", l.seen.malformed,
+			l.seen.faulty, l.seen.silent, l.seen.unread, l.seen.garbled, l.seen.spoilt)
+		l.seen, l.counted = seen{}, l.now
+	}
 	l.at(l.now+l.set.IdleClose/sweeps, l.sweep)
 }
 
+// seen counts what is logged at intervals: a line for each would let whoever sends nonsense fill the log.
+type seen struct {
+	malformed int // clients' bytes that are no command
+	faulty    int // commands that can never be right
+	silent    int // clients that said nothing, or half a command
+	unread    int // clients that did not read their answers
+	garbled   int // servers' answers that are none
+	spoilt    int // the same of the counter
+}
+
 // Wake is a deed of the module.
 func (l *Limiter) Wake(at, token int64) {
 	l.at(at, func() { l.logic.Woken(l.now, token) })
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"log"
 	"slices"
 	"strconv"
 
@@ -17,32 +16,41 @@
 	id      string
 	address string
 	idle    []*backend // the one used last at the end
+	held    int        // connections, idle or not
+	leaving bool       // it drains or is gone: no connection to it is kept
+	gone    bool       // it is let go of once there is none
 }
 
 // backend is one connection to a server, with at most one command out on it: one behind another would wait for the
 // other's answer.
 type backend struct {
 	pool  *pool
+	to    string // the address
 	c     *conn
 	shot  *shot
 	probe *timer // until when the probe that is out must be answered, nil if none is
+	half  *timer // until when an answer that has begun must be whole
 }
 
 var errUnasked = errors.New("an answer that nobody asked for")
 
-// backend takes the connection that was used last or opens one; nil if there is no descriptor for it.
+// backend takes the connection that was used last or opens one; nil if there is no descriptor for it. One that has
+// just brought an answer rests first: what a server sends too much comes right behind, and would be taken for the
+// answer to the next command.
 func (p *pool) backend() *backend {
 	l := p.l
-	if n := len(p.idle); n > 0 {
-		b := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return b
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if b := p.idle[i]; l.now-b.c.since >= l.set.Granularity {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return b
+		}
 	}
 	if l.backends >= l.config.Sockets/serverShare && !l.freeBackend() {
 		return nil
 	}
 	l.backends++
-	return &backend{pool: p}
+	p.held++
+	return &backend{pool: p, to: p.address}
 }
 
 // freeBackend closes the connection to a server that has been idle longest.
@@ -70,7 +78,7 @@
 		}
 		if b.c == nil {
 			begin(b)
-			b.c = p.l.dial(b, p.address)
+			b.c = p.l.dial(b, b.to)
 			return true
 		}
 		if p.l.effects.Alive(b.c.id) {
@@ -111,7 +119,7 @@
 		l.endShot(s, TimeOver.outcome(false), 0)
 	}
 	if b.shot == nil && b.probe == nil {
-		b.pool.idle = append(b.pool.idle, b)
+		b.rest()
 		return
 	}
 	l.scratch = l.scratch[:0]
@@ -126,25 +134,47 @@
 	}
 }
 
+// rest keeps the connection for the next command, if the server is to get any.
+func (b *backend) rest() {
+	if b.pool.leaving || b.to != b.pool.address {
+		b.pool.l.over(b.c, Unused)
+	} else {
+		b.pool.idle = append(b.pool.idle, b)
+	}
+}
+
 // read takes the answer to the command that is out.
 func (b *backend) read(bytes []byte) (int, error) {
 	if len(bytes) == 0 {
 		return 0, nil
 	}
-	if b.shot == nil && b.probe == nil {
+	l, s := b.pool.l, b.shot
+	parse := resp.ReadAnswer
+	switch {
+	case b.probe != nil:
+		parse = resp.Read
+	case s == nil:
 		return 0, errUnasked
 	}
-	v, n, err := resp.Read(bytes)
-	if err != nil || n == 0 {
+	v, n, err := parse(bytes)
+	if err != nil {
 		return 0, err
 	}
-	l, s := b.pool.l, b.shot
+	if n == 0 {
+		// The rest of a good answer is right behind; a spoilt one would hold its job until the cut-off.
+		if b.half == nil {
+			b.half = l.at(l.now+l.set.DialTimeout, func() { l.over(b.c, Garbled) })
+		}
+		return 0, nil
+	}
+	l.timers.drop(b.half)
+	b.half = nil
 	if b.probe != nil {
 		l.timers.drop(b.probe)
 		b.probe = nil
 		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: choice.Done})
 	} else {
-		outcome, value, units := judge(v)
+		outcome, value, units := judge(v, l.set.MostTrue)
 		if outcome == choice.Done {
 			l.move(s.job, Done, resp.AppendBulk(nil, value))
 		}
@@ -152,30 +182,28 @@
 		l.endShot(s, outcome, units)
 	}
 	if l.conns[b.c.id] == b.c {
-		b.pool.idle = append(b.pool.idle, b)
+		b.rest()
 	}
 	return n, nil
 }
 
-// judge tells what a server's answer means, its value and the true units where it gives them.
-func judge(v resp.Value) (outcome choice.Outcome, value []byte, units float64) {
+// judge tells what a server's answer means, its value and the true units, so many at most, where it gives them.
+func judge(v resp.Value, most float64) (outcome choice.Outcome, value []byte, units float64) {
 	switch {
-	case v.Kind == '*' && len(v.List) > 0 && v.List[0].Kind == '$' && !v.List[0].Null:
-		if len(v.List) > 1 {
-			units = cost(v.List[1].Text)
-		}
-		return choice.Done, v.List[0].Text, units
-	case v.Kind == '-' && (string(v.Text) == "BUSY" || bytes.HasPrefix(v.Text, []byte("BUSY "))):
+	case v.Kind == '*':
+		return choice.Done, v.List[0].Text, cost(v.List[1].Text, most)
+	case (string(v.Text) == "BUSY" || bytes.HasPrefix(v.Text, []byte("BUSY "))):
 		return choice.Full, nil, 0
 	}
 	return choice.Broke, nil, 0
 }
 
-// cost finds the true units among the figures on use.
-func cost(figures []byte) float64 {
+// cost finds the true units among the figures on use. A figure that cannot be right counts as none: settled, it would
+// spoil the customer's account for good.
+func cost(figures []byte, most float64) float64 {
 	for _, field := range bytes.Split(figures, []byte(",")) {
 		if name, value, _ := bytes.Cut(field, []byte("=")); string(name) == "cost" {
-			if x, err := strconv.ParseFloat(string(value), 64); err == nil && x > 0 {
+			if x, err := strconv.ParseFloat(string(value), 64); err == nil && x > 0 && x <= most {
 				return x
 			}
 		}
@@ -186,16 +214,19 @@
 func (b *backend) ended(end End, written int64) {
 	l, s := b.pool.l, b.shot
 	l.backends--
+	b.pool.held--
+	l.timers.drop(b.half)
 	if i := slices.Index(b.pool.idle, b); i >= 0 {
 		b.pool.idle = slices.Delete(b.pool.idle, i, i+1)
 	}
-	if (s != nil || b.probe != nil) && end != Refused {
+	if (s != nil || b.probe != nil) && end != Refused && end != Garbled {
 		// What is still idle may be as dead, where a machine has vanished and says nothing: a command on it might
-		// have run for all we know, while one for which no connection comes up has not.
+		// have run for all we know, while one for which no connection comes up has not. One that writes nonsense
+		// is not dead.
 		b.pool.retireIdle()
 	}
 	if end == Garbled {
-		log.Printf("event=server-garbled server=%s", b.pool.id)
+		l.seen.garbled++
 	}
 	if s != nil {
 		b.shot = nil
@@ -206,6 +237,16 @@
 		b.probe = nil
 		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: end.outcome(written > 0)})
 	}
+	b.pool.prune()
+}
+
+// prune lets go of a server that is gone once nothing is open to it: on a day on which all servers are replaced,
+// again and again, they would fill the memory, and each loop over them would get longer.
+func (p *pool) prune() {
+	if l := p.l; p.gone && p.held == 0 && l.pools[p.id] == p {
+		delete(l.pools, p.id)
+		l.servers = slices.DeleteFunc(l.servers, func(o *pool) bool { return o == p })
+	}
 }
 
 // retire ends what is not in use of the connections to a server that drains or is gone. A shot whose connection is
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -114,6 +114,9 @@
 	var retiring []*pool
 	if list.Whole { // what it does not name is gone
 		retiring = l.missing(list)
+		for _, p := range retiring {
+			p.leaving, p.gone = true, true
+		}
 	}
 	for i, e := range list.Entries {
 		entries[i] = e.Entry
@@ -123,7 +126,8 @@
 			l.pools[e.ID] = p
 			l.servers = append(l.servers, p)
 		}
-		if e.Listing != choice.Ready || e.Address != p.address {
+		p.leaving, p.gone = e.Listing != choice.Ready, e.Listing == choice.Gone
+		if p.leaving || e.Address != p.address {
 			retiring = append(retiring, p)
 		}
 		if e.Address != "" {
@@ -137,6 +141,7 @@
 	// Only now, or the module would send what is taken back to the same server again.
 	for _, p := range retiring {
 		p.retire()
+		p.prune()
 	}
 }
 
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -128,6 +128,28 @@
 	return v, rest, err
 }
 
+// ReadAnswer reads a server's answer: an error line, or three bulk strings, of which the first, the value, is never
+// null. What cannot become one is told as soon as it shows: a spoilt answer may never end.
+func ReadAnswer(b []byte) (Value, int, error) {
+	if len(b) == 0 || b[0] == '-' {
+		return Read(b)
+	}
+	head := []byte("*3\r\n$")
+	if n := min(len(b), len(head)); !bytes.Equal(b[:n], head[:n]) {
+		return Value{}, 0, ErrMalformed
+	}
+	v, n, err := readWhole(b, 1)
+	if err != nil || n == 0 {
+		return Value{}, 0, err
+	}
+	for i, item := range v.List {
+		if item.Kind != '$' || i == 0 && item.Null {
+			return Value{}, 0, ErrMalformed
+		}
+	}
+	return v, n, nil
+}
+
 // ReadCommand reads a command, an array of bulk strings, and tells how many bytes it took: 0 while it is not whole.
 func ReadCommand(b []byte, words [][]byte) ([][]byte, int, error) {
 	// What cannot become a command is told at its first byte, not when its line ends.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -48,6 +48,47 @@
 	})
 }
 
+func TestReadAnswer(t *testing.T) {
+	whole := "*3\r\n$2\r\n\r\n\r\n$-1\r\n$7\r\nx=1,y=2\r\n"
+	for _, c := range []struct {
+		name, in string
+		used     int
+		err      error
+	}{
+		{"whole, with more behind", whole + whole, len(whole), nil},
+		{"an error", "-ERR failed x=1\r\n", 17, nil},
+		{"no value", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", 0, ErrMalformed},
+		{"two values", "*2", 0, ErrMalformed},
+		{"an array in place of the value", "*3\r\n*", 0, ErrMalformed},
+		{"a number in place of the report", "*3\r\n$-1\r\n$-1\r\n:5\r\n", 0, ErrMalformed},
+		{"a number", ":5\r\n", 0, ErrMalformed},
+		{"a value longer than told", "*3\r\n$2\r\nabcd\r\n", 0, ErrMalformed},
+		{"a value of 3 GB", "*3\r\n$3000000000\r\nxxx", 0, ErrTooLong},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, used, err := ReadAnswer([]byte(c.in)); used != c.used || !errors.Is(err, c.err) {
+				t.Fatalf("used %d, error %v", used, err)
+			}
+		})
+	}
+	t.Run("each part of a whole one waits for more", func(t *testing.T) {
+		for i := range whole {
+			if _, used, err := ReadAnswer([]byte(whole[:i])); used != 0 || err != nil {
+				t.Fatalf("%d bytes: used %d, error %v", i, used, err)
+			}
+		}
+	})
+}
+
+func FuzzReadAnswer(f *testing.F) {
+	f.Add([]byte("*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if v, used, err := ReadAnswer(b); used > len(b) || err == nil && used > 0 && v.Kind != '-' && len(v.List) != 3 {
+			t.Fatalf("value %+v, used %d of %d", v, used, len(b))
+		}
+	})
+}
+
 func TestRead(t *testing.T) {
 	for _, c := range []struct {
 		name, in string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,7 @@
 		HasCounter bool    `json:"has-counter"`
 		CountWait  float64 `json:"count-wait"`
 		UnitsTop   float64 `json:"units-top"`
+		TruedUp    bool    `json:"trued-up"`
 	} `json:"family-info"`
 	Contract struct {
 		ColdFrom   float64 `json:"cold-from"`
@@ -73,7 +74,8 @@
 // Settings are the module's settings and, beside them, what only sockets read.
 type Settings struct {
 	*choice.Settings
-	IdleClose int64 // a server closes a connection that has been idle for so long
+	IdleClose int64   // a server closes a connection that has been idle for so long
+	MostTrue  float64 // the most units that an answer can say a job has taken; 0 where a job's own figure is no guess
 }
 
 // Decode reads the settings and refuses what cannot work.
@@ -134,5 +136,9 @@
 			return nil, fmt.Errorf("%s is %v", f.name, f.value)
 		}
 	}
-	return &Settings{s, nanos(f.Permissions.IdleClose)}, nil
+	all := &Settings{Settings: s, IdleClose: nanos(f.Permissions.IdleClose)}
+	if f.Family.TruedUp {
+		all.MostTrue = s.MostUnits
+	}
+	return all, nil
 }
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -37,11 +37,22 @@
 // AppendPing writes a ping.
 func AppendPing(to []byte) []byte { return append(to, "ping\r\n"...) }
 
+// begins tells whether some answer begins so.
+func begins(b []byte) bool {
+	for _, word := range []string{"ok ", "busy\r", "error\r", "pong\r"} {
+		if n := min(len(b), len(word)); string(b[:n]) == word[:n] {
+			return true
+		}
+	}
+	return false
+}
+
 // Read reads one answer and tells how many bytes it took: 0 while it is not whole.
 func Read(b []byte) (kind Kind, total float64, n int, err error) {
 	i := bytes.IndexByte(b[:min(len(b), mostLine)], '\n')
 	if i < 0 {
-		if len(b) >= mostLine {
+		// A line that no answer begins with may never end.
+		if len(b) >= mostLine || !begins(b) {
 			err = ErrMalformed
 		}
 		return 0, 0, 0, err
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -42,6 +42,9 @@
 		{"ok NaN\r\n", 0, 0, 0, ErrMalformed},
 		{"ok 1\n", 0, 0, 0, ErrMalformed},
 		{"what\r\n", 0, 0, 0, ErrMalformed},
+		{"ok 0x1f\r\n", 0, 0, 0, ErrMalformed},
+		{"pon", 0, 0, 0, nil},
+		{"ooo", 0, 0, 0, ErrMalformed}, // it may never end
 		{strings.Repeat("x", mostLine), 0, 0, 0, ErrMalformed},
 	} {
 		t.Run(c.in[:min(8, len(c.in))], func(t *testing.T) {
