Servers that are gone and customers whose part of a ceiling is full are let go of

Found by reading: the module kept every server ever listed, looped over all of them and counted them in the least room and in the purse of further shots; customers of a plan with a ceiling were kept for good, as their part of it must be known, but a full part is what a new customer gets, which fills from the start on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 )
 
 // Limiter is one instance of the gateway's decisions.
@@ -158,7 +159,7 @@
 		return
 	}
 	l.reserve(now, j)
-	l.wake(now, j, now+l.set.CounterWait/patience)
+	l.deeds.Wake(min(now+l.set.CounterWait/patience, j.end), j.token)
 }
 
 func (l *Limiter) accountOf(now int64, a Arrival, plan *Plan) *account {
@@ -345,10 +346,8 @@
 // slice gives this limiter its part of what the store holds. It holds the largest job at least: among many
 // limiters an equal part is smaller than that, and would refuse jobs for good that are well inside the quota.
 func (l *Limiter) slice(now int64, a *account, level float64) {
-	a.slice = store{
-		level: math.Min(level, max(level/a.part, l.set.MostUnits)),
-		depth: max(a.quota.depth/a.part, l.set.MostUnits),
-		rate:  a.quota.rate / a.part, at: now}
+	a.slice = store{level: math.Min(level, max(level/a.part, l.set.MostUnits)),
+		depth: max(a.quota.depth/a.part, l.set.MostUnits), rate: a.quota.rate / a.part, at: now}
 }
 
 // bySlice decides by the local slice, when the counter does not answer.
@@ -404,7 +403,7 @@
 	l.spare = math.Min(l.spare+1.0/spareMost, float64(len(l.order)))
 	l.move(j, Out)
 	l.send(now, j, s)
-	l.wake(now, j, j.end)
+	l.deeds.Wake(j.end, j.token)
 }
 
 func (l *Limiter) send(now int64, j *job, s *server) {
@@ -440,12 +439,11 @@
 
 // usable tells whether a server may get this job at all.
 func (l *Limiter) usable(now int64, j *job, s *server) bool {
-	if s.listing != Ready || s.standing == aside || s.standing == trial && len(s.shots) > 0 {
+	// A trial is one job at a time, and for jobs that may run again, where there are any.
+	if s.listing != Ready || s.standing == aside ||
+		s.standing == trial && (len(s.shots) > 0 || j.track.Effect == Binding && l.mild) {
 		return false
 	}
-	if s.standing == trial && j.track.Effect == Binding && l.mild {
-		return false // a trial is for jobs that may run again, where there are any
-	}
 	for _, sh := range j.shots {
 		if sh.server == s || sh.maybe && j.track.Effect == Fingerprinted && !j.track.dropsRepeat(now, sh, s) {
 			return false
@@ -614,12 +612,7 @@
 func (l *Limiter) learn(now int64, sh *shot, r Reply) {
 	s, u := sh.server, sh.job.units
 	l.overdue(now, sh)
-	for i, o := range s.shots {
-		if o == sh {
-			s.shots = append(s.shots[:i], s.shots[i+1:]...)
-			break
-		}
-	}
+	s.shots = slices.DeleteFunc(s.shots, func(o *shot) bool { return o == sh })
 	s.out = max(0, s.out-u)
 	switch r.Outcome {
 	case Done:
@@ -676,8 +669,16 @@
 	s.standing, s.probes, s.next = aside, 0, now+s.rest
 }
 
-// look is the regular look at the servers: it finds the silent ones and lets others come back.
+// look is the regular look at the servers: it finds the silent ones and lets others come back. Those that are
+// gone are let go of: a fleet that is replaced again and again would fill the memory and count in the room.
 func (l *Limiter) look(now int64) {
+	l.order = slices.DeleteFunc(l.order, func(s *server) bool {
+		over := s.listing == Gone && len(s.shots) == 0
+		if over {
+			delete(l.servers, s.id)
+		}
+		return over
+	})
 	l.load -= l.load / beats
 	for _, s := range l.order {
 		for _, sh := range s.shots {
@@ -716,7 +717,7 @@
 		if s.standing != aside && s.listing != Gone {
 			continue
 		}
-		for _, sh := range append([]*shot(nil), s.shots...) {
+		for _, sh := range slices.Clone(s.shots) {
 			j := sh.job
 			if j.state != Out || j.open > 1 || j.track.Effect == Binding || now-sh.at > j.track.Agreed {
 				continue
@@ -779,20 +780,17 @@
 	}
 }
 
-// forget lets go of customers whose every count and store is as good as new.
+// forget lets go of customers whose every count and store is as good as new. A full part of a ceiling is:
+// a new one, which fills from the start on, would be full too.
 func (l *Limiter) forget(now int64) {
 	for id, a := range l.accounts {
 		full := a.quota.fill(now) >= a.quota.depth
-		if a.plan.Rate > 0 && a.plan.CeilingRate == 0 && full && now-a.used > l.span(a.plan) {
+		if a.plan.Rate > 0 && a.ceiling.fill(now) >= a.ceiling.depth && full && now-a.used > l.span(a.plan) {
 			delete(l.accounts, id)
 		}
 	}
 }
 
-func (l *Limiter) wake(now int64, j *job, at int64) {
-	l.deeds.Wake(min(at, j.end), j.token)
-}
-
 func (j *job) ended() bool { return j.state >= Served }
 
 // move is the only place where a job changes its state; an ended job keeps its end.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -195,6 +195,18 @@
 			t.Fatal("it is not")
 		}
 	})
+	t.Run("and let go of once nothing is out there", func(t *testing.T) {
+		l, _ := made()
+		sent(l, "read")
+		l.Members(0, true, nil)
+		if l.look(0); len(l.order) != 1 || l.servers["a"] == nil || l.servers["b"] != nil {
+			t.Fatal(len(l.order), "kept")
+		}
+		l.Answer(1, Reply{Job: "j", Outcome: Done, Took: 1, Final: true})
+		if l.look(1); len(l.order)+len(l.servers) > 0 {
+			t.Fatal(len(l.order), "kept")
+		}
+	})
 	t.Run("the first limit of a server is shared by all limiters", func(t *testing.T) {
 		l, _ := made()
 		if limit := l.servers["a"].limit; limit*2 != startJobs*l.set.MostUnits {
@@ -237,14 +249,22 @@
 }
 
 func TestForget(t *testing.T) {
-	t.Run("keeps the customers whose ceiling must be known", func(t *testing.T) {
+	// Kept for good, customers that come once would fill the memory.
+	t.Run("keeps a customer while its part of a ceiling is not full", func(t *testing.T) {
 		l, _ := made()
 		l.forget(second)
 		early := len(l.accounts)
+		l.accounts[4].ceiling.at, l.accounts[4].ceiling.level = 100*second, 7
 		l.forget(100 * second)
 		if early != 2 || l.accounts[5] != nil || l.accounts[4] == nil {
 			t.Fatal(early, "kept, then", len(l.accounts))
 		}
+		if l.forget(101 * second); len(l.accounts) > 0 {
+			t.Fatal(len(l.accounts), "kept")
+		}
+		if a := l.accountOf(101*second, arrival("", "read", "hard"), l.set.Plans["hard"]); a.ceiling.fill(101*second) != 8 {
+			t.Fatal("a new one holds", a.ceiling.level)
+		}
 	})
 }
 
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -84,7 +84,7 @@
 			cl := e.Value.(*client)
 			e = e.Next()
 			switch idle := l.now - cl.used; {
-			case len(cl.answers) > 0 || cl.closing || idle < mayClose:
+			case len(cl.answers) > 0 || cl.deaf || idle < mayClose:
 			case cl.half:
 				l.seen.silent++
 				cl.refuse("too slow")
