Ready once ceilings' parts hold the largest job; jobs wait for the counter's whole time-out

At fault: patience in choice.go, and readyNow, which let clients in before any part of a ceiling had filled. A limiter is now ready once the parts hold the largest job. It saves a timer a job.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,9 +1,9 @@
 // Package choice holds every decision of the gateway, all of them in this file.
 //
 // A Limiter is one instance. Its caller makes it with New and then calls Members, Job, Answer, Counted,
-// Probed, Left and Woken as things happen, each with the clock in nanoseconds; the limiter acts through
-// the Deeds it was given, in types.go with the settings; state.go has the records that it keeps. It is not
-// safe for concurrent use.
+// Probed, Left and Woken as things happen, each with the clock in nanoseconds; Ready tells when clients
+// should come. The limiter acts through the Deeds it was given, in types.go with the settings; state.go has
+// the records that it keeps. It is not safe for concurrent use.
 //
 // The ordinary path is Reserve and Reconcile (docs/design.md). Beside it stand these mechanisms:
 //  1. ceiling: each limiter's own part of a hard ceiling, which every first shot must fit;
@@ -51,7 +51,6 @@
 const (
 	windowBursts = 16       // a window is so many times the time in which the store fills
 	startJobs    = 3        // the largest jobs that all limiters together may have out at a server unseen yet
-	patience     = 2        // a job waits for the counter for this part of the counter's own time-out
 	askLess      = 0.75     // the share of jobs asked for falls so with each call unanswered
 	askMore      = 1.0 / 16 // and rises so with each answer; it is never less
 	beats        = 20       // looks at the servers in one agreed time
@@ -97,6 +96,19 @@
 	return l
 }
 
+// Ready is when each part of a ceiling holds the largest job. Before that, customers inside their quotas are
+// rejected for what a limiter of this name may have sent before this start; clients that can wait should.
+func (l *Limiter) Ready() int64 {
+	at := l.began
+	for _, p := range l.set.Plans {
+		if p.CeilingRate > 0 {
+			part := math.Min(p.CeilingBurst, l.set.MostUnits*float64(l.set.Limiters))
+			at = max(at, l.began+min(nanos(part/p.CeilingRate), l.set.WarmWithin))
+		}
+	}
+	return at
+}
+
 // Members takes in the server list, whole or its changes only.
 func (l *Limiter) Members(now int64, whole bool, entries []Entry) {
 	if whole {
@@ -109,10 +121,8 @@
 		fresh := server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now}
 		if s == nil {
 			// Limiters that start together, all knowing nothing, must not all begin at the same server.
-			fresh.credit = l.rng.Float64()
-			s = &fresh
-			l.servers[e.ID] = s
-			l.order = append(l.order, s)
+			s, fresh.credit = &fresh, l.rng.Float64()
+			l.servers[e.ID], l.order = s, append(l.order, s)
 		} else if e.Since > s.warmFrom {
 			// A new process: nothing known of the old one holds for it.
 			fresh.shots, fresh.out = s.shots, s.out
@@ -147,6 +157,7 @@
 		l.reject(now, j, wait)
 		return
 	}
+	l.deeds.Wake(j.end, j.token)
 	if plan.Rate <= 0 {
 		l.place(now, j)
 		return
@@ -159,7 +170,6 @@
 		return
 	}
 	l.reserve(now, j)
-	l.deeds.Wake(min(now+l.set.CounterWait/patience, j.end), j.token)
 }
 
 func (l *Limiter) accountOf(now int64, a Arrival, plan *Plan) *account {
@@ -273,14 +283,14 @@
 		// A counter that is down or crowded is asked less, so that nothing waits for it in vain and it can
 		// work off its line; it is asked more again step by step, so that its return brings no rush.
 		l.asks = max(l.asks*askLess, askMore)
+		vain := 0.0
+		if !c.back { // what the slice sends is owed anew
+			j.reserved, vain = false, j.units*j.weight
+		}
 		if outcome == TimedOut {
-			if a.unsure += c.amount; !c.back && (len(j.shots) == 0 || j.beyond) {
-				a.idle += j.units * j.weight
-			}
-		} else if a.owed += c.amount; !c.back {
-			if j.reserved = false; len(j.shots) == 0 || j.beyond {
-				a.owed -= j.units * j.weight
-			}
+			a.unsure, a.idle = a.unsure+c.amount, a.idle+vain
+		} else {
+			a.owed += c.amount - vain
 		}
 		if j.state == Reserving && !c.back {
 			l.bySlice(now, j)
@@ -292,20 +302,18 @@
 	if c.back {
 		return
 	}
-	if j.state == Reserving {
-		if a.quota.level < j.units {
-			l.release(now, j, j.units)
-			if l.beyond(now, j) {
-				l.place(now, j)
-				return
-			}
+	if j.state != Reserving {
+		l.release(now, j, j.units)
+		return
+	}
+	if a.quota.level < j.units {
+		l.release(now, j, j.units)
+		if !l.beyond(now, j) {
 			l.reject(now, j, nanos((j.units-a.quota.level)/a.quota.rate))
 			return
 		}
-		l.place(now, j)
-	} else if len(j.shots) == 0 || j.beyond {
-		l.release(now, j, j.units)
 	}
+	l.place(now, j)
 }
 
 // see draws what a total shows into the customer's store: what others have added is taken from it.
@@ -403,7 +411,6 @@
 	l.spare = math.Min(l.spare+1.0/spareMost, float64(len(l.order)))
 	l.move(j, Out)
 	l.send(now, j, s)
-	l.deeds.Wake(j.end, j.token)
 }
 
 func (l *Limiter) send(now int64, j *job, s *server) {
@@ -601,8 +608,7 @@
 // a server too seldom to learn its limit in time; all together soon tell that they fill up. Where answers are
 // prompt the rest are silent, not overrun, and it takes no more than a prompt answer adds.
 func (l *Limiter) narrow(j *job) {
-	times := math.Min(lateAll, l.slow/slowLeast)
-	l.room = max(l.room-j.units*max(1, times)/grow, l.least())
+	l.room = max(l.room-j.units*max(1, math.Min(lateAll, l.slow/slowLeast))/grow, l.least())
 }
 
 // least is the room that is always there: the largest job at each server, over all limiters.
@@ -770,13 +776,8 @@
 		l.deeds.Wake(now+l.beat, 0)
 		return
 	}
-	j := l.timers[token]
-	switch {
-	case j == nil:
-	case now >= j.end:
+	if j := l.timers[token]; j != nil && now >= j.end {
 		l.finish(now, j)
-	case j.state == Reserving:
-		l.bySlice(now, j)
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -107,20 +107,25 @@
 		l.Counted(0, j.name, Full, 0)
 		expect(t, d, "count 2", "reject j")
 	})
-	t.Run("late for a job that the slice has rejected, it is added back", func(t *testing.T) {
+	t.Run("late for a job whose client has left, it is added back", func(t *testing.T) {
 		l, d := made()
 		j := reserving(l, "read", "plain")
-		j.account.slice.level = 1
-		l.Woken(second/40, j.token)
-		l.Counted(second/30, j.name, Done, 2)
-		expect(t, d, "reject j", "count -2")
+		l.Left(0, "j")
+		l.Counted(0, j.name, Done, 2)
+		expect(t, d, "count 2", "count -2")
 	})
-	t.Run("late for a job that the slice has sent, it stands", func(t *testing.T) {
+	t.Run("unanswered, what the slice sends is owed until a total shows that it was added", func(t *testing.T) {
 		l, d := made()
 		j := reserving(l, "read", "plain")
-		l.Woken(second/40, j.token)
-		l.Counted(second/30, j.name, Done, 2)
-		expect(t, d, "send j a")
+		l.Counted(0, j.name, TimedOut, 0)
+		if expect(t, d, "send j a"); j.account.owed != 2 {
+			t.Fatal("owed", j.account.owed)
+		}
+		l.reserve(0, &job{id: "k", account: j.account, units: 2, track: j.track})
+		l.Counted(0, j.name, Done, 6)
+		if expect(t, d, "count 4", "send k b"); j.account.owed != -2 {
+			t.Fatal("owed", j.account.owed)
+		}
 	})
 	t.Run("a total that has fallen frees nothing", func(t *testing.T) {
 		l, d := made()
@@ -248,6 +253,28 @@
 	})
 }
 
+// A part of a ceiling starts empty, and customers inside their quotas are rejected until it has filled.
+func TestReady(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		rate, burst float64
+		warm, want  int64
+	}{
+		{"no ceiling", 0, 0, 10 * second, 0},
+		{"once each limiter's part holds the largest job", 4, 16, 10 * second, 2 * second},
+		{"once it is full", 4, 4, 10 * second, second},
+		{"but no later than a server would be warm", 4, 16, second, second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, _ := made()
+			l.set.Plans["hard"].CeilingRate, l.set.Plans["hard"].CeilingBurst, l.set.WarmWithin = c.rate, c.burst, c.warm
+			if at := l.Ready(); at != c.want {
+				t.Fatal("ready at", at)
+			}
+		})
+	}
+}
+
 func TestForget(t *testing.T) {
 	// Kept for good, customers that come once would fill the memory.
 	t.Run("keeps a customer while its part of a ceiling is not full", func(t *testing.T) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -155,9 +155,12 @@
 	return l, nil
 }
 
-// readyNow: discovery has said what it knows, or is down, and the list of the configuration must do.
+// readyNow: discovery has said what it knows, or is down, and the list of the configuration must do. The module may
+// want more time.
 func (l *Limiter) readyNow() {
-	if !l.ready {
+	if at := l.logic.Ready(); l.now < at {
+		l.at(at, l.readyNow)
+	} else if !l.ready {
 		l.ready = true
 		log.Printf("event=ready servers=%d generation=%d", len(l.servers), l.watch.version)
 	}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -207,6 +207,15 @@
 		w.say(l, 0, visitor, "*1\r\n$4\r\nPING\r\n")
 		expect(t, w.wrote[visitor], "+PONG\r\n")
 	})
+	t.Run("and the module is ready", func(t *testing.T) {
+		l, w := made(t)
+		l.set.Plans["plain"].CeilingRate, l.set.Plans["plain"].CeilingBurst = 8, 8
+		w.say(l, 0, watching, httpAnswer(strings.Replace(known, "7", "8", 1)))
+		w.say(l, 0, visitor, "*1\r\n$4\r\nPING\r\n")
+		l.Step(second, Happening{Kind: Due})
+		w.say(l, second, visitor, "*1\r\n$4\r\nPING\r\n")
+		expect(t, w.wrote[visitor], "-LOADING not ready yet\r\n+PONG\r\n")
+	})
 	t.Run("or is silent: the configuration's list must do", func(t *testing.T) {
 		l, w := made(t)
 		l.Step(second/4, Happening{Kind: Due})
