--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -46,16 +46,18 @@
 // MostClients is how many connections clients may hold together.
 func MostClients(config *settings.Config) int { return config.Sockets / clientShare }
 
-// crowded: past this newcomers would soon wait in the kernel.
-func (l *Limiter) crowded() bool { return l.clients >= MostClients(l.config)*3/4 }
+// crowded: past this the usual clients could soon open no more. They hold a third of our descriptors at most, and where
+// each keeps its connection after one job, only as many jobs come as connections are closed.
+func (l *Limiter) crowded() bool { return l.clients >= l.config.Sockets/clientRoom }
 
 // makeRoom closes clients' connections without an open job, so that others can come: first those that never brought
-// one and had time to, then those that may be closed, the one idle longest first.
+// one and had time to, then the one idle longest.
 func (l *Limiter) makeRoom() {
 	for l.crowded() {
-		victim := l.idlest(&l.strangers, l.now-l.set.DialTimeout/settled)
+		since := l.now - l.set.DialTimeout/settled
+		victim := l.idlest(&l.strangers, since)
 		if victim == nil {
-			victim = l.idlest(&l.regulars, l.now-mayClose)
+			victim = l.idlest(&l.regulars, since)
 		}
 		if victim == nil {
 			return
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -124,11 +124,12 @@
 
 const (
 	clientShare  = 2   // one descriptor in so many is for clients
+	clientRoom   = 4   // past one in so many, clients that are idle make room
 	serverShare  = 4   // and one in so many for servers
 	heldShare    = 8   // one byte of memory in so many may hold commands, as many parts of them, as many answers that wait
 	sweeps       = 32  // looks at idle connections in the time after which a server closes them
 	crowdLooks   = 8   // looks at clients in a dial time-out while there are many
-	settled      = 4   // a newcomer that said nothing for this part of a dial time-out may be closed to make room
+	settled      = 4   // a client that said nothing for this part of a dial time-out may be closed to make room
 	mayClose     = 2e9 // a client's connection without an open job may be closed from then on
 	idleShare    = 2   // an idle connection is closed after this part of that time
 	lingers      = 500e6
