--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	holds   = int64(20e9) // how long a watch waits for news
-	retries = 4           // a failed connection is tried again after this part of the dial time-out
+	holds   = 4 // a watch waits for news for so many dial time-outs: one that is never answered hides all of them
+	answers = 2 // and is given up, as is any call, if no answer comes for so many more
+	retries = 4 // a failed connection is tried again after this part of the dial time-out
 )
 
 // watch is the connection to discovery.
@@ -49,14 +50,14 @@
 func (w *watch) ask() {
 	l, wait := w.l, int64(0)
 	if w.fetched {
-		wait = holds
-		l.scratch = discovery.AppendWatch(l.scratch[:0], l.config.Discovery, w.version, holds)
+		wait = holds * l.set.DialTimeout
+		l.scratch = discovery.AppendWatch(l.scratch[:0], l.config.Discovery, w.version, wait)
 	} else {
 		l.scratch = discovery.AppendFetch(l.scratch[:0], l.config.Discovery)
 	}
 	l.write(w.c, l.scratch)
 	l.timers.drop(w.limit)
-	w.limit = l.at(l.now+wait+retries*l.set.DialTimeout, func() { l.over(w.c, Silent) })
+	w.limit = l.at(l.now+wait+answers*l.set.DialTimeout, func() { l.over(w.c, Silent) })
 }
 
 func (w *watch) read(b []byte) (int, error) {
