--- a/choice/choice.go
+++ b/choice/choice.go
@@ -294,7 +294,7 @@
 		} else {
 			a.owed += c.amount - vain
 		}
-		if j.state == Reserving && !c.back {
+		if j.state == Reserving { // a call that adds back comes after that
 			l.bySlice(now, j)
 		}
 		return
