--- /dev/null
+++ b/internal/lab/emulator/discovery.go
@@ -0,0 +1,146 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Instance is one entry of discovery's list, in its JSON form.
+type Instance struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Machine   string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMs int64   `json:"startedAtMs"`
+}
+
+// List is discovery's answer.
+type List struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []Instance `json:"instances"`
+}
+
+// Discovery is discovery's stand-in: `GET /discovery/hosts` for the whole list and `?from=G&hold_ms=H` to watch.
+// A watch is answered with the whole list as soon as the generation passes G, as the protocol allows.
+type Discovery struct {
+	mu         sync.Mutex
+	generation int64
+	instances  map[string]Instance
+	changed    chan struct{} // closed and replaced on every change
+	down       bool
+	server     *http.Server
+	address    string
+}
+
+// NewDiscovery makes an empty list at generation 1.
+func NewDiscovery() *Discovery {
+	return &Discovery{generation: 1, instances: map[string]Instance{}, changed: make(chan struct{})}
+}
+
+// Address is where it listens.
+func (d *Discovery) Address() string { d.mu.Lock(); defer d.mu.Unlock(); return d.address }
+
+// Start listens on address and serves until Close.
+func (d *Discovery) Start(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/discovery/hosts", d.hosts)
+	d.mu.Lock()
+	d.address, d.server = l.Addr().String(), &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	d.mu.Unlock()
+	go func() { _ = d.server.Serve(l) }()
+	return nil
+}
+
+// Close stops serving.
+func (d *Discovery) Close() { _ = d.server.Close() }
+
+// Set puts an instance in the list or changes it; lifecycle "terminated" takes it out.
+func (d *Discovery) Set(in Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if in.Lifecycle == "terminated" {
+		delete(d.instances, in.ID)
+	} else {
+		d.instances[in.ID] = in
+	}
+	d.generation++
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Down says nothing to callers while on, as the agent does while discovery is down.
+func (d *Discovery) Down(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = on
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Whole is the list as it is now, in id order.
+func (d *Discovery) Whole() List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.whole()
+}
+
+func (d *Discovery) whole() List {
+	l := List{Generation: d.generation, Reset: true, Instances: []Instance{}}
+	for _, in := range d.instances {
+		l.Instances = append(l.Instances, in)
+	}
+	sort.Slice(l.Instances, func(i, j int) bool { return l.Instances[i].ID < l.Instances[j].ID })
+	return l
+}
+
+func (d *Discovery) hosts(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	hold, watching := time.Duration(0), r.URL.Query().Has("hold_ms")
+	if watching {
+		ms, _ := strconv.ParseInt(r.URL.Query().Get("hold_ms"), 10, 64)
+		hold = time.Duration(min(max(ms, 0), 60000)) * time.Millisecond
+	}
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	for {
+		d.mu.Lock()
+		down, changed, generation := d.down, d.changed, d.generation
+		list := d.whole()
+		d.mu.Unlock()
+		if !down && (!watching || generation > from) {
+			d.write(w, list)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if down {
+				return // nothing is said; the caller's own time-out ends it
+			}
+			d.write(w, List{Generation: generation, Instances: []Instance{}})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (d *Discovery) write(w http.ResponseWriter, l List) {
+	text, _ := json.Marshal(l)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text)
+}
--- /dev/null
+++ b/internal/lab/emulator/fault.go
@@ -0,0 +1,68 @@
+// Package emulator holds the lab's stand-ins for the systems a limiter serves, each on a loopback port and each
+// speaking its published protocol: RESP2 job servers, the shared counter's text lines and discovery's HTTP list.
+// Each follows a script of faults in time and writes down what it did, so that the rules are judged from the
+// servers' side and not from the limiter's word.
+package emulator
+
+import "fmt"
+
+// Fault is one entry of a script: from From to Until (nanoseconds on the run's clock; Until 0 is for good) the
+// stand-in behaves as Kind says. Factor is the slow-down for "slow"; Share the share of commands hit, 1 where 0.
+type Fault struct {
+	Kind   string
+	From   int64
+	Until  int64
+	Factor float64
+	Share  float64
+}
+
+// ServerFaults are the kinds a server's script may hold.
+var ServerFaults = map[string]string{
+	"slow":   "answers take Factor times as long",
+	"silent": "commands are read and never answered",
+	"reset":  "the connection is reset once a command has been read",
+	"spoil":  "answers are of a kind the protocol does not give",
+	"error":  "answers are -ERR failed, after the work is done",
+	"busy":   "answers are -BUSY, nothing runs",
+}
+
+// CounterFaults are the kinds the counter's script may hold.
+var CounterFaults = map[string]string{
+	"down":  "the port refuses and open connections are reset",
+	"slow":  "each answer waits Factor milliseconds",
+	"busy":  "every call is turned away",
+	"reset": "all totals are forgotten at From, as by a new empty store",
+}
+
+// CheckFault refuses an entry whose kind is not in kinds or whose times or figures cannot work.
+func CheckFault(f Fault, kinds map[string]string) error {
+	if _, known := kinds[f.Kind]; !known {
+		return fmt.Errorf("kind %q is not known", f.Kind)
+	}
+	if f.From < 0 || f.Until != 0 && f.Until <= f.From {
+		return fmt.Errorf("%s: from %d until %d", f.Kind, f.From, f.Until)
+	}
+	if f.Share < 0 || f.Share > 1 {
+		return fmt.Errorf("%s: share %v is not within 0 to 1", f.Kind, f.Share)
+	}
+	if f.Kind == "slow" && f.Factor <= 0 {
+		return fmt.Errorf("slow: factor %v", f.Factor)
+	}
+	return nil
+}
+
+// active reports which fault of a script holds at now for a command drawn with u in [0,1); "" where none does.
+func active(script []Fault, now int64, u float64) (Fault, bool) {
+	for _, f := range script {
+		if now >= f.From && (f.Until == 0 || now < f.Until) {
+			share := f.Share
+			if share == 0 {
+				share = 1
+			}
+			if u < share {
+				return f, true
+			}
+		}
+	}
+	return Fault{}, false
+}
--- /dev/null
+++ b/internal/lab/emulator/server.go
@@ -0,0 +1,324 @@
+package emulator
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/resp"
+)
+
+// Repeats is a group's table of fingerprints seen, shared by the servers that drop repeated fingerprinted jobs.
+type Repeats struct {
+	mu     sync.Mutex
+	window int64
+	seen   map[string]int64 // fingerprint -> when it lapses
+}
+
+// NewRepeats makes a table that keeps a fingerprint for window nanoseconds.
+func NewRepeats(window int64) *Repeats { return &Repeats{window: window, seen: map[string]int64{}} }
+
+// seenBefore notes key at now and says whether it was held already.
+func (r *Repeats) seenBefore(key string, now int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until, held := r.seen[key]; held && now < until {
+		return true
+	}
+	r.seen[key] = now + r.window
+	return false
+}
+
+// ServerSpec is what a stand-in server is: its name, zone, work time and what it bears.
+type ServerSpec struct {
+	Name       string
+	Zone       string
+	Work       time.Duration // mean time a job takes, drawn exponentially
+	Capacity   int           // jobs at once that a warm server bears
+	ColdFrom   float64       // share of Capacity it bears just after a start
+	WarmWithin time.Duration // time from a start to full capacity
+	Script     []Fault
+	Seed       uint64
+}
+
+// Server is one RESP2 job server on a loopback port.
+type Server struct {
+	spec    ServerSpec
+	clock   *record.Clock
+	book    *record.Book
+	repeats *Repeats
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	address  string
+	started  int64
+	inflight int
+	up       bool
+}
+
+// NewServer makes a server that writes its shots in book; repeats may be nil where its group drops none.
+func NewServer(spec ServerSpec, clock *record.Clock, book *record.Book, repeats *Repeats) *Server {
+	if spec.Capacity <= 0 {
+		spec.Capacity = 64
+	}
+	return &Server{spec: spec, clock: clock, book: book, repeats: repeats,
+		rng: rand.New(rand.NewPCG(spec.Seed, 0x5e)), conns: map[net.Conn]struct{}{}}
+}
+
+// Name is the server's instance id.
+func (s *Server) Name() string { return s.spec.Name }
+
+// Zone is the server's zone.
+func (s *Server) Zone() string { return s.spec.Zone }
+
+// Address is where it listens, once started.
+func (s *Server) Address() string { s.mu.Lock(); defer s.mu.Unlock(); return s.address }
+
+// Started is the run's time of its last start, in nanoseconds.
+func (s *Server) Started() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.started }
+
+// Start listens on address ("127.0.0.1:0" for any port); a restart keeps the port it had and begins cold.
+func (s *Server) Start(address string) error {
+	s.mu.Lock()
+	if s.address != "" {
+		address = s.address
+	}
+	s.mu.Unlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.listener, s.address, s.started, s.up = l, l.Addr().String(), s.clock.Now(), true
+	s.mu.Unlock()
+	go s.accept(l)
+	return nil
+}
+
+// Stop ends the process as a crash would: the port refuses and every connection is reset.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.up {
+		return
+	}
+	s.up = false
+	_ = s.listener.Close()
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	s.conns = map[net.Conn]struct{}{}
+}
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if !s.up {
+			s.mu.Unlock()
+			_ = c.Close()
+			return
+		}
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+// serve reads commands and begins each at once; answers go back in the order of the commands.
+func (s *Server) serve(c net.Conn) {
+	done := make(chan struct{})
+	answers := make(chan chan []byte, 256)
+	go func() {
+		defer func() { _ = c.Close() }()
+		for {
+			select {
+			case <-done:
+				return
+			case next := <-answers:
+				select {
+				case <-done:
+					return
+				case text := <-next:
+					if text == nil { // reset
+						if t, ok := c.(*net.TCPConn); ok {
+							_ = t.SetLinger(0)
+						}
+						return
+					}
+					if _, err := c.Write(text); err != nil {
+						return
+					}
+				}
+			}
+		}
+	}()
+	defer func() {
+		close(done)
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	var held []byte
+	chunk := make([]byte, 16<<10)
+	for {
+		n, err := c.Read(chunk)
+		if err != nil {
+			return
+		}
+		held = append(held, chunk[:n]...)
+		for {
+			words, used, err := resp.ReadCommand(held, nil)
+			if err != nil {
+				_, _ = c.Write([]byte("-SYNTAX " + err.Error() + "\r\n"))
+				return
+			}
+			if used == 0 {
+				break
+			}
+			slot := make(chan []byte, 1)
+			select {
+			case answers <- slot:
+			case <-done:
+				return
+			}
+			go s.command(words, slot)
+			held = held[used:]
+		}
+		held = append([]byte(nil), held...)
+	}
+}
+
+// job is what a server reads of a job's command.
+type job struct {
+	verb, customer, id, track, key string
+	units                          float64
+	wait                           time.Duration
+}
+
+func parse(words [][]byte) (job, error) {
+	if len(words) < 4 {
+		return job{}, errors.New("too few words")
+	}
+	j := job{verb: string(words[0]), customer: string(words[1]), id: string(words[2])}
+	if j.verb == "SVC.SUBMIT" && len(words) != 5 || j.verb == "SVC.QUERY" && len(words) != 4 {
+		return job{}, fmt.Errorf("%s with %d words", j.verb, len(words))
+	}
+	for _, pair := range bytes.Split(words[3], []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		switch string(name) {
+		case "c":
+			j.track = string(value)
+		case "k":
+			j.key = string(value)
+		case "units":
+			j.units, _ = strconv.ParseFloat(string(value), 64)
+		case "d":
+			ms, _ := strconv.ParseFloat(string(value), 64)
+			j.wait = time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	return j, nil
+}
+
+// bearable is how many jobs at once the server bears at now, and whether it is still cold.
+func (s *Server) bearable(now int64) (float64, bool) {
+	since := float64(now-s.started) / float64(s.spec.WarmWithin)
+	if s.spec.WarmWithin <= 0 || since >= 1 {
+		return float64(s.spec.Capacity), false
+	}
+	from := s.spec.ColdFrom
+	return float64(s.spec.Capacity) * (from + (1-from)*since), true
+}
+
+func (s *Server) command(words [][]byte, slot chan []byte) {
+	verb := string(words[0])
+	if verb == "CLIENT" || verb == "SELECT" {
+		slot <- []byte("+OK\r\n")
+		return
+	}
+	if verb != "SVC.QUERY" && verb != "SVC.SUBMIT" {
+		slot <- []byte("-ERR unknown command\r\n")
+		return
+	}
+	j, err := parse(words)
+	if err != nil {
+		slot <- []byte("-SYNTAX " + err.Error() + "\r\n")
+		return
+	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	fault, faulty := active(s.spec.Script, now, s.rng.Float64())
+	work := time.Duration(s.rng.ExpFloat64() * float64(s.spec.Work))
+	bear, cold := s.bearable(now)
+	overrun := cold && float64(s.inflight+1) > bear
+	s.mu.Unlock()
+	shot := record.Shot{Server: s.spec.Name, Group: s.spec.Zone, ID: j.id, Customer: j.customer, Track: j.track,
+		Key: j.key, Units: j.units, At: now, Ran: true, Overrun: overrun}
+	if faulty && fault.Kind == "busy" {
+		shot.Ran, shot.Answer = false, "busy"
+		s.book.AddShot(shot)
+		slot <- []byte("-BUSY\r\n")
+		return
+	}
+	if j.key != "" && s.repeats != nil && s.repeats.seenBefore(j.key, now) {
+		shot.Ran, shot.Answer = false, "repeat"
+		s.book.AddShot(shot)
+		slot <- s.value(j)
+		return
+	}
+	s.mu.Lock()
+	s.inflight++
+	s.mu.Unlock()
+	defer func() { s.mu.Lock(); s.inflight--; s.mu.Unlock() }()
+	if overrun { // overdriven while cold, it falls behind
+		work *= 4
+	}
+	switch {
+	case faulty && fault.Kind == "slow":
+		work = time.Duration(float64(work) * fault.Factor)
+	case faulty && fault.Kind == "silent":
+		shot.Answer = "silent"
+		s.book.AddShot(shot)
+		return // the slot is never filled: the connection's answers stop here
+	case faulty && fault.Kind == "reset":
+		shot.Answer = "reset"
+		s.book.AddShot(shot)
+		slot <- nil
+		return
+	}
+	time.Sleep(work)
+	switch {
+	case faulty && fault.Kind == "spoil":
+		shot.Answer = "spoilt"
+		slot <- []byte(":" + strconv.Itoa(int(math.Mod(float64(now), 1000))) + "\r\n")
+	case faulty && fault.Kind == "error":
+		shot.Answer = "error"
+		slot <- []byte("-ERR failed\r\n")
+	default:
+		shot.Answer = "done"
+		slot <- s.value(j)
+	}
+	s.book.AddShot(shot)
+}
+
+// value is a served answer: the value, no figures on use, no load report.
+func (s *Server) value(j job) []byte {
+	out := resp.AppendBulk([]byte("*3\r\n"), []byte(s.spec.Name+" did "+j.id))
+	return append(out, "$-1\r\n$-1\r\n"...)
+}
