--- /dev/null
+++ b/internal/lab/emulator/emulator_test.go
@@ -0,0 +1,180 @@
+package emulator
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/resp"
+)
+
+func command(id, list string) []byte {
+	return resp.AppendCommand(nil, []byte("SVC.SUBMIT"), []byte("00000000000000a1"), []byte(id), []byte(list),
+		[]byte("body"))
+}
+
+func start(t *testing.T, spec ServerSpec, repeats *Repeats) (*Server, *record.Book) {
+	t.Helper()
+	book := &record.Book{}
+	s := NewServer(spec, record.NewClock(), book, repeats)
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s, book
+}
+
+func exchange(t *testing.T, address string, text []byte, wait time.Duration) (string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(wait))
+	if _, err := c.Write(text); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 256)
+	n, err := c.Read(buf)
+	return string(buf[:n]), err
+}
+
+func TestServerFaultsAndRecords(t *testing.T) {
+	script := []Fault{{Kind: "busy", From: 0, Until: int64(200 * time.Millisecond)},
+		{Kind: "silent", From: int64(200 * time.Millisecond), Until: int64(400 * time.Millisecond)}}
+	s, book := start(t, ServerSpec{Name: "s1", Zone: "a", Work: time.Millisecond, Script: script}, nil)
+	if got, _ := exchange(t, s.Address(), command("j1", "c=order,units=2,d=1000"), time.Second); got != "-BUSY\r\n" {
+		t.Fatalf("busy: %q", got)
+	}
+	time.Sleep(250 * time.Millisecond)
+	if got, err := exchange(t, s.Address(), command("j2", "c=order"), 300*time.Millisecond); got != "" || err == nil {
+		t.Fatalf("silent: %q %v", got, err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if got, _ := exchange(t, s.Address(), command("j3", "c=order"), time.Second); !strings.HasPrefix(got, "*3\r\n") {
+		t.Fatalf("done: %q", got)
+	}
+	_, shots, _ := book.Copy()
+	want := []struct {
+		id     string
+		ran    bool
+		answer string
+	}{{"j1", false, "busy"}, {"j2", true, "silent"}, {"j3", true, "done"}}
+	if len(shots) != 3 {
+		t.Fatalf("shots: %+v", shots)
+	}
+	for i, w := range want {
+		if shots[i].ID != w.id || shots[i].Ran != w.ran || shots[i].Answer != w.answer {
+			t.Errorf("shot %d: %+v, want %+v", i, shots[i], w)
+		}
+	}
+	if shots[0].Units != 2 {
+		t.Errorf("units: %v", shots[0].Units)
+	}
+}
+
+func TestColdServerCountsOverruns(t *testing.T) {
+	s, book := start(t, ServerSpec{Name: "s1", Work: 200 * time.Millisecond, Capacity: 4, ColdFrom: 0.25,
+		WarmWithin: time.Minute}, nil)
+	c, _ := net.Dial("tcp", s.Address())
+	defer func() { _ = c.Close() }()
+	for _, id := range []string{"a", "b", "c"} { // pipelined: all three begin at once, one is borne
+		_, _ = c.Write(command(id, "c=order"))
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.Stop()
+	_, shots, _ := book.Copy()
+	overruns := 0
+	for _, sh := range shots {
+		if sh.Overrun {
+			overruns++
+		}
+	}
+	if overruns != 2 {
+		t.Fatalf("want 2 of 3 over a cold server's one, got %d in %+v", overruns, shots)
+	}
+}
+
+func TestRepeatsDroppedInTheWindow(t *testing.T) {
+	r := NewRepeats(int64(time.Second))
+	s, book := start(t, ServerSpec{Name: "s1", Work: time.Millisecond}, r)
+	for range 2 {
+		if got, _ := exchange(t, s.Address(), command("k1", "c=keyed,k=f00d"), time.Second); !strings.HasPrefix(got, "*3") {
+			t.Fatalf("%q", got)
+		}
+	}
+	_, shots, _ := book.Copy()
+	if len(shots) != 2 || !shots[0].Ran || shots[1].Ran || shots[1].Answer != "repeat" {
+		t.Fatalf("%+v", shots)
+	}
+}
+
+func TestCounterAddsForgetsAndGoesDown(t *testing.T) {
+	book := &record.Book{}
+	clock := record.NewClock()
+	k := NewCounter(clock, book, []Fault{{Kind: "reset", From: int64(100 * time.Millisecond)},
+		{Kind: "down", From: int64(200 * time.Millisecond), Until: int64(400 * time.Millisecond)}}, 1)
+	if err := k.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer k.Stop()
+	call := func(line string) string {
+		c, err := net.Dial("tcp", k.Address())
+		if err != nil {
+			return "refused"
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, line)
+		got, _ := bufio.NewReader(c).ReadString('\n')
+		return got
+	}
+	if a, b := call("tally 7 2.5 4000\r\n"), call("tally 7 1 4000\r\n"); a != "ok 2.5\r\n" || b != "ok 3.5\r\n" {
+		t.Fatalf("%q %q", a, b)
+	}
+	if got := call("tally 7 x 4000\r\n"); got != "error\r\n" {
+		t.Fatalf("%q", got)
+	}
+	for _, at := range []time.Duration{150, 250} {
+		time.Sleep(at*time.Millisecond - time.Duration(clock.Now()))
+		k.Tick(clock.Now())
+	}
+	if got := call("tally 7 1 4000\r\n"); got != "refused" {
+		t.Fatalf("down: %q", got)
+	}
+	time.Sleep(450*time.Millisecond - time.Duration(clock.Now()))
+	k.Tick(clock.Now())
+	if got := call("tally 7 1 4000\r\n"); got != "ok 1\r\n" {
+		t.Fatalf("after reset and down: %q", got)
+	}
+}
+
+func TestDiscoveryWatch(t *testing.T) {
+	d := NewDiscovery()
+	if err := d.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Set(Instance{ID: "s1", HostPort: "127.0.0.1:1", Lifecycle: "in_service"})
+	from := d.Whole().Generation
+	go func() { time.Sleep(100 * time.Millisecond); d.Set(Instance{ID: "s1", Lifecycle: "terminating"}) }()
+	began := time.Now()
+	answer, err := http.Get("http://" + d.Address() + "/discovery/hosts?from=" + itoa(from) + "&hold_ms=5000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l List
+	_ = json.NewDecoder(answer.Body).Decode(&l)
+	_ = answer.Body.Close()
+	if time.Since(began) > 2*time.Second || l.Generation != from+1 || l.Instances[0].Lifecycle != "terminating" {
+		t.Fatalf("%+v after %v", l, time.Since(began))
+	}
+}
+
+func itoa(n int64) string { b, _ := json.Marshal(n); return string(b) }
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -302,19 +302,20 @@
 		slot <- nil
 		return
 	}
+	shot.Answer = "done"
+	if faulty && (fault.Kind == "spoil" || fault.Kind == "error") {
+		shot.Answer = map[string]string{"spoil": "spoilt", "error": "error"}[fault.Kind]
+	}
+	s.book.AddShot(shot) // written as it begins, so that a stop in the middle still shows that it may have run
 	time.Sleep(work)
-	switch {
-	case faulty && fault.Kind == "spoil":
-		shot.Answer = "spoilt"
+	switch shot.Answer {
+	case "spoilt":
 		slot <- []byte(":" + strconv.Itoa(int(math.Mod(float64(now), 1000))) + "\r\n")
-	case faulty && fault.Kind == "error":
-		shot.Answer = "error"
+	case "error":
 		slot <- []byte("-ERR failed\r\n")
 	default:
-		shot.Answer = "done"
 		slot <- s.value(j)
 	}
-	s.book.AddShot(shot)
 }
 
 // value is a served answer: the value, no figures on use, no load report.
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,51 @@
+package experiment
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func base(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../../examples/lab/default.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestDefaultReads(t *testing.T) {
+	e, err := Parse(base(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e.Settings.Limiters != 3 || len(e.Faults) != 6 || e.Settings.Plans["house"].CeilingRate != 90 {
+		t.Fatalf("read wrongly: limiters %d, faults %d", e.Settings.Limiters, len(e.Faults))
+	}
+}
+
+// Each broken file is refused with the key at fault at the start of its error.
+func TestBadFilesNameTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, key string }{
+		{"length = 20.0", "length = 0.0", "length"},
+		{"[limiters]\ncount = 3", "[limiters]\ncount = 3\ncolour = 1", "limiters.colour"},
+		{`plan = "team"`, `plan = "gold"`, "load.customers[0].plan"},
+		{`id = "00000000000000a1"`, `id = "a1"`, "load.customers[0].id"},
+		{`{name = "order", share`, `{name = "print", share`, "load.tracks[1].name"},
+		{`kind = "silent"`, `kind = "sulky"`, "faults[0]"},
+		{`target = "limiter:1"`, `target = "limiter:9"`, "faults[4]"},
+		{`effect = "single_shot"`, `effect = "twice"`, "settings: classes"},
+		{"[counter]\non = true", "[counter]\non = false", "counter.on"},
+		{"count-wait = 0.05", "count-wait = 0.05\nhas-counter = false", ""}, // a doubled key is TOML's own error
+	} {
+		text := strings.Replace(base(t), c.from, c.to, 1)
+		if text == base(t) {
+			t.Fatalf("%q is not in the default file", c.from)
+		}
+		_, err := Parse(text)
+		if err == nil || !strings.HasPrefix(err.Error(), c.key) {
+			t.Errorf("%s: got %v", c.to, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rules/rules_test.go
@@ -0,0 +1,113 @@
+package rules
+
+import (
+	"encoding/json"
+	"testing"
+
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/settings"
+)
+
+const text = `{"balancers":2,"granularity":0.004,
+ "classes":[{"name":"lookup","aim":0.8,"effect":"free","group":"all"},
+  {"name":"order","aim":2,"effect":"single_shot","group":"all"},
+  {"name":"keyed","aim":1,"effect":"guarded","group":"zone","dedup-window":10}],
+ "tariffs":[{"name":"house","rate":10,"most-at-once":20,"hard-rate":10,"never-over-depth":20}],
+ "family-info":{"units-top":6},"contract":{"cold-from":0.25,"warm-within":15},
+ "permissions":{"attempts-cap":3,"dial-timeout":0.25,"idle-close":15}}`
+
+var terms = Terms{Late: 50e6, Grace: 300e6, Slack: 150e6}
+
+func judge(t *testing.T, jobs []record.Job, shots []record.Shot, events []record.Event) *Verdict {
+	t.Helper()
+	set, err := settings.Decode(json.RawMessage(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Judge(jobs, shots, events, set, terms)
+}
+
+func job(id, track string, units float64, sent int64) record.Job {
+	return record.Job{ID: id, Customer: "c1", Plan: "house", Track: track, Units: units, Sent: sent,
+		CutOff: sent + 2e9, Answered: sent + 1e8, Outcome: record.Done}
+}
+
+func shot(id, server, group, track string, at int64, ran bool) record.Shot {
+	answer := "done"
+	if !ran {
+		answer = "busy"
+	}
+	return record.Shot{ID: id, Server: server, Group: group, Track: track, At: at, Ran: ran, Answer: answer}
+}
+
+func TestCleanRunPasses(t *testing.T) {
+	v := judge(t, []record.Job{job("j1", "order", 1, 0), job("j2", "lookup", 1, 0)},
+		[]record.Shot{shot("j1", "s1", "a", "order", 1e6, false), shot("j1", "s2", "a", "order", 2e6, true),
+			shot("j2", "s1", "a", "lookup", 1e6, true), shot("j2", "s2", "a", "lookup", 3e6, true)}, nil)
+	if !v.Pass {
+		t.Fatalf("a refused first shot and retriable repeats broke a rule: %+v", v.Breaches)
+	}
+}
+
+func TestBindingJobRunTwiceIsCaught(t *testing.T) {
+	v := judge(t, []record.Job{job("j1", "order", 1, 0)},
+		[]record.Shot{shot("j1", "s1", "a", "order", 1e6, true), shot("j1", "s2", "a", "order", 5e8, false)}, nil)
+	if v.Pass || v.Counts[2] != 1 {
+		t.Fatalf("a shot after one that may have run passed: %s", v.Line())
+	}
+}
+
+func TestFingerprintedRepeatOnlyWithinItsGroup(t *testing.T) {
+	same := judge(t, []record.Job{job("k1", "keyed", 1, 0)}, []record.Shot{
+		{ID: "k1", Server: "s1", Group: "a", Track: "keyed", Key: "f", At: 1e6, Ran: true},
+		{ID: "k1", Server: "s2", Group: "a", Track: "keyed", Key: "f", At: 2e6, Ran: false}}, nil)
+	other := judge(t, []record.Job{job("k1", "keyed", 1, 0)}, []record.Shot{
+		{ID: "k1", Server: "s1", Group: "a", Track: "keyed", Key: "f", At: 1e6, Ran: true},
+		{ID: "k1", Server: "s3", Group: "b", Track: "keyed", Key: "f", At: 2e6, Ran: true}}, nil)
+	if !same.Pass || other.Counts[2] != 1 {
+		t.Fatalf("same group %s; other group %s", same.Line(), other.Line())
+	}
+}
+
+func TestUnansweredLateAndKilled(t *testing.T) {
+	lost, late, killed := job("a", "lookup", 1, 0), job("b", "lookup", 1, 0), job("c", "lookup", 1, 0)
+	lost.Outcome, late.Answered = record.Unanswered, late.CutOff+1e8
+	killed.Outcome, killed.Limiter = record.Broken, 1
+	v := judge(t, []record.Job{lost, late, killed, job("d", "lookup", 1, 0)},
+		[]record.Shot{shot("d", "s1", "a", "lookup", 3e9, true)},
+		[]record.Event{{At: 5e7, Kind: "kill", Target: "limiter:1"}, {At: 9e8, Kind: "restart", Target: "limiter:1"}})
+	if v.Counts[1] != 3 || v.Killed != 1 {
+		t.Fatalf("want unanswered, late and a shot after the cut-off, and one killed: %s %+v", v.Line(), v.Breaches)
+	}
+}
+
+func TestShotAfterDrainGrace(t *testing.T) {
+	v := judge(t, []record.Job{job("a", "lookup", 1, 0), job("b", "lookup", 1, 0)},
+		[]record.Shot{shot("a", "s1", "a", "lookup", 2e8, true), shot("b", "s1", "a", "lookup", 5e8, true)},
+		[]record.Event{{At: 1e8, Kind: "drain", Target: "s1"}})
+	if v.Counts[3] != 1 {
+		t.Fatalf("one shot past the grace: %s", v.Line())
+	}
+}
+
+func TestCeilingAndColdOverrun(t *testing.T) {
+	var jobs []record.Job
+	var shots []record.Shot
+	for i := range 25 { // 25 units at once against a depth of 20 and a slack of 1.5
+		id := string(rune('a' + i))
+		jobs = append(jobs, job(id, "lookup", 1, 0))
+		shots = append(shots, shot(id, "s1", "a", "lookup", int64(i), true))
+	}
+	shots[0].Overrun = true
+	v := judge(t, jobs, shots, nil)
+	if v.Counts[5] != 4 || v.Counts[4] != 1 {
+		t.Fatalf("want units 22 to 25 past the ceiling and one overrun: %s", v.Line())
+	}
+	for i := range shots { // at one unit in 50 ms the bucket fills by half a unit a shot
+		shots[i].At, shots[i].Overrun = int64(i)*5e7, false
+	}
+	paced := judge(t, jobs, shots, nil)
+	if !paced.Pass {
+		t.Fatal(paced.Line())
+	}
+}
