--- a/cmd/osplab/main.go
+++ b/cmd/osplab/main.go
@@ -3,15 +3,18 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/spf13/cobra"
 
 	"ospreycroft/internal/lab/experiment"
 	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/lab/report"
 	"ospreycroft/internal/lab/rules"
 	"ospreycroft/internal/lab/runner"
 )
@@ -24,7 +27,7 @@
 
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "osplab", Short: "the ospreycroft laboratory", SilenceUsage: true}
-	top.AddCommand(runCommand(), checkCommand(), judgeCommand())
+	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand())
 	return top
 }
 
@@ -115,3 +118,38 @@
 	c.Flags().Float64Var(&slack, "slack", 0.15, "seconds of a ceiling's rate allowed beyond it")
 	return c
 }
+
+func reportCommand() *cobra.Command {
+	var out string
+	c := &cobra.Command{Use: "report [LABEL=]RECORD.json ...", Short: "an HTML page with plots of one run or more",
+		Args: cobra.MinimumNArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			var runs []report.Labelled
+			for _, arg := range args {
+				label, path, named := strings.Cut(arg, "=")
+				if !named {
+					label, path = filepath.Base(filepath.Dir(arg)), arg
+				}
+				r, err := record.Read(path)
+				if err != nil {
+					return err
+				}
+				var v rules.Verdict
+				if err := json.Unmarshal(r.Verdict, &v); err != nil {
+					return fmt.Errorf("%s: verdict: %w", path, err)
+				}
+				runs = append(runs, report.Labelled{Label: label, Run: r, Verdict: &v})
+			}
+			f, err := os.Create(out)
+			if err != nil {
+				return err
+			}
+			if err := report.Write(f, runs); err != nil {
+				_ = f.Close()
+				return err
+			}
+			fmt.Printf("report=%s\n", out)
+			return f.Close()
+		}}
+	c.Flags().StringVar(&out, "out", "report.html", "the page to write")
+	return c
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,295 @@
+// Package report turns lab records into one HTML page: plots of outcomes over time, of each customer's use against
+// its ceiling and of latency percentiles, the faults as they were played, and, for two runs or more, the same
+// side by side. The plots are SVG drawn by gonum/plot inside the page, so it needs no network to be read.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"sort"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/lab/rules"
+	"ospreycroft/internal/settings"
+)
+
+// Labelled is one run and the name it is shown by.
+type Labelled struct {
+	Label   string
+	Run     *record.Run
+	Verdict *rules.Verdict
+}
+
+// Series is what one run shows a second: counts by outcome, units by customer, latency percentiles (ms).
+type Series struct {
+	Seconds  int
+	Outcomes map[record.Outcome][]float64
+	Units    map[string][]float64 // customer -> units that reached servers, counted at a job's first shot
+	P50, P99 []float64            // of done jobs answered in that second; 0 where none was
+}
+
+// Bucket counts a run's records by whole seconds of its clock.
+func Bucket(r *record.Run) *Series {
+	last := r.Length
+	for _, j := range r.Jobs {
+		last = max(last, j.Answered)
+	}
+	n := max(1, int((last+1e9-1)/1e9))
+	s := &Series{Seconds: n, Outcomes: map[record.Outcome][]float64{}, Units: map[string][]float64{},
+		P50: make([]float64, n), P99: make([]float64, n)}
+	hists := make([]*hdrhistogram.Histogram, n)
+	units := map[string]*record.Job{}
+	for i := range r.Jobs {
+		j := &r.Jobs[i]
+		units[j.ID] = j
+		at := int(min(max(j.Answered, 0)/1e9, int64(n-1)))
+		if s.Outcomes[j.Outcome] == nil {
+			s.Outcomes[j.Outcome] = make([]float64, n)
+		}
+		s.Outcomes[j.Outcome][at]++
+		if j.Outcome == record.Done {
+			if hists[at] == nil {
+				hists[at] = hdrhistogram.New(1, 120_000_000, 3)
+			}
+			_ = hists[at].RecordValue(max(1, (j.Answered-j.Sent)/1000))
+		}
+	}
+	for i, h := range hists {
+		if h != nil {
+			s.P50[i], s.P99[i] = float64(h.ValueAtQuantile(50))/1e3, float64(h.ValueAtQuantile(99))/1e3
+		}
+	}
+	counted := map[string]bool{}
+	shots := append([]record.Shot(nil), r.Shots...)
+	sort.SliceStable(shots, func(a, b int) bool { return shots[a].At < shots[b].At })
+	for _, sh := range shots {
+		j := units[sh.ID]
+		if j == nil || counted[sh.ID] || sh.Answer == "busy" {
+			continue
+		}
+		counted[sh.ID] = true
+		if s.Units[j.Customer] == nil {
+			s.Units[j.Customer] = make([]float64, n)
+		}
+		s.Units[j.Customer][int(min(sh.At/1e9, int64(n-1)))] += j.Units
+	}
+	return s
+}
+
+var palette = []color.RGBA{{31, 119, 180, 255}, {214, 39, 40, 255}, {44, 160, 44, 255}, {255, 127, 14, 255},
+	{148, 103, 189, 255}, {140, 86, 75, 255}, {127, 127, 127, 255}}
+
+func points(values []float64) plotter.XYs {
+	out := make(plotter.XYs, len(values))
+	for i, v := range values {
+		out[i] = plotter.XY{X: float64(i), Y: v}
+	}
+	return out
+}
+
+type line struct {
+	name   string
+	values []float64
+	dashed bool
+}
+
+// svg draws lines over seconds, with the run's faults as grey marks, and gives the SVG text.
+func svg(title, unit string, lines []line, events []record.Event) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", unit
+	p.Legend.Top = true
+	top := 1.0
+	for i, l := range lines {
+		pl, err := plotter.NewLine(points(l.values))
+		if err != nil {
+			return "", err
+		}
+		pl.Color = palette[i%len(palette)]
+		if l.dashed {
+			pl.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		}
+		p.Add(pl)
+		p.Legend.Add(l.name, pl)
+		for _, v := range l.values {
+			top = max(top, v)
+		}
+	}
+	for _, e := range events {
+		x := float64(e.At) / 1e9
+		mark, err := plotter.NewLine(plotter.XYs{{X: x, Y: 0}, {X: x, Y: top}})
+		if err != nil {
+			return "", err
+		}
+		mark.Color, mark.Dashes = color.RGBA{170, 170, 170, 255}, []vg.Length{vg.Points(1), vg.Points(2)}
+		p.Add(mark)
+	}
+	canvas := vgsvg.New(16*vg.Centimeter, 8*vg.Centimeter)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	text := b.String()
+	if i := bytes.Index(b.Bytes(), []byte("<svg")); i > 0 { // the XML head has no place inside HTML
+		text = text[i:]
+	}
+	return template.HTML(text), nil // #nosec: drawn here, not taken from a record
+}
+
+// Section is what the page shows of one run.
+type Section struct {
+	Label     string
+	Line      string
+	Breaches  []rules.Breach
+	Latencies []row
+	Events    []record.Event
+	Plots     []template.HTML
+}
+
+type row struct {
+	Track              string
+	Count              int
+	P50, P90, P99, Max float64
+}
+
+func latencies(r *record.Run) []row {
+	hists := map[string]*hdrhistogram.Histogram{}
+	for _, j := range r.Jobs {
+		if j.Outcome == record.Done {
+			if hists[j.Track] == nil {
+				hists[j.Track] = hdrhistogram.New(1, 120_000_000, 3)
+			}
+			_ = hists[j.Track].RecordValue(max(1, (j.Answered-j.Sent)/1000))
+		}
+	}
+	out := []row{}
+	for track, h := range hists {
+		out = append(out, row{track, int(h.TotalCount()), float64(h.ValueAtQuantile(50)) / 1e3,
+			float64(h.ValueAtQuantile(90)) / 1e3, float64(h.ValueAtQuantile(99)) / 1e3, float64(h.Max()) / 1e3})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Track < out[b].Track })
+	return out
+}
+
+func section(l Labelled) (Section, error) {
+	s := Bucket(l.Run)
+	sec := Section{Label: l.Label, Line: l.Verdict.Line(), Breaches: l.Verdict.Breaches, Latencies: latencies(l.Run),
+		Events: l.Run.Events}
+	var outcomes []line
+	for _, o := range []record.Outcome{record.Done, record.Rejected, record.WrittenOff, record.Unanswered,
+		record.Late, record.Broken, record.GaveUp, record.NotTaken} {
+		if s.Outcomes[o] != nil {
+			outcomes = append(outcomes, line{name: string(o), values: s.Outcomes[o]})
+		}
+	}
+	var use []line
+	set, err := settings.Decode(l.Run.Settings)
+	if err != nil {
+		return sec, fmt.Errorf("%s: settings: %w", l.Label, err)
+	}
+	customers := sortedKeys(s.Units)
+	plans := map[string]string{}
+	for _, j := range l.Run.Jobs {
+		plans[j.Customer] = j.Plan
+	}
+	for _, c := range customers {
+		use = append(use, line{name: c, values: s.Units[c]})
+		if plan := set.Plans[plans[c]]; plan != nil && plan.CeilingRate > 0 {
+			ceiling := make([]float64, s.Seconds)
+			for i := range ceiling {
+				ceiling[i] = plan.CeilingRate
+			}
+			use = append(use, line{name: c + " ceiling", values: ceiling, dashed: true})
+		}
+	}
+	for _, p := range []struct {
+		title, unit string
+		lines       []line
+	}{{"answers a second by outcome", "jobs", outcomes}, {"units a second that reached servers", "units", use},
+		{"answer time of done jobs", "ms", []line{{name: "p50", values: s.P50}, {name: "p99", values: s.P99}}}} {
+		text, err := svg(l.Label+": "+p.title, p.unit, p.lines, l.Run.Events)
+		if err != nil {
+			return sec, err
+		}
+		sec.Plots = append(sec.Plots, text)
+	}
+	return sec, nil
+}
+
+func sortedKeys(m map[string][]float64) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// comparison overlays the runs' done jobs and p99 a second.
+func comparison(runs []Labelled) ([]template.HTML, error) {
+	var done, p99 []line
+	for _, l := range runs {
+		s := Bucket(l.Run)
+		done = append(done, line{name: l.Label, values: s.Outcomes[record.Done]})
+		p99 = append(p99, line{name: l.Label, values: s.P99})
+	}
+	a, err := svg("done a second, side by side", "jobs", done, nil)
+	if err != nil {
+		return nil, err
+	}
+	b, err := svg("p99 answer time, side by side", "ms", p99, nil)
+	return []template.HTML{a, b}, err
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"seconds": func(ns int64) string { return fmt.Sprintf("%.3f", float64(ns)/1e9) },
+}).Parse(`<!doctype html>
+<html><head><meta charset="utf-8"><title>lab report</title>
+<style>body{font-family:sans-serif;max-width:70em;margin:1em auto}table{border-collapse:collapse}
+td,th{border:1px solid #ccc;padding:2px 6px;text-align:right}.fail{color:#b00}</style></head><body>
+<h1>Lab report</h1>
+{{if .Compare}}<h2>Side by side</h2>
+<table><tr><th>run</th><th>verdict</th></tr>{{range .Sections}}<tr><td>{{.Label}}</td><td>{{.Line}}</td></tr>{{end}}</table>
+{{range .Compare}}{{.}}{{end}}{{end}}
+{{range .Sections}}<h2>{{.Label}}</h2><p>{{.Line}}</p>
+{{if .Breaches}}<h3 class="fail">Broken rules</h3><table><tr><th>rule</th><th>at s</th><th>what</th><th>detail</th></tr>
+{{range .Breaches}}<tr><td>{{.Rule}}</td><td>{{seconds .At}}</td><td>{{.What}}</td><td>{{.Detail}}</td></tr>{{end}}</table>{{end}}
+<h3>Answer times of done jobs (ms)</h3><table><tr><th>track</th><th>done</th><th>p50</th><th>p90</th><th>p99</th><th>max</th></tr>
+{{range .Latencies}}<tr><td>{{.Track}}</td><td>{{.Count}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P90}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .Max}}</td></tr>{{end}}</table>
+{{range .Plots}}{{.}}{{end}}
+<h3>Faults and changes as played</h3><table><tr><th>at s</th><th>kind</th><th>target</th></tr>
+{{range .Events}}<tr><td>{{seconds .At}}</td><td>{{.Kind}}</td><td>{{.Target}}</td></tr>{{end}}</table>
+{{end}}</body></html>
+`))
+
+// Write writes the page for one run or more; with two or more the runs are also drawn side by side.
+func Write(w io.Writer, runs []Labelled) error {
+	var data struct {
+		Sections []Section
+		Compare  []template.HTML
+	}
+	for _, l := range runs {
+		sec, err := section(l)
+		if err != nil {
+			return err
+		}
+		data.Sections = append(data.Sections, sec)
+	}
+	if len(runs) > 1 {
+		var err error
+		if data.Compare, err = comparison(runs); err != nil {
+			return err
+		}
+	}
+	return page.Execute(w, data)
+}
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,70 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/lab/rules"
+)
+
+const set = `{"balancers":1,"granularity":0.004,"classes":[{"name":"lookup","aim":0.8,"effect":"free","group":"all"}],
+ "tariffs":[{"name":"house","rate":10,"most-at-once":20,"hard-rate":12,"never-over-depth":20}],
+ "family-info":{"units-top":6},"contract":{"cold-from":0.25,"warm-within":15},
+ "permissions":{"attempts-cap":3,"dial-timeout":0.25,"idle-close":15}}`
+
+func run() *record.Run {
+	r := &record.Run{Name: "t", Length: 3e9, Settings: json.RawMessage(set)}
+	for i := range 30 {
+		at := int64(i) * 1e8
+		id := string(rune('A' + i))
+		outcome := record.Done
+		if i%3 == 0 {
+			outcome = record.Rejected
+		}
+		r.Jobs = append(r.Jobs, record.Job{ID: id, Customer: "c1", Plan: "house", Track: "lookup", Units: 2,
+			Sent: at, Answered: at + 2e7*int64(1+i%2), CutOff: at + 1e9, Outcome: outcome})
+		if outcome == record.Done {
+			r.Shots = append(r.Shots, record.Shot{ID: id, Server: "s1", At: at + 1e6, Ran: true, Answer: "done"},
+				record.Shot{ID: id, Server: "s2", At: at + 2e6, Ran: true, Answer: "done"}) // a second shot counts no units
+		}
+	}
+	r.Events = []record.Event{{At: 15e8, Kind: "drain", Target: "s1"}}
+	return r
+}
+
+func TestBucketCountsEachJobOnceAndBySecond(t *testing.T) {
+	s := Bucket(run())
+	if s.Seconds != 3 || s.Outcomes[record.Done][0] != 6 || s.Outcomes[record.Rejected][2] != 3 {
+		t.Fatalf("outcomes: %v", s.Outcomes)
+	}
+	if s.Units["c1"][0] != 12 || s.Units["c1"][1] != 14 {
+		t.Fatalf("units counted at first shots only: %v", s.Units["c1"])
+	}
+	if s.P50[0] < 19 || s.P99[0] < 39 || s.P99[0] > 41 {
+		t.Fatalf("percentiles: %v %v", s.P50, s.P99)
+	}
+}
+
+func TestPageHasPlotsBreachesAndComparison(t *testing.T) {
+	r := run()
+	v := &rules.Verdict{Pass: false, Breaches: []rules.Breach{{Rule: 2, At: 1e9, What: "J", Detail: "twice"}}}
+	var b bytes.Buffer
+	if err := Write(&b, []Labelled{{"main", r, v}, {"branch", run(), &rules.Verdict{Pass: true}}}); err != nil {
+		t.Fatal(err)
+	}
+	page := b.String()
+	for _, want := range []string{"Side by side", "Broken rules", "twice", "c1 ceiling", "drain"} {
+		if !strings.Contains(page, want) {
+			t.Errorf("page lacks %q", want)
+		}
+	}
+	if n := strings.Count(page, "<svg"); n != 3*2+2 {
+		t.Errorf("%d plots, want 8", n)
+	}
+	if strings.Contains(page, "<?xml") {
+		t.Error("an XML head inside the page")
+	}
+}
