--- a/cmd/osplab/main.go
+++ b/cmd/osplab/main.go
@@ -27,7 +27,7 @@
 
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "osplab", Short: "the ospreycroft laboratory", SilenceUsage: true}
-	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand())
+	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand())
 	return top
 }
 
@@ -153,3 +153,26 @@
 	c.Flags().StringVar(&out, "out", "report.html", "the page to write")
 	return c
 }
+
+func sweepCommand() *cobra.Command {
+	var sizes []int
+	var perLimiter float64
+	var out string
+	c := &cobra.Command{Use: "sweep EXPERIMENT.toml", Short: "play an experiment at several fleet sizes",
+		Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			e, err := experiment.Read(args[0])
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			points, err := runner.Sweep(e, sizes, perLimiter, out, os.Stdout)
+			if err != nil {
+				return err
+			}
+			text, _ := json.MarshalIndent(points, "", " ")
+			return os.WriteFile(filepath.Join(out, "sweep.json"), text, 0o644)
+		}}
+	c.Flags().IntSliceVar(&sizes, "limiters", []int{1, 4, 16, 64}, "fleet sizes")
+	c.Flags().Float64Var(&perLimiter, "rate", 40, "jobs a second offered for each limiter")
+	c.Flags().StringVar(&out, "out", "lab-runs/sweep", "folder for the records")
+	return c
+}
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -306,6 +306,7 @@
 	if faulty && (fault.Kind == "spoil" || fault.Kind == "error") {
 		shot.Answer = map[string]string{"spoil": "spoilt", "error": "error"}[fault.Kind]
 	}
+	shot.Work = int64(work)
 	s.book.AddShot(shot) // written as it begins, so that a stop in the middle still shows that it may have run
 	time.Sleep(work)
 	switch shot.Answer {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -241,3 +241,17 @@
 	}
 	return set, nil
 }
+
+// Resize checks the experiment again after its limiters' count or load were changed, settings included.
+func (e *Experiment) Resize() error {
+	raw, ok := e.Raw.(map[string]any)
+	if !ok {
+		return fmt.Errorf("settings: missing")
+	}
+	copied := map[string]any{}
+	for k, v := range raw {
+		copied[k] = v
+	}
+	e.Raw = copied
+	return e.check()
+}
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -63,6 +63,7 @@
 	Ran      bool    `json:"ran"`
 	Answer   string  `json:"answer"`            // done, error, busy, silent, reset, spoilt, repeat
 	Overrun  bool    `json:"overrun,omitempty"` // began while cold and over what the server bore then
+	Work     int64   `json:"work,omitempty"`    // nanoseconds the server spent on it before answering
 }
 
 // Event is a fault or a change the run played, or a kill it saw.
