--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -113,7 +113,7 @@
 
 // Parse decodes and checks an experiment's text; an error names the key at fault.
 func Parse(text string) (*Experiment, error) {
-	e := &Experiment{Drain: 3, Grace: 0.3, Slack: 0.15,
+	e := &Experiment{Grace: 0.3, Slack: 0.15,
 		Limiters: Limiters{Count: 1, Program: "bin/ospreycroft", Memory: 192, Sockets: 1024}}
 	meta, err := toml.Decode(text, e)
 	if err != nil {
