--- a/internal/lab/emulator/discovery.go
+++ b/internal/lab/emulator/discovery.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+
 	"net"
 	"net/http"
+	"ospreycroft/internal/lab/record"
 	"sort"
 	"strconv"
 	"sync"
@@ -32,6 +34,9 @@
 // Discovery is discovery's stand-in: `GET /discovery/hosts` for the whole list and `?from=G&hold_ms=H` to watch.
 // A watch is answered with the whole list as soon as the generation passes G, as the protocol allows.
 type Discovery struct {
+	clock  *record.Clock
+	script []Fault // slow and chunked; down is played by Down
+
 	mu         sync.Mutex
 	generation int64
 	instances  map[string]Instance
@@ -41,9 +46,9 @@
 	address    string
 }
 
-// NewDiscovery makes an empty list at generation 1.
-func NewDiscovery() *Discovery {
-	return &Discovery{generation: 1, instances: map[string]Instance{}, changed: make(chan struct{})}
+// NewDiscovery makes an empty list at generation 1 that plays script's slow and chunked answers.
+func NewDiscovery(clock *record.Clock, script []Fault) *Discovery {
+	return &Discovery{clock: clock, script: script, generation: 1, instances: map[string]Instance{}, changed: make(chan struct{})}
 }
 
 // Address is where it listens.
@@ -144,6 +149,33 @@
 func (d *Discovery) write(w http.ResponseWriter, l List) {
 	text, _ := json.Marshal(l)
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	_, _ = w.Write(text)
+	now := d.clock.Now()
+	slow, slowed := active(only(d.script, "slow"), now, 0)
+	_, chunked := active(only(d.script, "chunked"), now, 0)
+	if slowed {
+		time.Sleep(time.Duration(slow.Factor * float64(time.Millisecond)))
+	}
+	flusher, flushes := w.(http.Flusher)
+	if !chunked || !flushes {
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = w.Write(text)
+		return
+	}
+	for len(text) > 0 { // with no length and a flush between, net/http sends each part as a chunk
+		n := min(len(text), 64)
+		_, _ = w.Write(text[:n])
+		flusher.Flush()
+		text = text[n:]
+	}
+}
+
+// only is the entries of a script of one kind.
+func only(script []Fault, kind string) []Fault {
+	var out []Fault
+	for _, f := range script {
+		if f.Kind == kind {
+			out = append(out, f)
+		}
+	}
+	return out
 }
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -156,7 +156,7 @@
 }
 
 func TestDiscoveryWatch(t *testing.T) {
-	d := NewDiscovery()
+	d := NewDiscovery(record.NewClock(), []Fault{{Kind: "chunked"}})
 	if err := d.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/emulator/fault.go
+++ b/internal/lab/emulator/fault.go
@@ -23,6 +23,7 @@
 	"reset":  "the connection is reset once a command has been read",
 	"spoil":  "answers are of a kind the protocol does not give",
 	"error":  "answers are -ERR failed, after the work is done",
+	"cut":    "half of the answer is written, then the connection is reset",
 	"busy":   "answers are -BUSY, nothing runs",
 }
 
@@ -34,6 +35,13 @@
 	"reset": "all totals are forgotten at From, as by a new empty store",
 }
 
+// DiscoveryFaults are the kinds discovery's script may hold.
+var DiscoveryFaults = map[string]string{
+	"down":    "nothing is said while it lasts",
+	"slow":    "each answer waits Factor milliseconds",
+	"chunked": "answers come in chunks of 64 bytes, without a length",
+}
+
 // CheckFault refuses an entry whose kind is not in kinds or whose times or figures cannot work.
 func CheckFault(f Fault, kinds map[string]string) error {
 	if _, known := kinds[f.Kind]; !known {
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -143,7 +143,7 @@
 // serve reads commands and begins each at once; answers go back in the order of the commands.
 func (s *Server) serve(c net.Conn) {
 	done := make(chan struct{})
-	answers := make(chan chan []byte, 256)
+	answers := make(chan chan reply, 256)
 	go func() {
 		defer func() { _ = c.Close() }()
 		for {
@@ -154,16 +154,16 @@
 				select {
 				case <-done:
 					return
-				case text := <-next:
-					if text == nil { // reset
+				case r := <-next:
+					if _, err := c.Write(r.text); err != nil {
+						return
+					}
+					if r.reset {
 						if t, ok := c.(*net.TCPConn); ok {
 							_ = t.SetLinger(0)
 						}
 						return
 					}
-					if _, err := c.Write(text); err != nil {
-						return
-					}
 				}
 			}
 		}
@@ -191,7 +191,7 @@
 			if used == 0 {
 				break
 			}
-			slot := make(chan []byte, 1)
+			slot := make(chan reply, 1)
 			select {
 			case answers <- slot:
 			case <-done:
@@ -246,19 +246,25 @@
 	return float64(s.spec.Capacity) * (from + (1-from)*since), true
 }
 
-func (s *Server) command(words [][]byte, slot chan []byte) {
+// reply is what a command's slot gets: bytes to write, and whether the connection is reset after them.
+type reply struct {
+	text  []byte
+	reset bool
+}
+
+func (s *Server) command(words [][]byte, slots chan reply) {
 	verb := string(words[0])
 	if verb == "CLIENT" || verb == "SELECT" {
-		slot <- []byte("+OK\r\n")
+		slots <- reply{text: []byte("+OK\r\n")}
 		return
 	}
 	if verb != "SVC.QUERY" && verb != "SVC.SUBMIT" {
-		slot <- []byte("-ERR unknown command\r\n")
+		slots <- reply{text: []byte("-ERR unknown command\r\n")}
 		return
 	}
 	j, err := parse(words)
 	if err != nil {
-		slot <- []byte("-SYNTAX " + err.Error() + "\r\n")
+		slots <- reply{text: []byte("-SYNTAX " + err.Error() + "\r\n")}
 		return
 	}
 	now := s.clock.Now()
@@ -273,13 +279,13 @@
 	if faulty && fault.Kind == "busy" {
 		shot.Ran, shot.Answer = false, "busy"
 		s.book.AddShot(shot)
-		slot <- []byte("-BUSY\r\n")
+		slots <- reply{text: []byte("-BUSY\r\n")}
 		return
 	}
 	if j.key != "" && s.repeats != nil && s.repeats.seenBefore(j.key, now) {
 		shot.Ran, shot.Answer = false, "repeat"
 		s.book.AddShot(shot)
-		slot <- s.value(j)
+		slots <- reply{text: s.value(j)}
 		return
 	}
 	s.mu.Lock()
@@ -299,23 +305,26 @@
 	case faulty && fault.Kind == "reset":
 		shot.Answer = "reset"
 		s.book.AddShot(shot)
-		slot <- nil
+		slots <- reply{reset: true}
 		return
 	}
 	shot.Answer = "done"
-	if faulty && (fault.Kind == "spoil" || fault.Kind == "error") {
-		shot.Answer = map[string]string{"spoil": "spoilt", "error": "error"}[fault.Kind]
+	if faulty && (fault.Kind == "spoil" || fault.Kind == "error" || fault.Kind == "cut") {
+		shot.Answer = map[string]string{"spoil": "spoilt", "error": "error", "cut": "cut"}[fault.Kind]
 	}
 	shot.Work = int64(work)
 	s.book.AddShot(shot) // written as it begins, so that a stop in the middle still shows that it may have run
 	time.Sleep(work)
 	switch shot.Answer {
 	case "spoilt":
-		slot <- []byte(":" + strconv.Itoa(int(math.Mod(float64(now), 1000))) + "\r\n")
+		slots <- reply{text: []byte(":" + strconv.Itoa(int(math.Mod(float64(now), 1000))) + "\r\n")}
 	case "error":
-		slot <- []byte("-ERR failed\r\n")
+		slots <- reply{text: []byte("-ERR failed\r\n")}
+	case "cut":
+		whole := s.value(j)
+		slots <- reply{text: whole[:len(whole)/2], reset: true}
 	default:
-		slot <- s.value(j)
+		slots <- reply{text: s.value(j)}
 	}
 }
 
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -87,9 +87,9 @@
 	CutOff float64 `toml:"cut_off"`
 }
 
-// Fault is one entry of the timeline. Target names a server, a pool ("pool:NAME"), "counter", "discovery"
-// or a limiter ("limiter:N"). Kinds beside the emulator's: drain, gone, replace (servers), kill (limiter,
-// restarted after Until), burst (load, Factor times the rate), down (discovery).
+// Fault is one entry of the timeline. Target names a server ("server:NAME"), a pool ("pool:NAME"), "counter",
+// "discovery", "load" or a limiter ("limiter:N"). Kinds beside the emulator's: drain, gone, replace (servers),
+// kill (limiter, restarted at Until), burst (load, Factor times the rate).
 type Fault struct {
 	Kind   string  `toml:"kind"`
 	Target string  `toml:"target"`
@@ -215,7 +215,9 @@
 			return fmt.Errorf("target: there is no counter")
 		}
 		return emulator.CheckFault(plain, emulator.CounterFaults)
-	case f.Target == "discovery" && f.Kind == "down", f.Target == "load" && f.Kind == "burst" && f.Factor > 0:
+	case f.Target == "discovery":
+		return emulator.CheckFault(plain, emulator.DiscoveryFaults)
+	case f.Target == "load" && f.Kind == "burst" && f.Factor > 0:
 		return emulator.CheckFault(emulator.Fault{Kind: "x", From: plain.From, Until: plain.Until},
 			map[string]string{"x": ""})
 	case target == "limiter" && f.Kind == "kill":
--- a/internal/lab/runner/runner.go
+++ b/internal/lab/runner/runner.go
@@ -48,8 +48,8 @@
 
 // Run plays e with its files (configurations, limiters' logs) in dir.
 func Run(e *experiment.Experiment, dir string, log *slog.Logger, progress func(float64)) (*Result, error) {
-	lab := &Lab{e: e, dir: dir, log: log, clock: record.NewClock(), book: &record.Book{},
-		discovery: emulator.NewDiscovery()}
+	lab := &Lab{e: e, dir: dir, log: log, clock: record.NewClock(), book: &record.Book{}}
+	lab.discovery = emulator.NewDiscovery(lab.clock, lab.scriptOf("discovery"))
 	defer lab.close()
 	if err := lab.start(); err != nil {
 		return nil, err
