Lab: one port type and one command reader for the stand-ins; every fault in the record

Need: the stand-ins repeated their listen, accept and reset code and their command loop (duplicates found three places); faults the emulator plays did not appear in the record or the report. Change: emulator.port holds a listener, its connections and its address across restarts for servers and the counter; emulator.Commands reads RESP2 commands for the servers and the broken limiter; the runner writes a begins/ends event for every fault; the run's record carries HDR percentiles by track.

--- a/internal/lab/emulator/counter.go
+++ b/internal/lab/emulator/counter.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"ospreycroft/internal/lab/record"
@@ -18,15 +16,10 @@
 	book   *record.Book
 	script []Fault
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	listener net.Listener
-	address  string
-	conns    map[net.Conn]struct{}
-	totals   map[string]count
-	resets   map[int]bool // script entries already played
-	calls    int64
-	up       bool
+	port
+	totals map[string]count
+	resets map[int]bool // script entries already played
+	calls  int64
 }
 
 type count struct {
@@ -35,63 +28,21 @@
 }
 
 // NewCounter makes a counter that plays script.
-func NewCounter(clock *record.Clock, book *record.Book, script []Fault, seed uint64) *Counter {
-	return &Counter{clock: clock, book: book, script: script, rng: rand.New(rand.NewPCG(seed, 0xc0)),
-		conns: map[net.Conn]struct{}{}, totals: map[string]count{}, resets: map[int]bool{}}
+func NewCounter(clock *record.Clock, book *record.Book, script []Fault) *Counter {
+	return &Counter{clock: clock, book: book, script: script, totals: map[string]count{}, resets: map[int]bool{}}
 }
 
 // Address is where it listens.
-func (k *Counter) Address() string { k.mu.Lock(); defer k.mu.Unlock(); return k.address }
+func (k *Counter) Address() string { return k.where() }
 
 // Calls is how many calls it has answered.
 func (k *Counter) Calls() int64 { k.mu.Lock(); defer k.mu.Unlock(); return k.calls }
 
 // Start listens, on address the first time and on the same port after.
-func (k *Counter) Start(address string) error {
-	k.mu.Lock()
-	if k.address != "" {
-		address = k.address
-	}
-	k.mu.Unlock()
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	k.mu.Lock()
-	k.listener, k.address, k.up = l, l.Addr().String(), true
-	k.mu.Unlock()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			k.mu.Lock()
-			k.conns[c] = struct{}{}
-			k.mu.Unlock()
-			go k.serve(c)
-		}
-	}()
-	return nil
-}
+func (k *Counter) Start(address string) error { return k.open(address, k.serve) }
 
 // Stop refuses new connections and resets those open.
-func (k *Counter) Stop() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.up {
-		return
-	}
-	k.up = false
-	_ = k.listener.Close()
-	for c := range k.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-	k.conns = map[net.Conn]struct{}{}
-}
+func (k *Counter) Stop() { k.shut() }
 
 // Tick plays what the script says for now: a stop and start for "down", forgetting all for "reset".
 func (k *Counter) Tick(now int64) {
@@ -108,9 +59,7 @@
 			k.book.AddEvent(record.Event{At: now, Kind: "counter-reset", Target: "counter"})
 		}
 	}
-	k.mu.Lock()
-	up := k.up
-	k.mu.Unlock()
+	up := k.isUp()
 	if down && up {
 		k.Stop()
 		k.book.AddEvent(record.Event{At: now, Kind: "counter-down", Target: "counter"})
@@ -122,12 +71,7 @@
 }
 
 func (k *Counter) serve(c net.Conn) {
-	defer func() {
-		_ = c.Close()
-		k.mu.Lock()
-		delete(k.conns, c)
-		k.mu.Unlock()
-	}()
+	defer func() { _ = c.Close() }()
 	lines := bufio.NewScanner(c)
 	for lines.Scan() {
 		now := k.clock.Now()
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -120,7 +120,7 @@
 	book := &record.Book{}
 	clock := record.NewClock()
 	k := NewCounter(clock, book, []Fault{{Kind: "reset", From: int64(100 * time.Millisecond)},
-		{Kind: "down", From: int64(200 * time.Millisecond), Until: int64(400 * time.Millisecond)}}, 1)
+		{Kind: "down", From: int64(200 * time.Millisecond), Until: int64(400 * time.Millisecond)}})
 	if err := k.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -55,14 +55,10 @@
 	book    *record.Book
 	repeats *Repeats
 
-	mu       sync.Mutex
+	port
 	rng      *rand.Rand
-	listener net.Listener
-	conns    map[net.Conn]struct{}
-	address  string
 	started  int64
 	inflight int
-	up       bool
 }
 
 // NewServer makes a server that writes its shots in book; repeats may be nil where its group drops none.
@@ -71,7 +67,7 @@
 		spec.Capacity = 64
 	}
 	return &Server{spec: spec, clock: clock, book: book, repeats: repeats,
-		rng: rand.New(rand.NewPCG(spec.Seed, 0x5e)), conns: map[net.Conn]struct{}{}}
+		rng: rand.New(rand.NewPCG(spec.Seed, 0x5e))}
 }
 
 // Name is the server's instance id.
@@ -81,7 +77,7 @@
 func (s *Server) Zone() string { return s.spec.Zone }
 
 // Address is where it listens, once started.
-func (s *Server) Address() string { s.mu.Lock(); defer s.mu.Unlock(); return s.address }
+func (s *Server) Address() string { return s.where() }
 
 // Started is the run's time of its last start, in nanoseconds.
 func (s *Server) Started() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.started }
@@ -89,56 +85,13 @@
 // Start listens on address ("127.0.0.1:0" for any port); a restart keeps the port it had and begins cold.
 func (s *Server) Start(address string) error {
 	s.mu.Lock()
-	if s.address != "" {
-		address = s.address
-	}
+	s.started = s.clock.Now()
 	s.mu.Unlock()
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	s.listener, s.address, s.started, s.up = l, l.Addr().String(), s.clock.Now(), true
-	s.mu.Unlock()
-	go s.accept(l)
-	return nil
+	return s.open(address, s.serve)
 }
 
 // Stop ends the process as a crash would: the port refuses and every connection is reset.
-func (s *Server) Stop() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.up {
-		return
-	}
-	s.up = false
-	_ = s.listener.Close()
-	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-	s.conns = map[net.Conn]struct{}{}
-}
-
-func (s *Server) accept(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		if !s.up {
-			s.mu.Unlock()
-			_ = c.Close()
-			return
-		}
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		go s.serve(c)
-	}
-}
+func (s *Server) Stop() { s.shut() }
 
 // serve reads commands and begins each at once; answers go back in the order of the commands.
 func (s *Server) serve(c net.Conn) {
@@ -159,48 +112,26 @@
 						return
 					}
 					if r.reset {
-						if t, ok := c.(*net.TCPConn); ok {
-							_ = t.SetLinger(0)
-						}
+						reset(c)
 						return
 					}
 				}
 			}
 		}
 	}()
-	defer func() {
-		close(done)
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-	}()
-	var held []byte
-	chunk := make([]byte, 16<<10)
-	for {
-		n, err := c.Read(chunk)
-		if err != nil {
-			return
-		}
-		held = append(held, chunk[:n]...)
-		for {
-			words, used, err := resp.ReadCommand(held, nil)
-			if err != nil {
-				_, _ = c.Write([]byte("-SYNTAX " + err.Error() + "\r\n"))
-				return
-			}
-			if used == 0 {
-				break
-			}
-			slot := make(chan reply, 1)
-			select {
-			case answers <- slot:
-			case <-done:
-				return
-			}
-			go s.command(words, slot)
-			held = held[used:]
+	defer close(done)
+	err := Commands(c, func(words [][]byte) bool {
+		slot := make(chan reply, 1)
+		select {
+		case answers <- slot:
+		case <-done:
+			return false
 		}
-		held = append([]byte(nil), held...)
+		go s.command(words, slot)
+		return true
+	})
+	if err != nil {
+		_, _ = c.Write([]byte("-SYNTAX " + err.Error() + "\r\n"))
 	}
 }
 
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -105,6 +105,7 @@
 	Shots    []Shot          `json:"shots"`
 	Events   []Event         `json:"events"`
 	Verdict  json.RawMessage `json:"verdict,omitempty"`
+	Latency  json.RawMessage `json:"latency,omitempty"` // percentiles of done jobs by track, from HDR histograms
 }
 
 // Write writes a run's record to a file as JSON.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -267,8 +267,8 @@
 <h3>Answer times of done jobs (ms)</h3><table><tr><th>track</th><th>done</th><th>p50</th><th>p90</th><th>p99</th><th>max</th></tr>
 {{range .Latencies}}<tr><td>{{.Track}}</td><td>{{.Count}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P90}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .Max}}</td></tr>{{end}}</table>
 {{range .Plots}}{{.}}{{end}}
-<h3>Faults and changes as played</h3><table><tr><th>at s</th><th>kind</th><th>target</th></tr>
-{{range .Events}}<tr><td>{{seconds .At}}</td><td>{{.Kind}}</td><td>{{.Target}}</td></tr>{{end}}</table>
+<h3>Faults and changes as played</h3><table><tr><th>at s</th><th>kind</th><th>target</th><th></th></tr>
+{{range .Events}}<tr><td>{{seconds .At}}</td><td>{{.Kind}}</td><td>{{.Target}}</td><td>{{.Detail}}</td></tr>{{end}}</table>
 {{end}}</body></html>
 `))
 
--- a/internal/lab/runner/runner.go
+++ b/internal/lab/runner/runner.go
@@ -70,6 +70,7 @@
 	text, _ := json.Marshal(verdict)
 	run := &record.Run{Name: e.Name, Seed: e.Seed, Length: experiment.Nanos(e.Length),
 		Limiters: e.Limiters.Count, Settings: e.Text, Jobs: jobs, Shots: shots, Events: events, Verdict: text}
+	run.Latency, _ = json.Marshal(Latencies(jobs))
 	return &Result{Run: run, Verdict: verdict}, nil
 }
 
@@ -78,7 +79,7 @@
 		return err
 	}
 	if l.e.Counter.On {
-		l.counter = emulator.NewCounter(l.clock, l.book, l.scriptOf("counter"), l.e.Seed^0xc0)
+		l.counter = emulator.NewCounter(l.clock, l.book, l.scriptOf("counter"))
 		if err := l.counter.Start("127.0.0.1:0"); err != nil {
 			return err
 		}
@@ -255,6 +256,9 @@
 func (l *Lab) begin(f experiment.Fault, now int64) {
 	l.log.Info("fault", "kind", f.Kind, "target", f.Target, "at_ns", now)
 	switch {
+	case f.Kind != "kill" && f.Kind != "drain" && f.Kind != "gone" && f.Kind != "replace" &&
+		!(f.Kind == "down" && f.Target == "discovery"): // the emulator plays it; the record shows it
+		l.book.AddEvent(record.Event{At: now, Kind: f.Kind, Target: f.Target, Detail: "begins"})
 	case f.Kind == "kill":
 		var n int
 		_, _ = fmt.Sscanf(strings.TrimPrefix(f.Target, "limiter:"), "%d", &n)
@@ -297,6 +301,8 @@
 
 func (l *Lab) end(f experiment.Fault, now int64) {
 	switch {
+	case f.Kind != "kill" && f.Kind != "drain" && !(f.Kind == "down" && f.Target == "discovery"):
+		l.book.AddEvent(record.Event{At: now, Kind: f.Kind, Target: f.Target, Detail: "ends"})
 	case f.Kind == "kill":
 		var n int
 		_, _ = fmt.Sscanf(strings.TrimPrefix(f.Target, "limiter:"), "%d", &n)
--- a/internal/lab/sloppy/sloppy.go
+++ b/internal/lab/sloppy/sloppy.go
@@ -57,35 +57,22 @@
 
 func serve(c net.Conn, servers []emulator.Instance) {
 	defer func() { _ = c.Close() }()
-	var held []byte
-	chunk := make([]byte, 4096)
-	for {
-		n, err := c.Read(chunk)
-		if err != nil {
-			return
+	_ = emulator.Commands(c, func(words [][]byte) bool {
+		if string(words[0]) == "PING" {
+			_, err := c.Write([]byte("+PONG\r\n"))
+			return err == nil
 		}
-		held = append(held, chunk[:n]...)
-		for {
-			words, used, err := resp.ReadCommand(held, nil)
-			if err != nil || used == 0 {
+		value, turn := "-ERR no server\r\n", int(turns.Add(1))
+		for try := range 3 { // the fault: a second shot whatever the track
+			server := servers[(turn+try)%len(servers)]
+			if v, ok := shoot(server.HostPort, words); ok {
+				value = v
 				break
 			}
-			held = held[used:]
-			if string(words[0]) == "PING" {
-				_, _ = c.Write([]byte("+PONG\r\n"))
-				continue
-			}
-			value, turn := "-ERR no server\r\n", int(turns.Add(1))
-			for try := range 3 { // the fault: a second shot whatever the track
-				server := servers[(turn+try)%len(servers)]
-				if v, ok := shoot(server.HostPort, words); ok {
-					value = v
-					break
-				}
-			}
-			_, _ = c.Write([]byte(value))
 		}
-	}
+		_, err := c.Write([]byte(value))
+		return err == nil
+	})
 }
 
 func shoot(address string, words [][]byte) (string, bool) {
