--- a/internal/lab/emulator/fault.go
+++ b/internal/lab/emulator/fault.go
@@ -33,6 +33,7 @@
 	"slow":  "each answer waits Factor milliseconds",
 	"busy":  "every call is turned away",
 	"reset": "all totals are forgotten at From, as by a new empty store",
+	"split": "limiters see Factor stores that begin alike and then differ; part 0 stands when it heals",
 }
 
 // DiscoveryFaults are the kinds discovery's script may hold.
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -111,3 +111,19 @@
 		t.Fatal(paced.Line())
 	}
 }
+
+func TestSlackOfUnitsOrShare(t *testing.T) {
+	set, _ := settings.Decode(json.RawMessage(text))
+	var jobs []record.Job
+	var shots []record.Shot
+	for i := range 25 {
+		id := string(rune('a' + i))
+		jobs = append(jobs, job(id, "lookup", 1, 0))
+		shots = append(shots, shot(id, "s1", "a", "lookup", int64(i), true))
+	}
+	units := Judge(jobs, shots, nil, set, Terms{Slack: 150e6, SlackUnits: 4})   // 20 + 4 + 1.5
+	share := Judge(jobs, shots, nil, set, Terms{Slack: 150e6, SlackShare: 0.1}) // 22 + 1.5: 24 and 25 pass it
+	if !units.Pass || share.Counts[5] != 2 {
+		t.Fatalf("units %s; share %s", units.Line(), share.Line())
+	}
+}
