--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"fmt"
 	"log"
 	"os"
 	"os/signal"
@@ -10,6 +11,9 @@
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
+	"ospreycroft/internal/countloss"
 	"ospreycroft/internal/limiter"
 	"ospreycroft/internal/settings"
 	"ospreycroft/internal/sockets"
@@ -17,11 +21,40 @@
 
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
-	if err := run(); err != nil {
+	// With no arguments, as the platform starts it, the program is one limiter.
+	root := &cobra.Command{Use: "ospreycroft", Short: "one limiter; GW_CONFIG names its configuration",
+		Args: cobra.NoArgs, SilenceUsage: true, RunE: func(*cobra.Command, []string) error { return run() }}
+	root.AddCommand(&cobra.Command{Use: "check [CONFIG.json]", Short: "read a configuration and state its bounds",
+		Args: cobra.MaximumNArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			path := os.Getenv("GW_CONFIG")
+			if len(args) == 1 {
+				path = args[0]
+			}
+			config, err := readFrom(path)
+			if err != nil {
+				return fmt.Errorf("%s: %w", path, err)
+			}
+			fmt.Printf("ok name=%s limiters=%d plans=%d tracks=%d\n", config.Name, config.Settings.Limiters,
+				len(config.Settings.Plans), len(config.Settings.Tracks))
+			return bounds(config, func(line string) { fmt.Println(line) })
+		}})
+	if err := root.Execute(); err != nil {
 		log.Fatalf("event=failed error=%q", err)
 	}
 }
 
+// bounds states, plan by plan, how far use can pass a quota when the counter is lost, emptied or split.
+func bounds(config *settings.Config, say func(string)) error {
+	rows, err := countloss.Table(config.Settings.Settings)
+	if err != nil {
+		return err
+	}
+	for _, b := range rows {
+		say("event=count-loss-bound " + b.Line(config.Settings.Plans[b.Plan]))
+	}
+	return nil
+}
+
 func run() error {
 	hups := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
 	signal.Notify(hups, syscall.SIGHUP)
@@ -62,14 +95,20 @@
 		return err
 	}
 	log.Printf("event=started name=%s listen=%s", config.Name, config.Listen)
+	if err := bounds(config, func(line string) { log.Print(line) }); err != nil {
+		return err
+	}
 	s.Run(clock, l, stop, renewed)
 	log.Printf("event=stopped name=%s", config.Name)
 	return nil
 }
 
 // read reads the configuration, at the start and again when SIGHUP says that it was replaced.
-func read() (*settings.Config, error) {
-	text, err := os.ReadFile(os.Getenv("GW_CONFIG"))
+func read() (*settings.Config, error) { return readFrom(os.Getenv("GW_CONFIG")) }
+
+// readFrom reads and checks the configuration at path.
+func readFrom(path string) (*settings.Config, error) {
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/countloss/countloss.go
@@ -0,0 +1,135 @@
+// Package countloss states in advance how far a customer's use can pass its quota when the shared counter is
+// lost, emptied or split, from the settings alone, as the decision module's arithmetic gives it. It does no
+// I/O and decides nothing on the job path: the limiter logs its figures at the start and `ospreycroft check`
+// prints them, so that an operator knows the error before the counter fails.
+//
+// Source: Reserve and Reconcile (docs/design.md): without the counter each of a customer's s limiters decides by
+// its slice, which holds max(B/s, J) and fills at R/s (B the plan's burst, R its rate, J the largest job); a
+// fallen total gives no store back; a hard ceiling is kept by each limiter's own part, D/s filling at H/s, with
+// no answer of the counter at all.
+package countloss
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"ospreycroft/choice"
+)
+
+// Case is a way of losing the shared count.
+type Case uint8
+
+// The cases the bound is stated for.
+const (
+	Lost  Case = iota // down, refusing, or answering after the wait: the slices decide
+	Reset             // emptied, or replaced by an empty store
+	Split             // parts that each see only some of the limiters' adds
+)
+
+func (c Case) String() string { return [...]string{"lost", "reset", "split"}[c] }
+
+// Bound is the most by which what reaches servers for one customer, counted as inside its quota, can pass the
+// quota's own bucket (B at once, R a second) over any span in which the case holds. Units and units a second.
+type Bound struct {
+	Plan    string
+	Case    Case
+	Set     int     // the customer's limiters
+	Parts   int     // a split's parts; 1 otherwise
+	AtOnce  float64 // units beyond the quota's burst, once
+	ASecond float64 // units a second beyond the quota's rate, for as long as the case lasts
+	// Ceiling is the most beyond a hard ceiling's depth and rate, over the same span: 0 by the arithmetic of
+	// the parts whatever the counter does; NaN where the plan has no ceiling.
+	Ceiling float64
+	// Capped is true where the hard ceiling is the lower bound of the two: use never passes D + H·t.
+	Capped bool
+}
+
+// Over is the bound's total over a span of seconds, capped by the ceiling's own margin over the quota where the
+// plan has one: a ceiling of D and H leaves at most D − B + (H − R)·t beyond the quota.
+func (b Bound) Over(plan *choice.Plan, seconds float64) float64 {
+	over := b.AtOnce + b.ASecond*seconds
+	if plan.CeilingRate > 0 {
+		over = math.Min(over, max(0, plan.CeilingBurst-plan.Burst+(plan.CeilingRate-plan.Rate)*seconds))
+	}
+	return over
+}
+
+// Of states the bound of one case for a plan, a set of s limiters and, for a split, its parts (at least 2).
+// Errors: a set below 1, a split of fewer than 2 parts, a plan with no rate.
+func Of(name string, plan *choice.Plan, mostUnits float64, s int, c Case, parts int) (Bound, error) {
+	if s < 1 {
+		return Bound{}, fmt.Errorf("countloss: a set of %d limiters", s)
+	}
+	if plan.Rate <= 0 {
+		return Bound{}, fmt.Errorf("countloss: plan %s has no rate", name)
+	}
+	b := Bound{Plan: name, Case: c, Set: s, Parts: 1, Ceiling: math.NaN()}
+	if plan.CeilingRate > 0 {
+		b.Ceiling = 0
+	}
+	n := float64(s)
+	switch c {
+	case Lost:
+		// s slices, each max(B/s, J) at once and R/s a second: max(B, s·J) + R·t in all, against B + R·t.
+		b.AtOnce = max(0, n*mostUnits-plan.Burst)
+	case Reset:
+		// A limiter that has not looked lately takes the burst anew from an empty total, once for the store
+		// that was forgotten; those that had looked keep what they knew, and a fallen total gives nothing back.
+		b.AtOnce = plan.Burst
+	case Split:
+		if parts < 2 {
+			return Bound{}, fmt.Errorf("countloss: a split of %d parts", parts)
+		}
+		// Each part that holds one of the customer's limiters sees a whole store and a whole rate.
+		m := float64(min(parts, s))
+		b.Parts = parts
+		b.AtOnce, b.ASecond = (m-1)*plan.Burst, (m-1)*plan.Rate
+	}
+	b.Capped = plan.CeilingRate > 0
+	return b, nil
+}
+
+// Table states every case for every plan of the settings, for a customer whose jobs come in through all
+// limiters (the worst set) and a split into two parts and into as many parts as limiters.
+func Table(set *choice.Settings) ([]Bound, error) {
+	names := make([]string, 0, len(set.Plans))
+	for name := range set.Plans {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var out []Bound
+	for _, name := range names {
+		plan := set.Plans[name]
+		if plan.Rate <= 0 {
+			continue // a plan with no rate rejects everything; nothing can pass it
+		}
+		for _, c := range []struct {
+			c     Case
+			parts int
+		}{{Lost, 1}, {Reset, 1}, {Split, 2}, {Split, set.Limiters}} {
+			if c.c == Split && c.parts == 2 && set.Limiters <= 2 && len(out) > 0 && out[len(out)-1].Case == Split {
+				continue // one split of two is all there is
+			}
+			if c.c == Split && c.parts < 2 {
+				continue
+			}
+			b, err := Of(name, plan, set.MostUnits, set.Limiters, c.c, c.parts)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, b)
+		}
+	}
+	return out, nil
+}
+
+// Line is one bound as the log and `check` write it, with what it comes to over a minute.
+func (b Bound) Line(plan *choice.Plan) string {
+	ceiling := "none"
+	if !math.IsNaN(b.Ceiling) {
+		ceiling = fmt.Sprintf("%.4g", b.Ceiling)
+	}
+	return fmt.Sprintf("plan=%s case=%s set=%d parts=%d at_once=%.4g a_second=%.4g over_a_minute=%.4g ceiling_over=%s",
+		b.Plan, b.Case, b.Set, b.Parts, b.AtOnce, b.ASecond, b.Over(plan, 60), ceiling)
+}
--- /dev/null
+++ b/internal/countloss/countloss_test.go
@@ -0,0 +1,57 @@
+package countloss
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"ospreycroft/choice"
+)
+
+var department = &choice.Plan{Rate: 10, Burst: 20, CeilingRate: 20, CeilingBurst: 40}
+var basic = &choice.Plan{Rate: 2, Burst: 8}
+
+func TestLostIsTheSlicesLargestJobs(t *testing.T) {
+	// 4 limiters whose slices hold 6 units at least: 24 at once against a burst of 20.
+	b, err := Of("department", department, 6, 4, Lost, 1)
+	if err != nil || b.AtOnce != 4 || b.ASecond != 0 || b.Ceiling != 0 {
+		t.Fatalf("%+v %v", b, err)
+	}
+	small, _ := Of("basic", basic, 1, 4, Lost, 1)
+	if small.AtOnce != 0 || !math.IsNaN(small.Ceiling) {
+		t.Fatalf("slices of B/s hold no more than the burst: %+v", small)
+	}
+}
+
+func TestSplitGrowsWithTimeButTheCeilingCapsIt(t *testing.T) {
+	b, _ := Of("department", department, 6, 3, Split, 5) // only 3 parts can hold one of the 3 limiters
+	if b.AtOnce != 40 || b.ASecond != 20 {
+		t.Fatalf("%+v", b)
+	}
+	// Over a minute: 40 + 1200 by the parts, but the ceiling leaves 20 + 10·60 = 620 beyond the quota.
+	if got := b.Over(department, 60); got != 620 {
+		t.Fatalf("over a minute: %v", got)
+	}
+	free, _ := Of("basic", basic, 6, 3, Split, 2)
+	if got := free.Over(basic, 60); got != 8+2*60 {
+		t.Fatalf("without a ceiling nothing caps it: %v", got)
+	}
+}
+
+func TestBadInputsAndTable(t *testing.T) {
+	if _, err := Of("x", basic, 6, 0, Lost, 1); err == nil {
+		t.Error("a set of none")
+	}
+	if _, err := Of("x", basic, 6, 3, Split, 1); err == nil {
+		t.Error("a split of one part")
+	}
+	set := &choice.Settings{Plans: map[string]*choice.Plan{"department": department, "basic": basic,
+		"none": {}}, MostUnits: 6, Limiters: 3}
+	rows, err := Table(set)
+	if err != nil || len(rows) != 8 || rows[0].Plan != "basic" || rows[4].Plan != "department" {
+		t.Fatalf("%d rows %v", len(rows), err)
+	}
+	if line := rows[6].Line(department); !strings.Contains(line, "case=split") || !strings.Contains(line, "parts=2") {
+		t.Fatal(line)
+	}
+}
--- /dev/null
+++ b/internal/lab/rules/quota.go
@@ -0,0 +1,80 @@
+package rules
+
+import (
+	"sort"
+
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/settings"
+)
+
+// Use is how one customer's use stood against its quota over a run: not a rule, a measure. Units are counted at
+// a job's first shot, as for ceilings, in a bucket of the plan's burst that drains at its rate.
+type Use struct {
+	Customer string  `json:"customer"`
+	Plan     string  `json:"plan"`
+	Sent     float64 `json:"sent"`     // units that reached servers
+	Excess   float64 `json:"excess"`   // the most the bucket held beyond the burst
+	Rejected int     `json:"rejected"` // jobs rejected
+	Wrongly  int     `json:"wrongly"`  // of them, rejected while the bucket had room for their units
+}
+
+// Quotas measures every customer's use against its quota, in customer order.
+func Quotas(jobs []record.Job, shots []record.Shot, set *settings.Settings) []Use {
+	type event struct {
+		at      int64
+		job     *record.Job
+		sending bool
+	}
+	byID := map[string]*record.Job{}
+	for i := range jobs {
+		byID[jobs[i].ID] = &jobs[i]
+	}
+	var events []event
+	counted := map[string]bool{}
+	for _, s := range shots {
+		if j := byID[s.ID]; j != nil && !counted[s.ID] && s.Answer != "busy" {
+			counted[s.ID] = true
+			events = append(events, event{s.At, j, true})
+		}
+	}
+	for i := range jobs {
+		if jobs[i].Outcome == record.Rejected {
+			events = append(events, event{jobs[i].Answered, &jobs[i], false})
+		}
+	}
+	sort.SliceStable(events, func(a, b int) bool { return events[a].at < events[b].at })
+	type bucket struct {
+		use   Use
+		level float64
+		at    int64
+	}
+	buckets := map[string]*bucket{}
+	for _, e := range events {
+		plan := set.Plans[e.job.Plan]
+		if plan == nil || plan.Rate <= 0 {
+			continue
+		}
+		b := buckets[e.job.Customer]
+		if b == nil {
+			b = &bucket{use: Use{Customer: e.job.Customer, Plan: e.job.Plan}, at: e.at}
+			buckets[e.job.Customer] = b
+		}
+		b.level, b.at = max(0, b.level-plan.Rate*float64(e.at-b.at)/1e9), e.at
+		if !e.sending {
+			b.use.Rejected++
+			if b.level+e.job.Units <= plan.Burst {
+				b.use.Wrongly++
+			}
+			continue
+		}
+		b.level += e.job.Units
+		b.use.Sent += e.job.Units
+		b.use.Excess = max(b.use.Excess, b.level-plan.Burst)
+	}
+	out := make([]Use, 0, len(buckets))
+	for _, b := range buckets {
+		out = append(out, b.use)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Customer < out[b].Customer })
+	return out
+}
