--- a/internal/lab/runner/runner_test.go
+++ b/internal/lab/runner/runner_test.go
@@ -9,7 +9,9 @@
 	"strings"
 	"testing"
 
+	"ospreycroft/internal/countloss"
 	"ospreycroft/internal/lab/experiment"
+	"ospreycroft/internal/lab/rules"
 	"ospreycroft/internal/lab/sloppy"
 )
 
@@ -54,6 +56,7 @@
 	if testing.Short() {
 		t.Skip("20 s of load")
 	}
+	t.Parallel()
 	e := experimentFile(t, build(t), func(s string) string { return s })
 	r, err := Run(e, t.TempDir(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
 	if err != nil {
@@ -89,3 +92,48 @@
 		t.Fatalf("second shots of binding jobs went unseen: %s", r.Verdict.Line())
 	}
 }
+
+// TestCountLossWithinTheStatedBound plays the counter down, emptied and split under load: rule 5 must hold, and
+// every customer's excess over its quota must stay within what countloss states for its set and the faults.
+func TestCountLossWithinTheStatedBound(t *testing.T) {
+	if testing.Short() {
+		t.Skip("20 s of load")
+	}
+	t.Parallel()
+	e, err := experiment.Read("../../../examples/lab/countloss.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Limiters.Program = build(t)
+	r, err := Run(e, t.TempDir(), slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Verdict.Pass {
+		t.Fatalf("%s\n%+v", r.Verdict.Line(), r.Verdict.Breaches)
+	}
+	spreads := map[string]int{}
+	for _, c := range e.Load.Customers {
+		spreads[c.ID] = c.Spread
+	}
+	for _, u := range rules.Quotas(r.Run.Jobs, r.Run.Shots, e.Settings) {
+		plan, s := e.Settings.Plans[u.Plan], spreads[u.Customer]
+		total := 0.0
+		for _, c := range []struct {
+			c       countloss.Case
+			parts   int
+			seconds float64
+		}{{countloss.Lost, 1, 4}, {countloss.Reset, 1, 0}, {countloss.Split, 2, 6}} {
+			b, err := countloss.Of(u.Plan, plan, e.Settings.MostUnits, s, c.c, c.parts)
+			if err != nil {
+				t.Fatal(err)
+			}
+			total += b.AtOnce + b.ASecond*c.seconds
+		}
+		total = min(total, plan.CeilingBurst-plan.Burst+(plan.CeilingRate-plan.Rate)*e.Length)
+		t.Logf("%s: set %d, excess %.1f, stated %.1f", u.Customer, s, u.Excess, total)
+		if u.Excess > total+e.Settings.MostUnits {
+			t.Errorf("%s: excess %.1f past the stated %.1f", u.Customer, u.Excess, total)
+		}
+	}
+}
--- a/internal/lab/runner/summary.go
+++ b/internal/lab/runner/summary.go
@@ -7,7 +7,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"ospreycroft/internal/lab/experiment"
 	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/lab/rules"
 )
 
 // Latency is one track's answer times for done jobs, in microseconds.
@@ -49,6 +51,13 @@
 	for _, b := range r.Verdict.Breaches {
 		_, _ = fmt.Fprintf(w, "  rule %d at %.3fs: %s: %s\n", b.Rule, float64(b.At)/1e9, b.What, b.Detail)
 	}
+	set, err := experiment.SettingsOnly(r.Run.Settings)
+	if err == nil {
+		for _, u := range rules.Quotas(r.Run.Jobs, r.Run.Shots, set) {
+			_, _ = fmt.Fprintf(w, "  use customer=%s plan=%s sent=%.0f excess=%.1f rejected=%d wrongly=%d\n", u.Customer,
+				u.Plan, u.Sent, u.Excess, u.Rejected, u.Wrongly)
+		}
+	}
 	for _, l := range Latencies(r.Run.Jobs) {
 		_, _ = fmt.Fprintf(w, "  %s: %d done, p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, max %.1f ms\n", l.Track, l.Count,
 			float64(l.P50)/1e3, float64(l.P90)/1e3, float64(l.P99)/1e3, float64(l.Max)/1e3)
