--- a/internal/countloss/countloss.go
+++ b/internal/countloss/countloss.go
@@ -81,10 +81,11 @@
 		if parts < 2 {
 			return Bound{}, fmt.Errorf("countloss: a split of %d parts", parts)
 		}
-		// Each part that holds one of the customer's limiters sees a whole store and a whole rate.
+		// Each part that holds one of the customer's limiters sees a whole store and a whole rate; when it
+		// heals, the parts that lose forget what was added there, which is a reset for their limiters.
 		m := float64(min(parts, s))
 		b.Parts = parts
-		b.AtOnce, b.ASecond = (m-1)*plan.Burst, (m-1)*plan.Rate
+		b.AtOnce, b.ASecond = m*plan.Burst, (m-1)*plan.Rate
 	}
 	b.Capped = plan.CeilingRate > 0
 	return b, nil
