--- a/internal/countloss/countloss_test.go
+++ b/internal/countloss/countloss_test.go
@@ -25,7 +25,7 @@
 
 func TestSplitGrowsWithTimeButTheCeilingCapsIt(t *testing.T) {
 	b, _ := Of("department", department, 6, 3, Split, 5) // only 3 parts can hold one of the 3 limiters
-	if b.AtOnce != 60 || b.ASecond != 20 { // 3 whole stores, the heal's loss among them
+	if b.AtOnce != 60 || b.ASecond != 20 {               // 3 whole stores, the heal's loss among them
 		t.Fatalf("%+v", b)
 	}
 	// Over a minute: 60 + 1200 by the parts, but the ceiling leaves 20 + 10·60 = 620 beyond the quota.
