Lab: recovery after the counter's faults, from the rejections made while a quota had room

Change: rules.Quotas keeps the times of wrongful rejections; rules.Recovery finds the first second after the counter's last fault from which no second holds more than 1.5 times the rate before its first fault, plus one; osplab run prints it. A test builds a recovery of 3 s and one that never comes.

--- a/internal/lab/rules/quota.go
+++ b/internal/lab/rules/quota.go
@@ -16,6 +16,8 @@
 	Excess   float64 `json:"excess"`   // the most the bucket held beyond the burst
 	Rejected int     `json:"rejected"` // jobs rejected
 	Wrongly  int     `json:"wrongly"`  // of them, rejected while the bucket had room for their units
+	// WronglyAt are the times of those rejections, nanoseconds on the run's clock, for recovery to be seen.
+	WronglyAt []int64 `json:"wrongly_at,omitempty"`
 }
 
 // Quotas measures every customer's use against its quota, in customer order.
@@ -64,6 +66,7 @@
 			b.use.Rejected++
 			if b.level+e.job.Units <= plan.Burst {
 				b.use.Wrongly++
+				b.use.WronglyAt = append(b.use.WronglyAt, e.at)
 			}
 			continue
 		}
@@ -78,3 +81,43 @@
 	sort.Slice(out, func(a, b int) bool { return out[a].Customer < out[b].Customer })
 	return out
 }
+
+// Recovery is how long after from (nanoseconds) the rejections made while a quota had room came back to what
+// they were a second before the first fault, at faults: the first second from which on no second of the run
+// up to end holds more than half as many again as that, and one more. It is from itself where none does,
+// and -1 where they never come back before end.
+func Recovery(uses []Use, faults, from, end int64) int64 {
+	const sec = int64(1e9)
+	if faults < sec || end <= from {
+		return -1
+	}
+	var counts []int
+	for _, u := range uses {
+		for _, at := range u.WronglyAt {
+			if at >= 0 && at < end {
+				for int(at/sec) >= len(counts) {
+					counts = append(counts, 0)
+				}
+				counts[at/sec]++
+			}
+		}
+	}
+	for int((end-1)/sec) >= len(counts) {
+		counts = append(counts, 0)
+	}
+	before := 0
+	for s := int64(0); s < faults/sec; s++ {
+		before += counts[s]
+	}
+	limit := float64(before)/float64(faults/sec)*1.5 + 1
+	last := from/sec - 1 // the last second over the limit
+	for s := from / sec; s < int64(len(counts)); s++ {
+		if float64(counts[s]) > limit {
+			last = s
+		}
+	}
+	if last == int64(len(counts))-1 && last >= from/sec {
+		return -1
+	}
+	return max(0, (last+1)*sec-from)
+}
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -127,3 +127,24 @@
 		t.Fatalf("units %s; share %s", units.Line(), share.Line())
 	}
 }
+
+func TestRecovery(t *testing.T) {
+	at := func(secs ...float64) []int64 {
+		var out []int64
+		for _, s := range secs {
+			out = append(out, int64(s*1e9))
+		}
+		return out
+	}
+	// One a second before the faults at 4 s; five a second in seconds 6 and 7; back to one from 8 s.
+	calm := []float64{0.5, 1.5, 2.5, 3.5}
+	bad := []float64{6.1, 6.2, 6.3, 6.4, 6.5, 7.1, 7.2, 7.3, 7.4, 7.5, 8.5, 9.5}
+	uses := []Use{{WronglyAt: at(append(calm, bad...)...)}}
+	if got := Recovery(uses, 4e9, 5e9, 10e9); got != 3e9 {
+		t.Fatalf("recovered after %v, want 3 s after the counter came back at 5 s", got)
+	}
+	uses[0].WronglyAt = append(uses[0].WronglyAt, at(9.1, 9.2, 9.3, 9.4)...)
+	if got := Recovery(uses, 4e9, 5e9, 10e9); got != -1 {
+		t.Fatalf("never recovered, got %v", got)
+	}
+}
--- a/internal/lab/runner/summary.go
+++ b/internal/lab/runner/summary.go
@@ -53,13 +53,33 @@
 	}
 	set, err := experiment.SettingsOnly(r.Run.Settings)
 	if err == nil {
-		for _, u := range rules.Quotas(r.Run.Jobs, r.Run.Shots, set) {
+		uses := rules.Quotas(r.Run.Jobs, r.Run.Shots, set)
+		for _, u := range uses {
 			_, _ = fmt.Fprintf(w, "  use customer=%s plan=%s sent=%.0f excess=%.1f rejected=%d wrongly=%d\n", u.Customer,
 				u.Plan, u.Sent, u.Excess, u.Rejected, u.Wrongly)
 		}
+		if first, last, seen := counterFaults(r.Run.Events); seen {
+			took := rules.Recovery(uses, first, last, r.Run.Length)
+			_, _ = fmt.Fprintf(w, "  recovery after the counter's faults: %.0f s (-1: not within the run)\n",
+				float64(took)/1e9)
+		}
 	}
 	for _, l := range Latencies(r.Run.Jobs) {
 		_, _ = fmt.Fprintf(w, "  %s: %d done, p50 %.1f ms, p90 %.1f ms, p99 %.1f ms, max %.1f ms\n", l.Track, l.Count,
 			float64(l.P50)/1e3, float64(l.P90)/1e3, float64(l.P99)/1e3, float64(l.Max)/1e3)
 	}
 }
+
+// counterFaults is when the counter's first fault began and its last one ended.
+func counterFaults(events []record.Event) (first, last int64, seen bool) {
+	for _, e := range events {
+		if e.Target != "counter" {
+			continue
+		}
+		if !seen {
+			first, seen = e.At, true
+		}
+		last = e.At
+	}
+	return first, last, seen
+}
