--- a/choice/choice.go
+++ b/choice/choice.go
@@ -336,7 +336,7 @@
 	// Others add back what they rejected, but a total that falls further means that the counter has
 	// forgotten, and that gives nothing back: a flushed counter grants nobody a fresh burst.
 	gap := seconds(now-a.looked) * a.quota.rate / a.quota.depth
-	if others < -l.set.MostUnits*a.part*weight {
+	if others < -l.set.MostUnits*float64(l.set.Limiters)*weight {
 		others = 0
 	} else if !a.known || gap > 1 {
 		// What was known here of the store counts no more: it stands as the faded use of all says.
