--- a/internal/lab/runner/summary.go
+++ b/internal/lab/runner/summary.go
@@ -59,9 +59,12 @@
 				u.Plan, u.Sent, u.Excess, u.Rejected, u.Wrongly)
 		}
 		if first, last, seen := counterFaults(r.Run.Events); seen {
-			took := rules.Recovery(uses, first, last, r.Run.Length)
-			_, _ = fmt.Fprintf(w, "  recovery after the counter's faults: %.0f s (-1: not within the run)\n",
-				float64(took)/1e9)
+			if took := rules.Recovery(uses, first, last, r.Run.Length); took < 0 {
+				_, _ = fmt.Fprintln(w, "  recovery after the counter's faults: not within the run")
+			} else {
+				_, _ = fmt.Fprintf(w, "  recovery after the counter's faults: %.0f s after %.1f s\n", float64(took)/1e9,
+					float64(last)/1e9)
+			}
 		}
 	}
 	for _, l := range Latencies(r.Run.Jobs) {
