--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,8 @@
 	room     float64 // units that may be out at all servers together
 	load     float64 // units that were out at them, faded over the agreed time
 	slow     float64 // the fading share of answers that were late or full
+	stay     float64 // the fading mean over load reports of the logarithm of the seconds that jobs stay at a server
+	reported int64   // when the latest came
 	busy     bool    // more than half of it was taken when a job last looked for room
 	mild     bool    // some track's jobs may run again
 }
@@ -61,6 +63,7 @@
 	lateAll      = 4        // and at most so many times from the room at all servers
 	slowLeast    = 1.0 / 32 // that is by a shot for each such share of slow answers
 	swing        = 4        // the room grows to the load and so many times the deviation of a random one
+	easing       = 2        // the room widens with this power of how far jobs stay inside the agreed time
 	grow         = 8        // prompt answers that raise a limit by their own size
 	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
@@ -486,13 +489,23 @@
 			able = append(able, s)
 		}
 	}
-	room := l.room * usable / max(ready, 1)
+	room := l.room * l.ease(now, j) * usable / max(ready, 1)
 	if l.busy = out > room/2; out > room && out > j.units {
 		return nil
 	}
 	return able
 }
 
+// ease widens the room while load reports show that jobs stay at the servers, of whatever limiter, for well inside
+// the agreed time: what they hold over what they do a second is that stay. One limiter among many cannot tell a few
+// heavy jobs of its own from servers that fill up. Reports that have grown old say nothing.
+func (l *Limiter) ease(now int64, j *job) float64 {
+	if l.reported == 0 || now-l.reported > j.track.Agreed {
+		return 1
+	}
+	return max(1, math.Pow(seconds(j.track.Agreed)/wellInside/math.Exp(l.stay), easing))
+}
+
 // pick takes the next server in the weighted rotation. A server without room passes, and so does one that
 // holds more than its share of what is out.
 func (l *Limiter) pick(now int64, j *job) *server {
@@ -629,6 +642,13 @@
 			l.log("server %s answers again", s.id)
 			s.standing, s.rest = fit, 0
 		}
+		if r.Held > 0 && r.Pace > 0 {
+			stay := math.Log(r.Held / r.Pace) // a few servers that are stuck do not make a mean of logarithms
+			if l.reported == 0 {
+				l.stay = stay
+			}
+			l.stay, l.reported = l.stay+(stay-l.stay)/slowFade, now
+		}
 		took := seconds(r.Took)
 		s.took, s.did = s.took*(1-1.0/fade)+took, s.did*(1-1.0/fade)+u
 		l.took, l.did = l.took*(1-0.1/fade)+took, l.did*(1-0.1/fade)+u
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -591,6 +591,34 @@
 	})
 }
 
+func TestEase(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports []float64 // seconds that jobs stay, each a server's latest
+		age     int64
+		able    bool
+	}{
+		{"no report: the room binds", nil, 0, false},
+		{"jobs stay for a fifth of the agreed time: there is room", []float64{0.2, 0.2, 0.2}, 0, true},
+		{"and one stuck server among many does not hide it", []float64{0.2, 0.2, 0.2, 0.2, 30, 0.2, 0.2, 0.2, 0.2, 0.2}, 0, true},
+		{"jobs stay for most of the agreed time: the room binds", []float64{0.8, 0.8, 0.8}, 0, false},
+		{"reports have grown old: the room binds", []float64{0.2, 0.2, 0.2}, 2 * second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, _ := made()
+			for _, stay := range c.reports {
+				sh := &shot{job: &job{track: l.set.Tracks["read"], units: 1}, server: l.servers["a"]}
+				l.learn(1, sh, Reply{Outcome: Done, Held: 10 * stay, Pace: 10})
+			}
+			l.room = 2
+			l.servers["a"].out = 3
+			if able := l.able(c.age, &job{track: l.set.Tracks["read"], units: 1}); len(able) > 0 != c.able {
+				t.Fatalf("able %v with a room of %v eased by %v", able, l.room, l.ease(c.age, &job{track: l.set.Tracks["read"]}))
+			}
+		})
+	}
+}
+
 func TestAsked(t *testing.T) {
 	share := func(phase int64, costs float64) int {
 		l, _ := made()
--- a/choice/types.go
+++ b/choice/types.go
@@ -105,6 +105,8 @@
 	Took    int64
 	Final   bool
 	Units   float64 // the true units where they were a guess, else 0
+	Held    float64 // what the server's load report says it holds for all limiters, jobs
+	Pace    float64 // and does, jobs a second; 0 where it says nothing
 }
 
 // Deeds is what a limiter can do; each call takes effect at once.
--- a/internal/limiter/jobs.go
+++ b/internal/limiter/jobs.go
@@ -108,7 +108,7 @@
 	j.shots = append(j.shots, s)
 	j.open++
 	if j.state != Taken || l.now >= j.cutOff || len(j.shots) > l.set.MostShots {
-		l.endShot(s, choice.Moot, 0)
+		l.endShot(s, choice.Reply{Outcome: choice.Moot})
 		return
 	}
 	l.pools[server].send(s)
@@ -124,7 +124,7 @@
 }
 
 // endShot ends a shot, once, and owes the module its answer.
-func (l *Limiter) endShot(s *shot, outcome choice.Outcome, units float64) {
+func (l *Limiter) endShot(s *shot, reply choice.Reply) {
 	if !s.open {
 		return
 	}
@@ -132,8 +132,8 @@
 	l.timers.drop(s.limit)
 	s.open, s.backend = false, nil
 	j.open--
-	l.owed = append(l.owed, owed{reply: choice.Reply{Job: j.id, Shot: s.number, Outcome: outcome,
-		Took: l.now - s.at, Final: j.state != Taken, Units: units}})
+	reply.Job, reply.Shot, reply.Took, reply.Final = j.id, s.number, l.now-s.at, j.state != Taken
+	l.owed = append(l.owed, owed{reply: reply})
 	l.drop(j)
 }
 
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -758,23 +758,26 @@
 
 func TestJudge(t *testing.T) {
 	for _, c := range []struct {
-		in      string
-		outcome choice.Outcome
-		units   float64
+		in                string
+		outcome           choice.Outcome
+		units, held, pace float64
 	}{
-		{"*3\r\n$1\r\nv\r\n$14\r\nused=86,cost=3\r\n$-1\r\n", choice.Done, 3},
-		{"*3\r\n$1\r\nv\r\n$8\r\ncost=Inf\r\n$-1\r\n", choice.Done, 0},
-		{"*3\r\n$1\r\nv\r\n$10\r\ncost=1e300\r\n$-1\r\n", choice.Done, 0},
-		{"*3\r\n$1\r\nv\r\n$7\r\ncost=-3\r\n$-1\r\n", choice.Done, 0},
-		{"*3\r\n$1\r\nv\r\n$-1\r\n$10\r\ninflight=1\r\n", choice.Done, 0},
-		{"-BUSY inflight=7\r\n", choice.Full, 0},
-		{"-BUSYBODY\r\n", choice.Broke, 0},
-		{"-ERR failed inflight=7\r\n", choice.Broke, 0},
+		{"*3\r\n$1\r\nv\r\n$14\r\nused=86,cost=3\r\n$-1\r\n", choice.Done, 3, 0, 0},
+		{"*3\r\n$1\r\nv\r\n$8\r\ncost=Inf\r\n$-1\r\n", choice.Done, 0, 0, 0},
+		{"*3\r\n$1\r\nv\r\n$10\r\ncost=1e300\r\n$-1\r\n", choice.Done, 0, 0, 0},
+		{"*3\r\n$1\r\nv\r\n$7\r\ncost=-3\r\n$-1\r\n", choice.Done, 0, 0, 0},
+		{"*3\r\n$1\r\nv\r\n$-1\r\n$10\r\ninflight=1\r\n", choice.Done, 0, 0, 0},
+		{"*3\r\n$1\r\nv\r\n$-1\r\n$32\r\nthroughput=4.397,outstanding=250\r\n", choice.Done, 0, 250, 4.397},
+		{"*3\r\n$1\r\nv\r\n$-1\r\n$31\r\nthroughput=4.397,outstanding=2.\r\n", choice.Done, 0, 2, 4.397},
+		{"*3\r\n$1\r\nv\r\n$-1\r\n$29\r\nthroughput=-1,outstanding=NaN\r\n", choice.Done, 0, 0, 0},
+		{"-BUSY inflight=7\r\n", choice.Full, 0, 0, 0},
+		{"-BUSYBODY\r\n", choice.Broke, 0, 0, 0},
+		{"-ERR failed inflight=7\r\n", choice.Broke, 0, 0, 0},
 	} {
 		t.Run(strconv.Quote(c.in), func(t *testing.T) {
 			v, _, err := resp.ReadAnswer([]byte(c.in))
-			if outcome, _, units := judge(v, 8); err != nil || outcome != c.outcome || units != c.units {
-				t.Fatalf("outcome %d, units %v, error %v", outcome, units, err)
+			if r, _ := judge(v, 8); err != nil || r.Outcome != c.outcome || r.Units != c.units || r.Held != c.held || r.Pace != c.pace {
+				t.Fatalf("%+v, error %v", r, err)
 			}
 		})
 	}
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -102,7 +102,7 @@
 		s.limit = l.at(s.job.cutOff, func() { l.over(s.backend.c, TimeOver) })
 	}
 	if !p.use(begin) {
-		l.endShot(s, NoRoom.outcome(false), 0)
+		l.endShot(s, choice.Reply{Outcome: NoRoom.outcome(false)})
 	}
 }
 
@@ -121,7 +121,7 @@
 	if s := b.shot; s != nil && (s.job.state != Taken || l.now >= s.job.cutOff) {
 		// The job has ended while its connection came up, and nothing may be sent for it any more.
 		b.shot = nil
-		l.endShot(s, TimeOver.outcome(false), 0)
+		l.endShot(s, choice.Reply{Outcome: TimeOver.outcome(false)})
 	}
 	if b.shot == nil && b.probe == nil {
 		b.rest()
@@ -183,12 +183,12 @@
 		b.probe = nil
 		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: choice.Done})
 	} else {
-		outcome, value, units := judge(v, l.set.MostTrue)
-		if outcome == choice.Done {
+		reply, value := judge(v, l.set.MostTrue)
+		if reply.Outcome == choice.Done {
 			l.move(s.job, Done, resp.AppendBulk(nil, value))
 		}
 		b.shot = nil
-		l.endShot(s, outcome, units)
+		l.endShot(s, reply)
 	}
 	if l.conns[b.c.id] == b.c {
 		b.rest()
@@ -196,22 +196,31 @@
 	return n, nil
 }
 
-// judge tells what a server's answer means, its value and the true units, so many at most, where it gives them.
-func judge(v resp.Value, most float64) (outcome choice.Outcome, value []byte, units float64) {
+// mostReport is the largest figure of a load report that is believed, the protocol's largest amount.
+const mostReport = 1e9
+
+// judge tells what a server's answer means and its value: the true units, so many at most, and the load report where
+// it gives them.
+func judge(v resp.Value, most float64) (reply choice.Reply, value []byte) {
 	switch {
 	case v.Kind == '*':
-		return choice.Done, v.List[0].Text, cost(v.List[1].Text, most)
+		reply = choice.Reply{Outcome: choice.Done, Units: figure(v.List[1].Text, "cost", most)}
+		if len(v.List) > 2 {
+			reply.Held = figure(v.List[2].Text, "outstanding", mostReport)
+			reply.Pace = figure(v.List[2].Text, "throughput", mostReport)
+		}
+		return reply, v.List[0].Text
 	case (string(v.Text) == "BUSY" || bytes.HasPrefix(v.Text, []byte("BUSY "))):
-		return choice.Full, nil, 0
+		return choice.Reply{Outcome: choice.Full}, nil
 	}
-	return choice.Broke, nil, 0
+	return choice.Reply{Outcome: choice.Broke}, nil
 }
 
-// cost finds the true units among the figures on use. A figure that cannot be right counts as none: settled, it would
-// spoil the customer's account for good.
-func cost(figures []byte, most float64) float64 {
+// figure finds one of the figures on use or load by its name. One that cannot be right counts as none, 0: settled,
+// it would spoil the customer's account for good.
+func figure(figures []byte, wanted string, most float64) float64 {
 	for _, field := range bytes.Split(figures, []byte(",")) {
-		if name, value, _ := bytes.Cut(field, []byte("=")); string(name) == "cost" {
+		if name, value, _ := bytes.Cut(field, []byte("=")); string(name) == wanted {
 			if x, err := strconv.ParseFloat(string(value), 64); err == nil && x > 0 && x <= most {
 				return x
 			}
@@ -243,7 +252,7 @@
 	}
 	if s != nil {
 		b.shot = nil
-		l.endShot(s, end.outcome(s.last > 0 && written >= s.last), 0)
+		l.endShot(s, choice.Reply{Outcome: end.outcome(s.last > 0 && written >= s.last)})
 	}
 	if b.probe != nil {
 		l.timers.drop(b.probe)
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -47,6 +47,10 @@
 	Copy    *int            `json:"copy"`
 	Final   *bool           `json:"final"`
 	True    *float64        `json:"true-units"`
+	Load    struct {
+		Held float64 `json:"outstanding"`
+		Pace float64 `json:"throughput"`
+	} `json:"feedback"`
 }
 
 type entry struct {
@@ -191,7 +195,7 @@
 	case "reply":
 		a := choice.Reply{Job: take(r, "handle", it.Handle), Shot: take(r, "copy", it.Copy),
 			Outcome: choice.Outcome(take(r, "rc", it.Code)), Took: nanos(take(r, "took", it.Took)),
-			Final: take(r, "final", it.Final)}
+			Final: take(r, "final", it.Final), Held: it.Load.Held, Pace: it.Load.Pace}
 		if it.True != nil {
 			a.Units = *it.True
 		}
