--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,7 +15,9 @@
 package choice
 
 import (
+	"cmp"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand"
 	"slices"
@@ -28,7 +30,7 @@
 	rng      *rand.Rand
 	began    int64
 	servers  map[string]*server
-	order    []*server
+	order    []*server // on their ring, from this limiter's place on
 	jobs     map[string]*job
 	timers   map[int64]*job
 	tokens   int64
@@ -52,6 +54,8 @@
 
 const (
 	windowBursts = 16       // a window is so many times the time in which the store fills
+	sharers      = 16       // the limiters that share a server
+	circleLeast  = 8        // the servers that a limiter has at least, where there are so many
 	startJobs    = 3        // the largest jobs that all limiters together may have out at a server unseen yet
 	askLess      = 0.75     // the share of jobs asked for falls so with each call unanswered
 	askMore      = 1.0 / 16 // and rises so with each answer; it is never less
@@ -121,7 +125,7 @@
 	}
 	for _, e := range entries {
 		s := l.servers[e.ID]
-		fresh := server{id: e.ID, limit: startJobs * l.part, warmFrom: e.Since, heard: now}
+		fresh := server{id: e.ID, place: placed(e.ID), limit: startJobs * l.part, warmFrom: e.Since, heard: now}
 		if s == nil {
 			// Limiters that start together, all knowing nothing, must not all begin at the same server.
 			s, fresh.credit = &fresh, l.rng.Float64()
@@ -136,6 +140,31 @@
 	if l.room == 0 {
 		l.room = startJobs * l.least()
 	}
+	l.turnRing()
+}
+
+// placed spreads servers over the ring by their ids.
+func placed(id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// turnRing puts the servers in the order of the ring, from this limiter's place on. Places are told apart by rank, so
+// that each server is near the same number of limiters, and neighbours in number, which share customers, stand far apart
+// (steps of the golden section). A change of the list moves a limiter by a server or two.
+func (l *Limiter) turnRing() {
+	slices.SortFunc(l.order, func(a, b *server) int { return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.id, b.id)) })
+	_, part := math.Modf(float64(l.set.Position) * math.Phi)
+	start := int(part * float64(len(l.order)))
+	l.order = append(slices.Clone(l.order[start:]), l.order[:start]...)
+}
+
+// circle is the number of servers that this limiter's jobs go to. Each limiter's connection to a server costs
+// a handshake, and what it learns of a server that it seldom meets comes late, so among many limiters each keeps to
+// a few servers, enough of them that a server's load is the sum over many limiters.
+func (l *Limiter) circle() int {
+	return max(circleLeast, (sharers*len(l.order)+l.set.Limiters-1)/l.set.Limiters)
 }
 
 // Job takes a job from a client: it reserves on the counter, or decides by the slice when it cannot.
@@ -475,7 +504,7 @@
 // each server is too much already. What may be out shrinks with the servers that can be used.
 func (l *Limiter) able(now int64, j *job) []*server {
 	var able []*server
-	out, usable, ready := j.units, 0.0, 0.0
+	out, usable, ready, near := j.units, 0.0, 0.0, 0
 	for _, s := range l.order {
 		if s.listing == Ready {
 			ready++
@@ -484,7 +513,10 @@
 			continue
 		}
 		warmth := l.warmth(now, s)
-		out, usable = out+s.out, usable+warmth
+		out, usable, near = out+s.out, usable+warmth, near+1
+		if near > l.circle() && len(able) > 0 {
+			continue // it is another's; those beyond the circle come in one by one where no other has room
+		}
 		if now >= s.fullTill && (len(s.shots) == 0 || s.out+j.units <= s.limit*warmth) {
 			able = append(able, s)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"math"
 	"testing"
 )
@@ -517,6 +518,7 @@
 		l, _ := made()
 		l.Members(0, false, []Entry{{ID: "c", Zone: "x"}})
 		l.servers["c"].credit = 0
+		byName(l)
 		j := sent(l, "mark")
 		if able := l.able(second/2, j); len(able) != 1 || able[0].id != "c" {
 			t.Fatal(len(able), "servers are able")
@@ -591,6 +593,96 @@
 	})
 }
 
+func TestCircle(t *testing.T) {
+	const limiters, servers = 80, 60
+	var entries []Entry
+	for i := range servers {
+		entries = append(entries, Entry{ID: fmt.Sprint("s", i), Hint: 1})
+	}
+	fleet := make([]*Limiter, limiters)
+	circles := make([]map[string]bool, limiters)
+	share := map[string]int{}
+	for i := range fleet {
+		l, _ := made()
+		l.set.Limiters, l.set.Position = limiters, i
+		l.Members(0, true, entries)
+		l.Woken(0, 0) // lets go of the two servers that made knows
+		l.Members(0, true, entries)
+		fleet[i], circles[i] = l, map[string]bool{}
+		for _, s := range l.order[:l.circle()] {
+			circles[i][s.id] = true
+			share[s.id]++
+		}
+	}
+	t.Run("each server is shared by as many limiters", func(t *testing.T) {
+		for id, n := range share {
+			if n < sharers-2 || n > sharers+2 {
+				t.Fatalf("%s is shared by %d", id, n)
+			}
+		}
+	})
+	t.Run("neighbours in number share few servers", func(t *testing.T) {
+		for i := range limiters - 1 {
+			both := 0
+			for id := range circles[i] {
+				if circles[i+1][id] {
+					both++
+				}
+			}
+			if both > len(circles[i])/2 {
+				t.Fatalf("%d and %d share %d of %d", i, i+1, both, len(circles[i]))
+			}
+		}
+	})
+	l := fleet[7]
+	free := func() map[string]bool {
+		ids := map[string]bool{}
+		for _, s := range l.able(0, &job{units: 0, track: l.set.Tracks["read"]}) {
+			ids[s.id] = true
+		}
+		return ids
+	}
+	t.Run("jobs go to the circle alone", func(t *testing.T) {
+		for id := range free() {
+			if !circles[7][id] {
+				t.Fatal(id)
+			}
+		}
+	})
+	t.Run("a server beyond it comes in for each that cannot be used", func(t *testing.T) {
+		for _, s := range l.order[:l.circle()/2] {
+			s.standing = aside
+		}
+		if n := len(free()); n != l.circle() {
+			t.Fatal(n, "servers")
+		}
+	})
+	t.Run("and one at a time where none of it has room", func(t *testing.T) {
+		for _, s := range l.order[:2*l.circle()] {
+			s.standing, s.fullTill = fit, 1
+		}
+		if n := len(free()); n != 1 {
+			t.Fatal(n, "servers")
+		}
+	})
+	t.Run("a server that goes moves no limiter by more than two", func(t *testing.T) {
+		for i, l := range fleet {
+			l.Members(1, false, []Entry{{ID: "s33", Listing: Gone}})
+			l.Woken(1, 0)
+			l.Members(1, false, nil)
+			kept := 0
+			for _, s := range l.order[:l.circle()] {
+				if circles[i][s.id] {
+					kept++
+				}
+			}
+			if kept < len(circles[i])-3 {
+				t.Fatalf("limiter %d kept %d of %d", i, kept, len(circles[i]))
+			}
+		}
+	})
+}
+
 func TestEase(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -1,7 +1,9 @@
 package choice
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -47,11 +49,17 @@
 	for _, s := range l.order {
 		s.credit = 0
 	}
+	byName(l)
 	opens(l, "plain", 0)
 	opens(l, "hard", 0)
 	return l, d
 }
 
+// byName puts the servers in the order of their ids instead of the ring's.
+func byName(l *Limiter) {
+	slices.SortFunc(l.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+}
+
 // opens lets a window of the plan's customer begin at the time.
 func opens(l *Limiter, plan string, at int64) {
 	acc := l.accountOf(0, arrival("", "read", plan), l.set.Plans[plan])
--- a/choice/state.go
+++ b/choice/state.go
@@ -42,6 +42,7 @@
 
 type server struct {
 	id       string
+	place    uint64 // on the ring of all servers, the same at all limiters
 	zone     string
 	cell     int64
 	listing  Listing
