--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -13,6 +13,7 @@
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/buffer"
+	"ospreycroft/internal/inquiry"
 	"ospreycroft/internal/settings"
 )
 
@@ -146,11 +147,16 @@
 		jobs: map[string]*job{}, pools: map[string]*pool{}}
 	l.counter.l, l.counter.heard, l.watch.l = l, now, l
 	l.keep = l.set.IdleClose / idleShare
+	l.watch.pace = inquiry.New(l.set.DialTimeout, l.set.Position, l.set.AskEvery)
 	l.logic = choice.New(now, l.set.Settings, config.Seed, l)
 	if err := l.watch.known(config.Known); err != nil {
 		return nil, err
 	}
-	l.watch.dial()
+	if first := l.watch.pace.First(); first > 0 && l.watch.fetched {
+		l.at(now+first, l.watch.dial)
+	} else {
+		l.watch.dial()
+	}
 	if l.set.CounterWait > 0 {
 		l.counter.open()
 	}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -539,6 +539,67 @@
 	})
 }
 
+func TestWatchTurnedAway(t *testing.T) {
+	l, w := made(t)
+	w.say(l, 0, watching, httpAnswer(known))
+	w.say(l, 0, watching, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	dialled := len(w.dialed)
+	l.Step(second/2, Happening{Kind: Due})
+	if len(w.dialed) != dialled || !slices.Contains(w.closed, watching) || len(l.servers) != 1 {
+		t.Fatalf("it is asked again at once: dialled %v, closed %v, %d servers", w.dialed, w.closed, len(l.servers))
+	}
+	l.Step(6*second, Happening{Kind: Due})
+	l.Step(6*second, Happening{Kind: Connected, Conn: w.last})
+	if !strings.Contains(w.wrote[w.last], "from=7&") {
+		t.Fatalf("what is newer is not asked for: %q", w.wrote[w.last])
+	}
+}
+
+// Where discovery tells only those that ask, its calls are spread over the fleet, and SIGHUP may come before the first.
+func TestWatchAsked(t *testing.T) {
+	first := func(position int) (*Limiter, *wire) {
+		made, w := made(t)
+		config := *made.config
+		set := *config.Settings
+		inner := *set.Settings
+		inner.Limiters, inner.Position, set.AskEvery, set.Settings, config.Settings = 80, position, 10*second, &inner, &set
+		w.dialed = map[ID]string{}
+		l, err := New(0, &config, w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l, w
+	}
+	asked := func(w *wire) bool {
+		for _, address := range w.dialed {
+			if strings.HasPrefix(address, "disco") {
+				return true
+			}
+		}
+		return false
+	}
+	early := 0
+	for i := range 80 {
+		l, w := first(i)
+		if l.Step(second/2, Happening{Kind: Due}); asked(w) {
+			early++
+		}
+		if l.Step(5*second, Happening{Kind: Due}); !asked(w) {
+			t.Fatalf("limiter %d has not asked after 5 s", i)
+		}
+	}
+	if early < 6 || early > 10 { // a tenth of 5 s, a tenth of 80
+		t.Fatalf("%d of 80 asked in the first half second", early)
+	}
+	l, w := first(1)
+	config := *l.config
+	config.Discovery = "disco 2"
+	l.Step(0, Happening{Kind: Renewed, Config: &config})
+	if l.Step(5*second, Happening{Kind: Due}); !asked(w) {
+		t.Fatal("not asked after it moved")
+	}
+}
+
 // Under load, discovery and the counter move to other addresses, and the old ones soon close what is open.
 func TestRenew(t *testing.T) {
 	moved := func(l *Limiter) Happening {
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -1,19 +1,18 @@
 package limiter
 
 import (
+	"errors"
 	"fmt"
 	"log"
+	"net/http"
 	"slices"
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/discovery"
+	"ospreycroft/internal/inquiry"
 )
 
-const (
-	holds   = 4 // a watch waits for news for so many dial time-outs: one that is never answered hides all of them
-	answers = 2 // and is given up, as is any call, if no answer comes for so many more
-	retries = 4 // a failed connection is tried again after this part of the dial time-out
-)
+var errTurned = errors.New("discovery has turned the call away")
 
 // watch is the connection to discovery.
 type watch struct {
@@ -23,6 +22,8 @@
 	fetched bool   // discovery itself has told the list
 	limit   *timer // until when the call that is out must be answered
 	told    bool   // the connection has brought an answer
+	pace    *inquiry.Pace
+	last    inquiry.End // how the latest call ended
 }
 
 // known takes the list of the configuration, which may be old.
@@ -34,13 +35,13 @@
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	list.Whole = true
+	list.Whole, w.fetched = true, true // what is newer is enough: a whole list costs discovery as much as several watches
 	w.apply(list)
 	return nil
 }
 
 func (w *watch) dial() {
-	w.told = false
+	w.told, w.last = false, inquiry.Broke
 	w.c = w.l.dial(w, w.l.config.Discovery)
 }
 
@@ -48,16 +49,17 @@
 
 // ask calls for the whole list first and then waits for what is newer.
 func (w *watch) ask() {
-	l, wait := w.l, int64(0)
+	l := w.l
+	wait, more := w.pace.Wait()
 	if w.fetched {
-		wait = holds * l.set.DialTimeout
 		l.scratch = discovery.AppendWatch(l.scratch[:0], l.config.Discovery, w.version, wait)
 	} else {
+		wait = 0
 		l.scratch = discovery.AppendFetch(l.scratch[:0], l.config.Discovery)
 	}
 	l.write(w.c, l.scratch)
 	l.timers.drop(w.limit)
-	w.limit = l.at(l.now+wait+answers*l.set.DialTimeout, func() { l.over(w.c, Silent) })
+	w.limit = l.at(l.now+wait+more, func() { l.over(w.c, Silent) })
 }
 
 func (w *watch) read(b []byte) (int, error) {
@@ -65,7 +67,11 @@
 	if err != nil || n == 0 || a.Status < 200 { // the answer itself comes behind a status of 1xx
 		return n, err
 	}
-	w.told = true
+	if w.told, w.last = true, inquiry.Answered; a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
+		log.Printf("event=list-turned-away status=%d", a.Status)
+		w.told, w.last = false, inquiry.Turned // what is held stays, and what is newer than that is asked for again
+		return 0, errTurned
+	}
 	var list *discovery.List
 	if err = fmt.Errorf("status %d", a.Status); a.Status == 200 {
 		list, err = discovery.Decode(a.Body)
@@ -73,7 +79,7 @@
 	if err != nil {
 		// The last good list stays. Asked at once again, it would be as bad.
 		log.Printf("event=list-refused error=%q", err)
-		w.fetched, w.told = false, false
+		w.fetched, w.told, w.last = false, false, inquiry.Broke
 		return 0, err
 	}
 	w.fetched = true
@@ -87,21 +93,21 @@
 	return n, nil
 }
 
-// ended renews the connection: at once where it has served, else after a while.
+// ended renews the connection: at once where it has served, else when the pace allows it.
 func (w *watch) ended(end End, _ int64) {
 	w.l.timers.drop(w.limit)
-	if w.told {
-		w.dial()
+	if pause := w.pace.Next(w.last); !w.told {
+		w.l.at(w.l.now+pause, w.dial)
 		return
 	}
-	w.l.at(w.l.now+w.l.set.DialTimeout/retries, w.dial)
+	w.dial()
 }
 
 // move goes to discovery's new address, which may count its lists otherwise: the whole of it is asked for there, and
 // the last good one holds meanwhile.
 func (w *watch) move() {
 	w.fetched = false
-	if w.l.conns[w.c.id] == w.c { // else a new one is dialled before long
+	if w.c != nil && w.l.conns[w.c.id] == w.c { // else a new one is dialled before long
 		w.told = true
 		w.l.over(w.c, Unused)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,7 +51,9 @@
 	Contract struct {
 		ColdFrom   float64 `json:"cold-from"`
 		WarmWithin float64 `json:"warm-within"`
+		AskEvery   float64 `json:"ask-every"`
 	} `json:"contract"`
+	Mode        string `json:"registry-mode"`
 	Permissions struct {
 		AttemptsCap   int     `json:"attempts-cap"`
 		DialTimeout   float64 `json:"dial-timeout"`
@@ -76,6 +78,7 @@
 type Settings struct {
 	*choice.Settings
 	IdleClose int64   // a server closes a connection that has been idle for so long
+	AskEvery  int64   // the longest time between calls to discovery where it tells only those that ask, else 0
 	MostTrue  float64 // the most units that an answer can say a job has taken; 0 where a job's own figure is no guess
 }
 
@@ -141,6 +144,11 @@
 		return nil, fmt.Errorf("position is %d, of %d balancers", s.Position, s.Limiters)
 	}
 	all := &Settings{Settings: s, IdleClose: nanos(f.Permissions.IdleClose)}
+	if f.Mode == "on_request" {
+		if all.AskEvery = nanos(f.Contract.AskEvery); all.AskEvery <= 0 {
+			return nil, fmt.Errorf("contract: ask-every is %v", f.Contract.AskEvery)
+		}
+	}
 	if f.Family.TruedUp {
 		all.MostTrue = s.MostUnits
 	}
