--- a/choice/choice.go
+++ b/choice/choice.go
@@ -194,10 +194,11 @@
 		l.place(now, j)
 		return
 	}
-	// A crowded counter is not asked for a customer that is known to be out of units, but for the call that
-	// brings what is still to be added back: the others go by a total that is too high until then.
+	// The counter is not asked for a customer that is known to be out of units: the store kept here fills at the whole
+	// rate, so the true one holds no more. But the call is made that brings what is still to be added back: the others go
+	// by a total that is too high until then.
 	out := acc.quota.fill(now) < j.units && acc.owed >= 0
-	if l.set.CounterWait == 0 || l.asks < 1 && (out || !l.asked(acc)) {
+	if l.set.CounterWait == 0 || out && acc.known || l.asks < 1 && (out || !l.asked(acc)) {
 		l.bySlice(now, j)
 		return
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 )
 
@@ -12,6 +13,20 @@
 		l.Job(0, arrival("j", "read", "plain"))
 		expect(t, d, "count 2")
 	})
+	t.Run("of a customer known to be out of units is rejected without a call", func(t *testing.T) {
+		l, d := made()
+		j := reserving(l, "read", "plain")
+		l.Counted(0, j.name, Done, 60)
+		d.did = nil
+		l.Job(second/10, arrival("k", "read", "plain"))
+		if expect(t, d, "reject k"); len(d.did) != 1 {
+			t.Fatalf("did %q", d.did)
+		}
+		l.Job(10*second, arrival("m", "read", "plain")) // by then the store may hold them
+		if last := d.did[len(d.did)-1]; !strings.HasPrefix(last, "count ") {
+			t.Fatalf("did %q", d.did)
+		}
+	})
 	t.Run("of an unknown plan is rejected", func(t *testing.T) {
 		l, d := made()
 		l.Job(0, arrival("j", "read", "nobody's"))
