--- a/choice/choice.go
+++ b/choice/choice.go
@@ -176,17 +176,17 @@
 	plan := l.set.Plans[a.Plan]
 	if plan == nil || j.track == nil {
 		// Nobody has granted it an allowance, and it loses nothing by asking again.
-		l.reject(now, j, l.set.MostAdvice)
+		l.reject(now, j, l.set.MostAdvice, ForPlan)
 		return
 	}
 	j.account = l.accountOf(now, a, plan)
 	acc := j.account
 	if j.end <= now || len(l.able(now, j)) == 0 {
-		l.reject(now, j, l.crowded())
+		l.reject(now, j, l.crowded(), ForRoom)
 		return
 	}
 	if wait := acc.overCeiling(now, j.units); wait > 0 {
-		l.reject(now, j, wait)
+		l.reject(now, j, wait, ForCeiling)
 		return
 	}
 	l.deeds.Wake(j.end, j.token)
@@ -344,7 +344,7 @@
 	if a.quota.level < j.units {
 		l.release(now, j, j.units)
 		if !l.beyond(now, j) {
-			l.reject(now, j, nanos((j.units-a.quota.level)/a.quota.rate))
+			l.reject(now, j, nanos((j.units-a.quota.level)/a.quota.rate), ForQuota)
 			return
 		}
 	}
@@ -396,7 +396,7 @@
 // bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
 	if s := &j.account.slice; s.fill(now) < j.units && !l.beyond(now, j) {
-		l.reject(now, j, nanos((j.units-s.level)/s.rate))
+		l.reject(now, j, nanos((j.units-s.level)/s.rate), ForSlice)
 		return
 	}
 	l.place(now, j)
@@ -422,14 +422,14 @@
 // place sends the first shot, or rejects the job for want of room. The ceiling is looked at again: others
 // of the customer may have gone out while this one waited for the counter.
 func (l *Limiter) place(now int64, j *job) {
-	a, wait := j.account, j.account.overCeiling(now, j.units)
+	a, wait, cause := j.account, j.account.overCeiling(now, j.units), ForCeiling
 	var s *server
 	if wait == 0 {
-		s, wait = l.pick(now, j), l.crowded()
+		s, wait, cause = l.pick(now, j), l.crowded(), ForRoom
 	}
 	if s == nil {
 		l.release(now, j, j.units)
-		l.reject(now, j, wait)
+		l.reject(now, j, wait, cause)
 		return
 	}
 	a.quota.fill(now)
@@ -571,11 +571,11 @@
 	return max(l.beat, l.set.DialTimeout)
 }
 
-func (l *Limiter) reject(now int64, j *job, after int64) {
+func (l *Limiter) reject(now int64, j *job, after int64, cause Cause) {
 	l.move(j, Rejected)
 	// Clients that were told the same time would come back together.
 	after = max(l.set.Granularity, after) + int64(l.rng.Float64()*float64(l.beat))
-	l.deeds.Reject(j.id, min(after, l.set.MostAdvice))
+	l.deeds.Reject(j.id, min(after, l.set.MostAdvice), cause)
 	l.drop(j)
 }
 
@@ -590,7 +590,7 @@
 			return
 		}
 	}
-	l.reject(now, j, l.crowded())
+	l.reject(now, j, l.crowded(), ForShots)
 }
 
 // Answer takes the end of a shot.
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -17,7 +17,7 @@
 
 func (d *deeds) Send(job, server string)                    { d.add("send %s %s", job, server) }
 func (d *deeds) Cancel(job string, shot int)                { d.add("cancel %s %d", job, shot) }
-func (d *deeds) Reject(job string, after int64)             { d.after = after; d.add("reject %s", job) }
+func (d *deeds) Reject(job string, after int64, _ Cause)    { d.after = after; d.add("reject %s", job) }
 func (d *deeds) WriteOff(job string)                        { d.add("write off %s", job) }
 func (d *deeds) Count(name uint64, amount float64, _ int64) { d.add("count %v", amount) }
 func (d *deeds) Probe(server string)                        { d.add("probe %s", server) }
--- a/choice/types.go
+++ b/choice/types.go
@@ -32,6 +32,23 @@
 	Moot
 )
 
+// Cause is why a job is rejected; it changes nothing, and is told to whoever looks at the limiters.
+type Cause uint8
+
+const (
+	ForPlan    Cause = iota // its plan or its track is not known
+	ForRoom                 // no server has room
+	ForCeiling              // this limiter's part of the customer's ceiling
+	ForQuota                // the customer's quota, by the counter's total
+	ForSlice                // the customer's slice, without the counter
+	ForShots                // its shots came to nothing
+	Causes                  // the number of causes
+)
+
+func (c Cause) String() string {
+	return [...]string{"plan", "room", "ceiling", "quota", "slice", "shots"}[c]
+}
+
 // Listing is what the server list says of a server.
 type Listing uint8
 
@@ -114,7 +131,7 @@
 type Deeds interface {
 	Send(job, server string)
 	Cancel(job string, shot int)
-	Reject(job string, retryAfter int64)
+	Reject(job string, retryAfter int64, cause Cause)
 	WriteOff(job string)
 	Count(name uint64, amount float64, lifetime int64)
 	Probe(server string)
--- a/cmd/osplab/main.go
+++ b/cmd/osplab/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"ospreycroft/internal/lab/census"
 	"ospreycroft/internal/lab/experiment"
 	"ospreycroft/internal/lab/record"
 	"ospreycroft/internal/lab/report"
@@ -27,7 +28,7 @@
 
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "osplab", Short: "the ospreycroft laboratory", SilenceUsage: true}
-	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand())
+	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand(), censusCommand())
 	return top
 }
 
@@ -176,3 +177,23 @@
 	c.Flags().StringVar(&out, "out", "lab-runs/sweep", "folder for the records")
 	return c
 }
+
+// censusCommand counts what limiters logged, over the whole fleet.
+func censusCommand() *cobra.Command {
+	return &cobra.Command{Use: "census LOG ...", Short: "count what the logs of many limiters say, over the whole fleet",
+		Args: cobra.MinimumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			all := census.New()
+			for _, path := range args {
+				f, err := os.Open(path)
+				if err != nil {
+					return err
+				}
+				err = all.Read(strings.TrimSuffix(filepath.Base(path), ".log"), f)
+				f.Close()
+				if err != nil {
+					return err
+				}
+			}
+			return all.Write(c.OutOrStdout())
+		}}
+}
--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -99,6 +99,7 @@
 		return err
 	}
 	s.Run(clock, l, stop, renewed)
+	l.LogTolls()
 	log.Printf("event=stopped name=%s", config.Name)
 	return nil
 }
--- a/internal/limiter/jobs.go
+++ b/internal/limiter/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"log"
 	"strconv"
 
 	"ospreycroft/choice"
@@ -62,6 +64,7 @@
 		j.words[i] = text[len(text)-len(w):]
 	}
 	j.before, j.past = j.words[3][:before], j.words[3][past:]
+	l.tolls.taken++
 	l.held += j.size
 	l.jobs[j.id] = j
 	return j
@@ -72,7 +75,9 @@
 	if j.state != Taken {
 		return
 	}
-	j.state = to
+	if j.state = to; to == Done {
+		l.tolls.done++
+	}
 	if to != Left {
 		j.client.answer(j.answer, text)
 	}
@@ -101,6 +106,24 @@
 	return resp.AppendCommand(to, append(words, j.words[4:]...)...)
 }
 
+// tolls counts what became of jobs since it was last logged.
+type tolls struct {
+	taken, done int
+	rejected    [choice.Causes]int
+}
+
+// LogTolls logs the counts since the last time, if there are any, in one line whatever their number.
+func (l *Limiter) LogTolls() {
+	if t := l.tolls; t != (tolls{}) {
+		line := fmt.Sprintf("event=jobs taken=%d done=%d", t.taken, t.done)
+		for c, n := range t.rejected {
+			line += fmt.Sprintf(" %s=%d", choice.Cause(c), n)
+		}
+		log.Print(line)
+		l.tolls = tolls{}
+	}
+}
+
 // Send is a deed of the module. A shot that cannot be sent any more was never sent.
 func (l *Limiter) Send(id, server string) {
 	j := l.jobs[id]
@@ -138,7 +161,8 @@
 }
 
 // Reject is a deed of the module.
-func (l *Limiter) Reject(id string, retryAfter int64) {
+func (l *Limiter) Reject(id string, retryAfter int64, cause choice.Cause) {
+	l.tolls.rejected[cause]++
 	text := rejectedPlain
 	if retryAfter > 0 {
 		text = strconv.AppendInt([]byte("-BUSY "), (retryAfter+1e6-1)/1e6, 10)
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -102,6 +102,8 @@
 	// Clients' connections that have brought no job yet, the oldest first, and the others, the one used last at the end.
 	strangers, regulars list.List
 	seen                seen
+	tolls               tolls
+	tolled              int64 // when it was last logged
 	counted             int64 // when seen was last logged
 	counter             counter
 	watch               watch
@@ -129,6 +131,7 @@
 	serverShare  = 4   // and one in so many for servers
 	heldShare    = 8   // one byte of memory in so many may hold commands, as many parts of them, as many answers that wait
 	sweeps       = 32  // looks at idle connections in the time after which a server closes them
+	tollEvery    = 3   // what became of jobs is logged so many times in it
 	crowdLooks   = 8   // looks at clients in a dial time-out while there are many
 	settled      = 4   // a client that said nothing for this part of a dial time-out may be closed to make room
 	mayClose     = 2e9 // a client's connection without an open job may be closed from then on
@@ -283,6 +286,10 @@
 			l.seen.faulty, l.seen.silent, l.seen.unread, l.seen.garbled, l.seen.spoilt)
 		l.seen, l.counted = seen{}, l.now
 	}
+	if l.now-l.tolled >= l.set.IdleClose/tollEvery {
+		l.LogTolls()
+		l.tolled = l.now
+	}
 	l.at(l.now+l.set.IdleClose/sweeps, l.sweep)
 }
 
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -539,6 +539,20 @@
 	})
 }
 
+func TestTolls(t *testing.T) {
+	l, w, id := sent(t, "read")
+	w.say(l, 0, id, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+	l.Reject("nobody's", 0, choice.ForRoom)
+	want := tolls{taken: 1, done: 1}
+	want.rejected[choice.ForRoom] = 1
+	if l.tolls != want {
+		t.Fatalf("%+v", l.tolls)
+	}
+	if l.LogTolls(); l.tolls != (tolls{}) {
+		t.Fatalf("%+v after they were logged", l.tolls)
+	}
+}
+
 func TestWatchTurnedAway(t *testing.T) {
 	l, w := made(t)
 	w.say(l, 0, watching, httpAnswer(known))
--- a/internal/simwire/actions.go
+++ b/internal/simwire/actions.go
@@ -1,5 +1,7 @@
 package simwire
 
+import "ospreycroft/choice"
+
 type reply struct {
 	Batch  int64    `json:"batch"`
 	Output []action `json:"output"`
@@ -33,7 +35,7 @@
 	in.write(action{Type: "undo-send", Handle: job, Copy: &shot})
 }
 
-func (in *instance) Reject(job string, retryAfter int64) {
+func (in *instance) Reject(job string, retryAfter int64, _ choice.Cause) {
 	in.write(action{Type: "shed", Handle: job, HoldOff: seconds(retryAfter)})
 }
 
