--- a/choice/choice.go
+++ b/choice/choice.go
@@ -155,7 +155,7 @@
 // (steps of the golden section). A change of the list moves a limiter by a server or two.
 func (l *Limiter) turnRing() {
 	slices.SortFunc(l.order, func(a, b *server) int { return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.id, b.id)) })
-	_, part := math.Modf(float64(l.set.Position) * math.Phi)
+	_, part := math.Modf(float64(max(l.set.Position, 0)) * math.Phi)
 	start := int(part * float64(len(l.order)))
 	l.order = append(slices.Clone(l.order[start:]), l.order[:start]...)
 }
@@ -164,6 +164,9 @@
 // a handshake, and what it learns of a server that it seldom meets comes late, so among many limiters each keeps to
 // a few servers, enough of them that a server's load is the sum over many limiters.
 func (l *Limiter) circle() int {
+	if l.set.Position < 0 { // all limiters that do not know their place would have the same circle
+		return len(l.order)
+	}
 	return max(circleLeast, (sharers*len(l.order)+l.set.Limiters-1)/l.set.Limiters)
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -680,6 +680,14 @@
 			t.Fatal(n, "servers")
 		}
 	})
+	t.Run("a limiter that is not told its place uses all servers", func(t *testing.T) {
+		l, _ := made()
+		l.set.Limiters, l.set.Position = limiters, -1
+		l.Members(0, true, entries)
+		if l.circle() != len(l.order) {
+			t.Fatal(l.circle(), "of", len(l.order))
+		}
+	})
 	t.Run("a server that goes moves no limiter by more than two", func(t *testing.T) {
 		for i, l := range fleet {
 			l.Members(1, false, []Entry{{ID: "s33", Listing: Gone}})
--- a/choice/types.go
+++ b/choice/types.go
@@ -82,7 +82,7 @@
 	MostUnits    float64
 	LongestLease int64 // the counter keeps no name for longer
 	Limiters     int
-	Position     int     // this limiter's number among them, from 0
+	Position     int     // this limiter's number among them, from 0; below 0 where it is not told
 	ColdFrom     float64 // the share of its capacity that a starting server has at least
 	WarmWithin   int64
 	DialTimeout  int64
--- a/internal/lab/runner/runner.go
+++ b/internal/lab/runner/runner.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -164,10 +165,15 @@
 func (l *Lab) startLimiter(n int) error {
 	lim := l.limiters[n]
 	known, _ := json.Marshal(l.discovery.Whole())
+	set := map[string]json.RawMessage{}
+	if err := json.Unmarshal(l.e.Text, &set); err != nil {
+		return err
+	}
+	set["position"] = json.RawMessage(strconv.Itoa(n))
 	config := map[string]any{"name": lim.name, "listen": lim.listen, "discovery": l.discovery.Address(),
 		"seed":   fmt.Sprintf("%016x", l.e.Seed+uint64(n)*0x9e3779b97f4a7c15+uint64(l.clock.Now())),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": l.e.Limiters.Memory, "sockets": l.e.Limiters.Sockets},
-		"known":  json.RawMessage(known), "settings": l.e.Text}
+		"known":  json.RawMessage(known), "settings": set}
 	if l.counter != nil {
 		config["counter"] = l.counter.Address(n)
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -150,7 +150,7 @@
 		jobs: map[string]*job{}, pools: map[string]*pool{}}
 	l.counter.l, l.counter.heard, l.watch.l = l, now, l
 	l.keep = l.set.IdleClose / idleShare
-	l.watch.pace = inquiry.New(l.set.DialTimeout, l.set.Position, l.set.AskEvery)
+	l.watch.pace = inquiry.New(l.set.DialTimeout, max(l.set.Position, 0), l.set.AskEvery)
 	l.logic = choice.New(now, l.set.Settings, config.Seed, l)
 	if err := l.watch.known(config.Known); err != nil {
 		return nil, err
--- a/internal/settings/config_test.go
+++ b/internal/settings/config_test.go
@@ -28,6 +28,8 @@
 		{"no counter where there is one", `"counter":"127.0.0.1:3",`, "", "counter: missing"},
 		{"a seed that is no number", `"ff"`, `"xy"`, "seed"},
 		{"no memory", `"memory_mb":192,`, "", "limits: memory_mb"},
+		{"a place beyond the limiters", `"balancers":1`, `"balancers":1,"position":1`, "settings: position"},
+		{"a discovery to be asked without a time", `"granularity"`, `"registry-mode":"on_request","granularity"`, "contract: ask-every"},
 		{"too few sockets", `1024`, `8`, "limits: sockets"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,8 +23,8 @@
 }
 
 type facts struct {
-	Balancers int `json:"balancers"`
-	Position  int `json:"position"`
+	Balancers int  `json:"balancers"`
+	Position  *int `json:"position"`
 	Classes   []struct {
 		Name   string  `json:"name"`
 		Aim    float64 `json:"aim"`
@@ -93,7 +93,7 @@
 	}
 	s := &choice.Settings{
 		Tracks: map[string]*choice.Track{}, Plans: map[string]*choice.Plan{},
-		MostUnits: f.Family.UnitsTop, LongestLease: longestLease, Limiters: f.Balancers, Position: f.Position,
+		MostUnits: f.Family.UnitsTop, LongestLease: longestLease, Limiters: f.Balancers, Position: -1,
 		ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
 		DialTimeout: nanos(f.Permissions.DialTimeout), MostShots: f.Permissions.AttemptsCap,
 		Probes: f.Permissions.Probes, SecondCopies: f.Permissions.SecondCopies,
@@ -140,8 +140,10 @@
 			return nil, fmt.Errorf("%s is %v", f.name, f.value)
 		}
 	}
-	if s.Position < 0 || s.Position >= s.Limiters {
-		return nil, fmt.Errorf("position is %d, of %d balancers", s.Position, s.Limiters)
+	if f.Position != nil {
+		if s.Position = *f.Position; s.Position < 0 || s.Position >= s.Limiters {
+			return nil, fmt.Errorf("position is %d, of %d balancers", s.Position, s.Limiters)
+		}
 	}
 	all := &Settings{Settings: s, IdleClose: nanos(f.Permissions.IdleClose)}
 	if f.Mode == "on_request" {
