A move of discovery ends the pause after a 503; backoff no longer reset by silence

Change: the pause's timer is held and dropped, the new address dialled at once; failures of both kinds count in one row until an answer. The sum over 80 limiters at cold servers is tested too.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -5,11 +5,13 @@
 // should come. The limiter acts through the Deeds it was given, in types.go with the settings; state.go has
 // the records that it keeps. It is not safe for concurrent use.
 //
-// The ordinary path is Reserve and Reconcile (docs/design.md). Beside it stand these mechanisms:
+// The ordinary path is Reserve and Reconcile (docs/design.md). Servers take turns in a weighted rotation,
+// in a large fleet those of the limiter's circle. Beside it stand these mechanisms:
 //  1. ceiling: each limiter's own part of a hard ceiling, which every first shot must fit;
 //  2. memory: what the counter has forgotten, or added for a call without an answer, is put right;
 //  3. asks: a counter that does not answer is asked for some of the customers only;
-//  4. room: the work out is bounded by what is answered well inside the agreed time, at a server and in all;
+//  4. room: the work out is bounded by what is answered well inside the agreed time, at a server and in all,
+//     more widely while load reports show short stays;
 //  5. standing: a server that shows no life is set aside until it has answered, and its jobs go elsewhere;
 //  6. beyond: a job past its quota goes in where its plan earns by it and there is plenty of room.
 package choice
@@ -46,7 +48,7 @@
 	room     float64 // units that may be out at all servers together
 	load     float64 // units that were out at them, faded over the agreed time
 	slow     float64 // the fading share of answers that were late or full
-	stay     float64 // the fading mean over load reports of the logarithm of the seconds that jobs stay at a server
+	stay     float64 // the fading mean of the logarithm of the seconds that jobs stay, by load reports
 	reported int64   // when the latest came
 	busy     bool    // more than half of it was taken when a job last looked for room
 	mild     bool    // some track's jobs may run again
@@ -125,7 +127,8 @@
 	}
 	for _, e := range entries {
 		s := l.servers[e.ID]
-		fresh := server{id: e.ID, place: placed(e.ID), limit: startJobs * l.part, warmFrom: e.Since, heard: now}
+		fresh := server{id: e.ID, place: placed(e.ID), limit: startJobs * l.part, heard: now}
+		fresh.warmFrom = e.Since
 		if s == nil {
 			// Limiters that start together, all knowing nothing, must not all begin at the same server.
 			s, fresh.credit = &fresh, l.rng.Float64()
@@ -150,19 +153,21 @@
 	return mix(h.Sum64())
 }
 
-// turnRing puts the servers in the order of the ring, from this limiter's place on. Places are told apart by rank, so
-// that each server is near the same number of limiters, and neighbours in number, which share customers, stand far apart
-// (steps of the golden section). A change of the list moves a limiter by a server or two.
+// turnRing puts the servers in the order of the ring, from this limiter's place on. Places go by rank: each
+// server is near as many limiters, in steps of the golden section: neighbours in number share customers and
+// stand far apart. A change of the list moves a limiter by a server or two.
 func (l *Limiter) turnRing() {
-	slices.SortFunc(l.order, func(a, b *server) int { return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.id, b.id)) })
+	slices.SortFunc(l.order, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.id, b.id))
+	})
 	_, part := math.Modf(float64(max(l.set.Position, 0)) * math.Phi)
 	start := int(part * float64(len(l.order)))
 	l.order = append(slices.Clone(l.order[start:]), l.order[:start]...)
 }
 
 // circle is the number of servers that this limiter's jobs go to. Each limiter's connection to a server costs
-// a handshake, and what it learns of a server that it seldom meets comes late, so among many limiters each keeps to
-// a few servers, enough of them that a server's load is the sum over many limiters.
+// a handshake, and what it learns of a server that it seldom meets comes late, so among many limiters each
+// keeps to a few servers, enough of them that a server's load is the sum over many limiters.
 func (l *Limiter) circle() int {
 	if l.set.Position < 0 { // all limiters that do not know their place would have the same circle
 		return len(l.order)
@@ -197,9 +202,9 @@
 		l.place(now, j)
 		return
 	}
-	// The counter is not asked for a customer that is known to be out of units: the store kept here fills at the whole
-	// rate, so the true one holds no more. But the call is made that brings what is still to be added back: the others go
-	// by a total that is too high until then.
+	// The counter is not asked for a customer that is known to be out of units: the store kept here fills at
+	// the whole rate, so the true one holds no more, but for what others add back. A call that brings what is
+	// still to be added back is made: the others go by a total that is too high until then.
 	out := acc.quota.fill(now) < j.units && acc.owed >= 0
 	if l.set.CounterWait == 0 || out && acc.known || l.asks < 1 && (out || !l.asked(acc)) {
 		l.bySlice(now, j)
@@ -532,9 +537,9 @@
 	return able
 }
 
-// ease widens the room while load reports show that jobs stay at the servers, of whatever limiter, for well inside
-// the agreed time: what they hold over what they do a second is that stay. One limiter among many cannot tell a few
-// heavy jobs of its own from servers that fill up. Reports that have grown old say nothing.
+// ease widens the room while load reports show that jobs, of whatever limiter, stay at the servers for well
+// inside the agreed time: what they hold over what they do a second is that stay. One limiter among many
+// cannot tell a few heavy jobs of its own from servers that fill up. Reports that have grown old say nothing.
 func (l *Limiter) ease(now int64, j *job) float64 {
 	if l.reported == 0 || now-l.reported > j.track.Agreed {
 		return 1
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -44,6 +44,7 @@
 		opens(l, "hard", second)
 		l.Job(0, arrival("j", "read", "hard"))
 		expect(t, d, "reject j")
+		d.because(t, ForCeiling)
 		l.Job(second, arrival("k", "read", "hard"))
 		expect(t, d, "count 2")
 	})
@@ -56,6 +57,7 @@
 		l.Counted(second/2, name, Done, 2)
 		l.Counted(second/2, name, Done, 4)
 		expect(t, d, "count 2", "count 2", "send j a", "count -2", "reject k")
+		d.because(t, ForCeiling)
 	})
 	t.Run("goes by the slice while the counter is silent", func(t *testing.T) {
 		l, d := made()
@@ -101,6 +103,7 @@
 		l, d := made()
 		l.Counted(0, reserving(l, "read", "plain").name, Done, 11)
 		expect(t, d, "count -2", "reject j")
+		d.because(t, ForQuota)
 	})
 	t.Run("past the allowance it is sent where the plan earns by it", func(t *testing.T) {
 		l, d := made()
@@ -122,6 +125,7 @@
 		j.account.slice.level = 1
 		l.Counted(0, j.name, Full, 0)
 		expect(t, d, "count 2", "reject j")
+		d.because(t, ForSlice)
 	})
 	t.Run("spoilt, the counter is asked as before", func(t *testing.T) {
 		l, d := made()
@@ -608,102 +612,120 @@
 	})
 }
 
-func TestCircle(t *testing.T) {
-	const limiters, servers = 80, 60
-	var entries []Entry
-	for i := range servers {
-		entries = append(entries, Entry{ID: fmt.Sprint("s", i), Hint: 1})
-	}
-	fleet := make([]*Limiter, limiters)
-	circles := make([]map[string]bool, limiters)
-	share := map[string]int{}
-	for i := range fleet {
+// fleet is so many limiters that know the same servers, each with its place.
+func fleet(limiters int, entries []Entry) []*Limiter {
+	all := make([]*Limiter, limiters)
+	for i := range all {
 		l, _ := made()
 		l.set.Limiters, l.set.Position = limiters, i
 		l.Members(0, true, entries)
 		l.Woken(0, 0) // lets go of the two servers that made knows
 		l.Members(0, true, entries)
-		fleet[i], circles[i] = l, map[string]bool{}
-		for _, s := range l.order[:l.circle()] {
-			circles[i][s.id] = true
-			share[s.id]++
+		all[i] = l
+	}
+	return all
+}
+
+func TestCircle(t *testing.T) {
+	const limiters = 80
+	var entries []Entry
+	for i := range 60 {
+		entries = append(entries, Entry{ID: fmt.Sprint("s", i), Hint: 1})
+	}
+	ids := func(servers []*server) map[string]bool {
+		set := map[string]bool{}
+		for _, s := range servers {
+			set[s.id] = true
+		}
+		return set
+	}
+	both := func(a, b map[string]bool) (n int) {
+		for id := range a {
+			if b[id] {
+				n++
+			}
+		}
+		return n
+	}
+	all, share := fleet(limiters, entries), map[string]int{}
+	circles := make([]map[string]bool, limiters)
+	for i, l := range all {
+		circles[i] = ids(l.order[:l.circle()])
+		for id := range circles[i] {
+			share[id]++
 		}
 	}
-	t.Run("each server is shared by as many limiters", func(t *testing.T) {
+	l := all[7]
+	able := func() map[string]bool { return ids(l.able(0, &job{track: l.set.Tracks["read"]})) }
+	t.Run("each server is shared by as many limiters, and neighbours in number share few", func(t *testing.T) {
 		for id, n := range share {
 			if n < sharers-2 || n > sharers+2 {
 				t.Fatalf("%s is shared by %d", id, n)
 			}
 		}
-	})
-	t.Run("neighbours in number share few servers", func(t *testing.T) {
 		for i := range limiters - 1 {
-			both := 0
-			for id := range circles[i] {
-				if circles[i+1][id] {
-					both++
-				}
-			}
-			if both > len(circles[i])/2 {
-				t.Fatalf("%d and %d share %d of %d", i, i+1, both, len(circles[i]))
+			if n := both(circles[i], circles[i+1]); n > len(circles[i])/2 {
+				t.Fatalf("%d and %d share %d of %d", i, i+1, n, len(circles[i]))
 			}
 		}
 	})
-	l := fleet[7]
-	free := func() map[string]bool {
-		ids := map[string]bool{}
-		for _, s := range l.able(0, &job{units: 0, track: l.set.Tracks["read"]}) {
-			ids[s.id] = true
-		}
-		return ids
-	}
-	t.Run("jobs go to the circle alone", func(t *testing.T) {
-		for id := range free() {
-			if !circles[7][id] {
-				t.Fatal(id)
-			}
+	t.Run("those beyond it come in for each that cannot be used, and one at a time where none has room", func(t *testing.T) {
+		if n := both(able(), circles[7]); n != l.circle() || len(able()) != n {
+			t.Fatal(n, "servers")
 		}
-	})
-	t.Run("a server beyond it comes in for each that cannot be used", func(t *testing.T) {
 		for _, s := range l.order[:l.circle()/2] {
 			s.standing = aside
 		}
-		if n := len(free()); n != l.circle() {
-			t.Fatal(n, "servers")
+		if n := len(able()); n != l.circle() {
+			t.Fatal(n, "servers with half of them aside")
 		}
-	})
-	t.Run("and one at a time where none of it has room", func(t *testing.T) {
 		for _, s := range l.order[:2*l.circle()] {
 			s.standing, s.fullTill = fit, 1
 		}
-		if n := len(free()); n != 1 {
-			t.Fatal(n, "servers")
+		if n := len(able()); n != 1 {
+			t.Fatal(n, "servers where all are full")
 		}
 	})
 	t.Run("a limiter that is not told its place uses all servers", func(t *testing.T) {
 		l, _ := made()
 		l.set.Limiters, l.set.Position = limiters, -1
-		l.Members(0, true, entries)
-		if l.circle() != len(l.order) {
+		if l.Members(0, true, entries); l.circle() != len(l.order) {
 			t.Fatal(l.circle(), "of", len(l.order))
 		}
 	})
-	t.Run("a server that goes moves no limiter by more than two", func(t *testing.T) {
-		for i, l := range fleet {
+	t.Run("a server that goes moves no limiter by more than two others", func(t *testing.T) {
+		for i, l := range all {
 			l.Members(1, false, []Entry{{ID: "s33", Listing: Gone}})
 			l.Woken(1, 0)
 			l.Members(1, false, nil)
-			kept := 0
-			for _, s := range l.order[:l.circle()] {
-				if circles[i][s.id] {
-					kept++
-				}
-			}
-			if kept < len(circles[i])-3 {
+			if kept := both(ids(l.order[:l.circle()]), circles[i]); kept < len(circles[i])-3 {
 				t.Fatalf("limiter %d kept %d of %d", i, kept, len(circles[i]))
 			}
 		}
 	})
+	t.Run("cold servers get no more than their part of all limiters' turns together", func(t *testing.T) {
+		for i := range 12 { // one in five has just started
+			entries[5*i].Since = second
+		}
+		turns, cold := map[string]float64{}, 0.0
+		for i, l := range fleet(limiters, entries) {
+			for range 50 * (1 + i%3) { // some get three times as many jobs as others
+				turns[l.pick(second, &job{track: l.set.Tracks["read"]}).id]++
+			}
+		}
+		warm := 0.0
+		for _, e := range entries {
+			if e.Since == 0 {
+				warm += turns[e.ID] / 48
+			}
+		}
+		for i := range 12 {
+			cold = max(cold, turns[entries[5*i].ID])
+		}
+		if part := cold / warm; part > 0.25*2 { // it falls at three times its part
+			t.Fatalf("a cold server gets %v of a warm one's turns", part)
+		}
+	})
 }
 
 func TestEase(t *testing.T) {
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -11,13 +11,17 @@
 type deeds struct {
 	did   []string
 	after int64 // the latest retry-after
+	cause Cause // and why
 }
 
 func (d *deeds) add(form string, args ...any) { d.did = append(d.did, fmt.Sprintf(form, args...)) }
 
-func (d *deeds) Send(job, server string)                    { d.add("send %s %s", job, server) }
-func (d *deeds) Cancel(job string, shot int)                { d.add("cancel %s %d", job, shot) }
-func (d *deeds) Reject(job string, after int64, _ Cause)    { d.after = after; d.add("reject %s", job) }
+func (d *deeds) Send(job, server string)     { d.add("send %s %s", job, server) }
+func (d *deeds) Cancel(job string, shot int) { d.add("cancel %s %d", job, shot) }
+func (d *deeds) Reject(job string, after int64, cause Cause) {
+	d.after, d.cause = after, cause
+	d.add("reject %s", job)
+}
 func (d *deeds) WriteOff(job string)                        { d.add("write off %s", job) }
 func (d *deeds) Count(name uint64, amount float64, _ int64) { d.add("count %v", amount) }
 func (d *deeds) Probe(server string)                        { d.add("probe %s", server) }
@@ -55,6 +59,14 @@
 	return l, d
 }
 
+// because checks why the latest rejection came.
+func (d *deeds) because(t *testing.T, want Cause) {
+	t.Helper()
+	if d.cause != want {
+		t.Fatalf("rejected for %v, want %v", d.cause, want)
+	}
+}
+
 // byName puts the servers in the order of their ids instead of the ring's.
 func byName(l *Limiter) {
 	slices.SortFunc(l.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
--- a/internal/inquiry/inquiry.go
+++ b/internal/inquiry/inquiry.go
@@ -32,8 +32,7 @@
 	unit     int64   // a dial time-out
 	every    int64   // the longest time between calls where they are work for discovery, 0 where changes are pushed
 	place    float64 // this limiter's place among all, in [0, 1)
-	end      End     // how the latest call ended
-	failures int     // calls in a row that ended as the latest, 0 after an answer
+	failures int     // calls in a row without an answer
 }
 
 // New makes the pace of the limiter with this number among all. dialTimeout is in nanoseconds and above 0; every is the
@@ -58,15 +57,13 @@
 }
 
 // Next takes the end of a call and tells how long to wait before the next one: nothing after an answer, else longer with
-// each failure of the same kind. Limiters that failed together come again apart: the wait is between half and one and a
+// each failure in a row. Limiters that failed together come again apart: the wait is between half and one and a
 // half of its span, by the limiter's place, which steps on with each failure.
 func (p *Pace) Next(end End) int64 {
-	if end != p.end {
-		p.end, p.failures = end, 0
-	}
 	var first, most int64
 	switch end {
 	case Answered:
+		p.failures = 0
 		return 0
 	case Turned:
 		first, most = turnedFirst*p.unit, turnedMost*p.unit
--- a/internal/inquiry/inquiry_test.go
+++ b/internal/inquiry/inquiry_test.go
@@ -16,6 +16,27 @@
 			}
 		}
 	})
+	t.Run("limiters that failed together come again apart", func(t *testing.T) {
+		tenths := [10]int{}
+		for i := range 80 {
+			tenths[10*(New(unit, i, 0).Next(Turned)-turnedFirst*unit/2)/(turnedFirst*unit)]++
+		}
+		for _, n := range tenths {
+			if n < 6 || n > 10 {
+				t.Fatalf("in tenths of the span: %v", tenths)
+			}
+		}
+	})
+	t.Run("silence between calls that are turned away does not end it", func(t *testing.T) {
+		p := New(unit, 3, 0)
+		for range 9 {
+			p.Next(Turned)
+			p.Next(Broke)
+		}
+		if wait := p.Next(Turned); wait < turnedMost*unit/2 {
+			t.Fatal(wait)
+		}
+	})
 	t.Run("an answer ends the waiting", func(t *testing.T) {
 		p := New(unit, 3, 0)
 		for range 9 {
@@ -30,6 +51,15 @@
 	})
 }
 
+func TestWait(t *testing.T) {
+	if hold, more := New(unit, 0, 10e9).Wait(); hold != 10e9 || more < 2e9 {
+		t.Fatalf("a call in discovery's queue is given up after %v and %v", hold, more)
+	}
+	if hold, more := New(unit, 0, 0).Wait(); hold+more > 2e9 {
+		t.Fatalf("an unanswered watch hides news for %v and %v", hold, more)
+	}
+}
+
 // TestOverbooked lets many limiters start together at one discovery that can take a call of each in 8 s and turns away
 // what it cannot answer within 2 s, as the operators' page has it. All are to have their list before long.
 func TestOverbooked(t *testing.T) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -156,7 +156,7 @@
 		return nil, err
 	}
 	if first := l.watch.pace.First(); first > 0 && l.watch.fetched {
-		l.at(now+first, l.watch.dial)
+		l.watch.again = l.at(now+first, l.watch.dial)
 	} else {
 		l.watch.dial()
 	}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -562,6 +562,19 @@
 	if len(w.dialed) != dialled || !slices.Contains(w.closed, watching) || len(l.servers) != 1 {
 		t.Fatalf("it is asked again at once: dialled %v, closed %v, %d servers", w.dialed, w.closed, len(l.servers))
 	}
+	t.Run("but at once where it has moved", func(t *testing.T) {
+		l, w := made(t)
+		w.say(l, 0, watching, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		config := *l.config
+		config.Discovery = "disco 2"
+		if l.Step(second/10, Happening{Kind: Renewed, Config: &config}); w.dialed[w.last] != "disco 2" {
+			t.Fatalf("dialled %v", w.dialed)
+		}
+		dialled := len(w.dialed)
+		if l.Step(6*second, Happening{Kind: Due}); len(w.dialed) > dialled {
+			t.Fatalf("the pause at the old address goes on: %v", w.dialed)
+		}
+	})
 	l.Step(6*second, Happening{Kind: Due})
 	l.Step(6*second, Happening{Kind: Connected, Conn: w.last})
 	if !strings.Contains(w.wrote[w.last], "from=7&") {
@@ -609,8 +622,8 @@
 	config := *l.config
 	config.Discovery = "disco 2"
 	l.Step(0, Happening{Kind: Renewed, Config: &config})
-	if l.Step(5*second, Happening{Kind: Due}); !asked(w) {
-		t.Fatal("not asked after it moved")
+	if w.dialed[w.last] != "disco 2" {
+		t.Fatal("not asked at once where it moved to")
 	}
 }
 
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -19,9 +19,10 @@
 	l       *Limiter
 	c       *conn
 	version int64
-	fetched bool   // discovery itself has told the list
+	fetched bool   // a list is held whose version discovery knows: what is newer is enough
 	limit   *timer // until when the call that is out must be answered
 	told    bool   // the connection has brought an answer
+	again   *timer // when it is dialled next, while it waits for that
 	pace    *inquiry.Pace
 	last    inquiry.End // how the latest call ended
 }
@@ -97,7 +98,7 @@
 func (w *watch) ended(end End, _ int64) {
 	w.l.timers.drop(w.limit)
 	if pause := w.pace.Next(w.last); !w.told {
-		w.l.at(w.l.now+pause, w.dial)
+		w.again = w.l.at(w.l.now+pause, w.dial)
 		return
 	}
 	w.dial()
@@ -107,10 +108,14 @@
 // the last good one holds meanwhile.
 func (w *watch) move() {
 	w.fetched = false
-	if w.c != nil && w.l.conns[w.c.id] == w.c { // else a new one is dialled before long
+	if w.c != nil && w.l.conns[w.c.id] == w.c {
 		w.told = true
 		w.l.over(w.c, Unused)
+		return
 	}
+	// It waits for its turn at the old address. What the new one has to tell counts as told before that may be over.
+	w.l.timers.drop(w.again)
+	w.dial()
 }
 
 // apply takes a list in: addresses for the pools, the rest for the module.
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -193,12 +193,7 @@
 			Units: take(r, "price-units", it.Units), Spread: take(r, "n-entries", it.Entries)}
 		do = func(l *choice.Limiter) { l.Job(wall, a) }
 	case "reply":
-		a := choice.Reply{Job: take(r, "handle", it.Handle), Shot: take(r, "copy", it.Copy),
-			Outcome: choice.Outcome(take(r, "rc", it.Code)), Took: nanos(take(r, "took", it.Took)),
-			Final: take(r, "final", it.Final), Held: it.Load.Held, Pace: it.Load.Pace}
-		if it.True != nil {
-			a.Units = *it.True
-		}
+		a := it.reply(r)
 		do = func(l *choice.Limiter) { l.Answer(wall, a) }
 	case "tallied":
 		name, code, total := take(r, "name", it.Name), take(r, "rc", it.Code), 0.0
@@ -225,6 +220,17 @@
 	return nil
 }
 
+// reply is how a shot ended, as the event tells it.
+func (it *item) reply(r *reading) choice.Reply {
+	a := choice.Reply{Job: take(r, "handle", it.Handle), Shot: take(r, "copy", it.Copy),
+		Outcome: choice.Outcome(take(r, "rc", it.Code)), Took: nanos(take(r, "took", it.Took)),
+		Final: take(r, "final", it.Final), Held: it.Load.Held, Pace: it.Load.Pace}
+	if it.True != nil {
+		a.Units = *it.True
+	}
+	return a
+}
+
 // call runs one call on the module; a panic in it is reported on the wire as its bug.
 func (in *instance) call(wall int64, do func(*choice.Limiter)) {
 	defer func() {
--- a/internal/simwire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -1,8 +1,11 @@
 package simwire
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
+
+	"ospreycroft/choice"
 )
 
 const facts1 = `{"balancers":1,"classes":[{"name":"c","aim":1,"effect":"free","group":"all"}],` +
@@ -75,3 +78,18 @@
 		t.Fatalf("wrote %+v, want a bug with its cause", h.output)
 	}
 }
+
+func TestReply(t *testing.T) {
+	for _, c := range []struct {
+		load       string
+		held, pace float64
+	}{{`{"outstanding":7,"throughput":12.5,"other":1}`, 7, 12.5}, {"null", 0, 0}} {
+		var it item
+		err := json.Unmarshal([]byte(`{"handle":"j","copy":1,"rc":0,"took":0.5,"final":true,"true-units":3,"feedback":`+c.load+`}`), &it)
+		r := &reading{}
+		want := choice.Reply{Job: "j", Shot: 1, Took: 5e8, Final: true, Units: 3, Held: c.held, Pace: c.pace}
+		if got := it.reply(r); err != nil || r.missing != "" || got != want {
+			t.Fatalf("%+v, want %+v, error %v", got, want, err)
+		}
+	}
+}
