--- a/choice/choice.go
+++ b/choice/choice.go
@@ -547,6 +547,18 @@
 	return max(1, math.Pow(seconds(j.track.Agreed)/wellInside/math.Exp(l.stay), easing))
 }
 
+// stay is how long jobs stay at the server by its load report, in seconds, 0 where it does not tell: what it
+// holds over what it does a second, or else the work itself and what waits over that pace.
+func (r *Reply) stay() float64 {
+	switch {
+	case r.Held > 0 && r.Pace > 0:
+		return r.Held / r.Pace
+	case r.Work > 0 && r.Pace > 0:
+		return seconds(r.Work) + r.Queue/r.Pace
+	}
+	return seconds(r.Work)
+}
+
 // pick takes the next server in the weighted rotation. A server without room passes, and so does one that
 // holds more than its share of what is out.
 func (l *Limiter) pick(now int64, j *job) *server {
@@ -683,8 +695,8 @@
 			l.log("server %s answers again", s.id)
 			s.standing, s.rest = fit, 0
 		}
-		if r.Held > 0 && r.Pace > 0 {
-			stay := math.Log(r.Held / r.Pace) // a few servers that are stuck do not make a mean of logarithms
+		if told := r.stay(); told > 0 {
+			stay := math.Log(told) // a few servers that are stuck do not make a mean of logarithms
 			if l.reported == 0 {
 				l.stay = stay
 			}
--- a/choice/types.go
+++ b/choice/types.go
@@ -70,6 +70,7 @@
 type Plan struct {
 	Rate, Burst               float64
 	CeilingRate, CeilingBurst float64
+	Open                      float64 // a job sent while so many shots of its customer are out is beyond; 0 for no cap
 	BeyondEarns, BeyondCosts  float64
 	Benefit                   float64 // what one unit of a job is worth, beside other plans
 }
@@ -92,6 +93,8 @@
 	SecondCopies bool
 	Cancelling   bool
 	Granularity  int64
+	Zone         string // this limiter's own; empty where it is not told
+	Meter        int64  // answers tell a customer's use in the last finished period of this length; 0 where none do
 }
 
 // Arrival is a job as a client sends it.
@@ -125,6 +128,10 @@
 	Units   float64 // the true units where they were a guess, else 0
 	Held    float64 // what the server's load report says it holds for all limiters, jobs
 	Pace    float64 // and does, jobs a second; 0 where it says nothing
+	Queue   float64 // the jobs that wait at it
+	Work    int64   // and how long its latest jobs took without waiting, 0 where it says nothing
+	Metered bool    // the answer tells the customer's use
+	Used    float64 // by all limiters in the last finished period, over its rate or its cap on shots out
 }
 
 // Deeds is what a limiter can do; each call takes effect at once.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 		MostAtOnce  float64 `json:"most-at-once"`
 		HardRate    float64 `json:"hard-rate"`
 		HardDepth   float64 `json:"never-over-depth"`
+		Parallel    float64 `json:"parallel"`
 		ExtraWorth  float64 `json:"extra-worth"`
 		BeyondCosts float64 `json:"beyond-costs"`
 		ValueFactor float64 `json:"value-factor"`
@@ -47,6 +48,7 @@
 		CountWait  float64 `json:"count-wait"`
 		UnitsTop   float64 `json:"units-top"`
 		TruedUp    bool    `json:"trued-up"`
+		Meter      float64 `json:"meter"`
 	} `json:"family-info"`
 	Contract struct {
 		ColdFrom   float64 `json:"cold-from"`
@@ -54,6 +56,7 @@
 		AskEvery   float64 `json:"ask-every"`
 	} `json:"contract"`
 	Mode        string `json:"registry-mode"`
+	Zone        string `json:"my-zone"`
 	Permissions struct {
 		AttemptsCap   int     `json:"attempts-cap"`
 		DialTimeout   float64 `json:"dial-timeout"`
@@ -97,7 +100,7 @@
 		ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
 		DialTimeout: nanos(f.Permissions.DialTimeout), MostShots: f.Permissions.AttemptsCap,
 		Probes: f.Permissions.Probes, SecondCopies: f.Permissions.SecondCopies,
-		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity),
+		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity), Zone: f.Zone,
 	}
 	if f.Family.HasCounter {
 		s.CounterWait = nanos(f.Family.CountWait)
@@ -121,7 +124,8 @@
 		return nil, errors.New("classes: none")
 	}
 	for _, t := range f.Tariffs {
-		for _, f := range []figure{{"rate", t.Rate}, {"hard-rate", t.HardRate}, {"never-over-depth", t.HardDepth}} {
+		for _, f := range []figure{{"rate", t.Rate}, {"hard-rate", t.HardRate}, {"never-over-depth", t.HardDepth},
+			{"parallel", t.Parallel}} {
 			if f.value < 0 {
 				return nil, fmt.Errorf("tariffs: %s: %s is %v", t.Name, f.name, f.value)
 			}
@@ -130,9 +134,13 @@
 			return nil, fmt.Errorf("tariffs: %s: most-at-once is %v", t.Name, t.MostAtOnce)
 		}
 		s.Plans[t.Name] = &choice.Plan{Rate: t.Rate, Burst: t.MostAtOnce,
-			CeilingRate: t.HardRate, CeilingBurst: t.HardDepth,
+			CeilingRate: t.HardRate, CeilingBurst: t.HardDepth, Open: t.Parallel,
 			BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts, Benefit: t.ValueFactor}
 	}
+	if f.Family.Meter < 0 {
+		return nil, fmt.Errorf("family-info: meter is %v", f.Family.Meter)
+	}
+	s.Meter = nanos(f.Family.Meter)
 	for _, f := range []figure{{"units-top", s.MostUnits}, {"granularity", f.Granularity},
 		{"attempts-cap", float64(s.MostShots)}, {"balancers", float64(s.Limiters)},
 		{"warm-within", f.Contract.WarmWithin}} {
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -47,9 +47,12 @@
 	Copy    *int            `json:"copy"`
 	Final   *bool           `json:"final"`
 	True    *float64        `json:"true-units"`
+	Used    *float64        `json:"metered"`
 	Load    struct {
-		Held float64 `json:"outstanding"`
-		Pace float64 `json:"throughput"`
+		Held   float64 `json:"outstanding"`
+		Pace   float64 `json:"throughput"`
+		Queue  float64 `json:"backlog"`
+		Recent float64 `json:"recent_ms"`
 	} `json:"feedback"`
 }
 
@@ -224,10 +227,14 @@
 func (it *item) reply(r *reading) choice.Reply {
 	a := choice.Reply{Job: take(r, "handle", it.Handle), Shot: take(r, "copy", it.Copy),
 		Outcome: choice.Outcome(take(r, "rc", it.Code)), Took: nanos(take(r, "took", it.Took)),
-		Final: take(r, "final", it.Final), Held: it.Load.Held, Pace: it.Load.Pace}
+		Final: take(r, "final", it.Final), Held: it.Load.Held, Pace: it.Load.Pace,
+		Queue: it.Load.Queue, Work: int64(it.Load.Recent * 1e6)}
 	if it.True != nil {
 		a.Units = *it.True
 	}
+	if it.Used != nil && *it.Used > 0 {
+		a.Metered, a.Used = true, (*it.Used-1)/100
+	}
 	return a
 }
 
