--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,10 +39,13 @@
 	accounts map[uint64]*account
 	calls    map[uint64][]call
 	asks     float64 // the share of jobs for which the counter is asked
+	answered float64 // the calls answered since one was not
 	stake    float64 // what a job beyond the quota costs, a fading mean over the plans that jobs come from
 	took     float64
 	did      float64
 	beat     int64
+	whole    float64 // the weight of all servers in the circle
+	stint    float64 // the seconds in which shots under a cap fade
 	spare    float64 // second shots in hand
 	part     float64 // the largest job over the number of limiters: the least limit of a server
 	room     float64 // units that may be out at all servers together
@@ -55,27 +58,32 @@
 }
 
 const (
-	windowBursts = 16       // a window is so many times the time in which the store fills
-	sharers      = 16       // the limiters that share a server
-	circleLeast  = 8        // the servers that a limiter has at least, where there are so many
-	startJobs    = 3        // the largest jobs that all limiters together may have out at a server unseen yet
-	askLess      = 0.75     // the share of jobs asked for falls so with each call unanswered
-	askMore      = 1.0 / 16 // and rises so with each answer; it is never less
-	beats        = 20       // looks at the servers in one agreed time
-	fade         = 40       // answers after which an old one has lost most of its weight
-	slowFade     = 16       // the same for the share of slow answers
-	wellInside   = 2        // an answer within this part of the agreed time is prompt
-	late         = 10       // a late shot takes off so many times what a prompt one adds to a limit
-	lateAll      = 4        // and at most so many times from the room at all servers
-	slowLeast    = 1.0 / 32 // that is by a shot for each such share of slow answers
-	swing        = 4        // the room grows to the load and so many times the deviation of a random one
-	easing       = 2        // the room widens with this power of how far jobs stay inside the agreed time
-	grow         = 8        // prompt answers that raise a limit by their own size
-	paceMost     = 3        // a server's weight may be so many times the mean or so small a part of it
-	badStep      = 0.25     // the weight of the latest shot in the share that came to nothing
-	badMost      = 0.55     // a larger share sets a server aside: three in a row
-	asideMost    = 0.75     // the share of the servers that may be set aside
-	spareMost    = 10       // one second shot for so many first ones
+	windowBursts = 16        // a window is so many times the time in which the store fills
+	sharers      = 16        // the limiters that share a server
+	circleLeast  = 8         // the servers that a limiter has at least, where there are so many
+	startJobs    = 3         // the largest jobs that all limiters together may have out at a server unseen yet
+	askLess      = 0.75      // the share of jobs asked for falls so with each call unanswered
+	askLeast     = 1.0 / 16  // it is never less
+	askMore      = 1.0 / 256 // and rises by so much times the answers since the last one that failed
+	beats        = 20        // looks at the servers in one agreed time
+	fade         = 40        // answers after which an old one has lost most of its weight
+	slowFade     = 16        // the same for the share of slow answers
+	wellInside   = 2         // an answer within this part of the agreed time is prompt
+	late         = 10        // a late shot takes off so many times what a prompt one adds to a limit
+	lateAll      = 4         // and at most so many times from the room at all servers
+	slowLeast    = 1.0 / 32  // that is by a shot for each such share of slow answers
+	swing        = 4         // the room grows to the load and so many times the deviation of a random one
+	stints       = 4         // a shot that is out under a cap is taken to last for this part of the shortest agreed time
+	uneven       = 4         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
+	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
+	lostLeast    = 4         // but not before such a part of the agreed time
+	easing       = 2         // the room widens with this power of how far jobs stay inside the agreed time
+	grow         = 8         // prompt answers that raise a limit by their own size
+	paceMost     = 3         // a server's weight may be so many times the mean or so small a part of it
+	badStep      = 0.25      // the weight of the latest shot in the share that came to nothing
+	badMost      = 0.55      // a larger share sets a server aside: three in a row
+	asideMost    = 0.75      // the share of the servers that may be set aside
+	spareMost    = 10        // one second shot for so many first ones
 )
 
 func (s *store) fill(now int64) float64 {
@@ -100,6 +108,7 @@
 		agreed = min(agreed, t.Agreed)
 		l.mild = l.mild || t.Effect != Binding
 	}
+	l.stint = seconds(agreed) / stints
 	l.beat = max(agreed/beats, set.Granularity)
 	deeds.Wake(now+l.beat, 0)
 	return l
@@ -132,10 +141,11 @@
 		if s == nil {
 			// Limiters that start together, all knowing nothing, must not all begin at the same server.
 			s, fresh.credit = &fresh, l.rng.Float64()
+			fresh.turns = fresh.credit
 			l.servers[e.ID], l.order = s, append(l.order, s)
 		} else if e.Since > s.warmFrom {
 			// A new process: nothing known of the old one holds for it.
-			fresh.shots, fresh.out = s.shots, s.out
+			fresh.shots, fresh.out, fresh.turns = s.shots, s.out, l.rng.Float64()
 			*s = fresh
 		}
 		s.zone, s.cell, s.listing, s.hint = e.Zone, e.Cell, e.Listing, e.Hint
@@ -178,7 +188,7 @@
 // Job takes a job from a client: it reserves on the counter, or decides by the slice when it cannot.
 func (l *Limiter) Job(now int64, a Arrival) {
 	l.tokens++
-	j := &job{id: a.ID, token: l.tokens, track: l.set.Tracks[a.Track], units: a.Units,
+	j := &job{id: a.ID, token: l.tokens, track: l.set.Tracks[a.Track], units: a.Units, charge: a.Units,
 		end: now + a.Budget - 2*l.set.Granularity}
 	l.jobs[j.id], l.timers[j.token] = j, j
 	plan := l.set.Plans[a.Plan]
@@ -198,14 +208,17 @@
 		return
 	}
 	l.deeds.Wake(j.end, j.token)
-	if plan.Rate <= 0 {
+	if acc.quota.rate <= 0 {
 		l.place(now, j)
 		return
 	}
+	if plan.Rate <= 0 {
+		j.charge = 1
+	}
 	// The counter is not asked for a customer that is known to be out of units: the store kept here fills at
 	// the whole rate, so the true one holds no more, but for what others add back. A call that brings what is
 	// still to be added back is made: the others go by a total that is too high until then.
-	out := acc.quota.fill(now) < j.units && acc.owed >= 0
+	out := acc.quota.fill(now) < j.charge && acc.owed >= 0
 	if l.set.CounterWait == 0 || out && acc.known || l.asks < 1 && (out || !l.asked(acc)) {
 		l.bySlice(now, j)
 		return
@@ -217,14 +230,21 @@
 	acc := l.accounts[a.Customer]
 	if acc == nil {
 		part := float64(max(a.Spread, 1))
+		rate, burst, most := plan.Rate, plan.Burst, l.set.MostUnits
+		if rate <= 0 && plan.Open > 0 {
+			// A cap on shots out: each counts one and fades as they end, so the faded use is what is out.
+			rate, burst, most = plan.Open/l.stint, plan.Open, 1
+		} else if plan.Open > 0 {
+			burst = min(burst, max(plan.Open/2, 2)*most)
+		}
 		acc = &account{id: a.Customer, plan: plan, window: math.MinInt64,
-			quota: store{level: plan.Burst / part, depth: plan.Burst, rate: plan.Rate, at: now},
-			part:  part,
+			quota: store{level: burst / part, depth: burst, rate: rate, at: now},
+			part:  part, most: most,
 			// The ceiling's store stands as it was before we started, so our part of it starts empty: what
 			// all starts of all limiters send is then never more than the store has held and filled.
 			ceiling: store{depth: plan.CeilingBurst / part, rate: plan.CeilingRate / part, at: l.began}}
 		acc.phase = int64(mix(a.Customer) >> 1)
-		l.slice(now, acc, plan.Burst)
+		l.slice(now, acc, burst)
 		l.accounts[a.Customer] = acc
 	}
 	acc.used = now
@@ -238,7 +258,7 @@
 	stake := max(0, a.plan.BeyondCosts-a.plan.BeyondEarns) * a.plan.Benefit
 	l.stake += (stake - l.stake) / fade
 	share := l.asks / (1 - l.asks) * stake / l.stake
-	return float64(a.phase)/math.MaxInt64 < share || l.rng.Float64() < askMore
+	return float64(a.phase)/math.MaxInt64 < share || l.rng.Float64() < askLeast
 }
 
 // mix spreads a number over all bits, so that names of different windows and customers do not meet.
@@ -253,17 +273,17 @@
 
 // span is the length of the customer's windows. At each turn what was added before goes unseen, so turns are
 // rare; a lease of two windows must not be longer than the counter keeps a name.
-func (l *Limiter) span(p *Plan) int64 {
-	return min(nanos(windowBursts*p.Burst/p.Rate), l.set.LongestLease/2)
+func (l *Limiter) span(a *account) int64 {
+	return min(nanos(windowBursts*a.quota.depth/a.quota.rate), l.set.LongestLease/2)
 }
 
 // turn moves the account to the window that holds now and tells what an add of one unit weighs in it. Adds
 // weigh more the later they come, by e for each filling of the store: the total over the present weight is
 // the use of all limiters, the old faded out. So a first look tells what the store holds.
 func (l *Limiter) turn(now int64, a *account) float64 {
-	span := l.span(a.plan)
+	span := l.span(a)
 	since := now + a.phase%span
-	fills := func(ns int64) float64 { return seconds(ns) * a.plan.Rate / a.plan.Burst }
+	fills := func(ns int64) float64 { return seconds(ns) * a.quota.rate / a.quota.depth }
 	if w := since / span; w != a.window {
 		a.window, a.total, a.unsure, a.idle = w, 0, 0, 0
 		a.owed = max(a.owed, 0) * math.Exp(-fills(span))
@@ -274,9 +294,9 @@
 func (l *Limiter) reserve(now int64, j *job) {
 	a := j.account
 	j.weight = l.turn(now, a)
-	j.name, j.reserved, j.lease = a.name(), true, now+l.span(a.plan)
+	j.name, j.reserved, j.lease = a.name(), true, now+l.span(a)
 	l.move(j, Reserving)
-	l.count(j, j.units*j.weight+a.owed, false)
+	l.count(j, j.charge*j.weight+a.owed, false)
 	a.owed = 0
 }
 
@@ -284,7 +304,7 @@
 // of its purpose.
 func (l *Limiter) count(j *job, amount float64, back bool) {
 	l.calls[j.name] = append(l.calls[j.name], call{j, j.account, amount, back})
-	l.deeds.Count(j.name, amount, 2*l.span(j.account.plan))
+	l.deeds.Count(j.name, amount, 2*l.span(j.account))
 }
 
 // release adds back what was reserved and not used; once, and not after the lease has ended.
@@ -298,10 +318,10 @@
 // settle puts the true units in the place of the guess, once: on the count that has the reservation, or with
 // the next call where there is none, and in the stores kept here.
 func (l *Limiter) settle(now int64, j *job, units float64) {
-	if more := units - j.units; units > 0 && more != 0 && !j.beyond {
+	if more := units - j.units; units > 0 && more != 0 && !j.beyond && j.account.plan.Rate > 0 {
 		a := j.account
 		a.quota.level, a.slice.level = a.quota.level-more, a.slice.level-more
-		if !j.reserved && a.plan.Rate > 0 {
+		if !j.reserved {
 			a.owed += more * l.turn(now, a)
 		}
 		l.release(now, j, -more)
@@ -324,11 +344,11 @@
 		// A counter that is down or crowded is asked less, so that nothing waits for it in vain and it can
 		// work off its line; it is asked more again step by step, so that its return brings no rush.
 		if outcome != Broke { // it has worked off the call, or may have, and only its answer was spoilt
-			l.asks = max(l.asks*askLess, askMore)
+			l.asks, l.answered = max(l.asks*askLess, askLeast), 0
 		}
 		vain := 0.0
 		if !c.back { // what the slice sends is owed anew
-			j.reserved, vain = false, j.units*j.weight
+			j.reserved, vain = false, j.charge*j.weight
 		}
 		if outcome == TimedOut || outcome == Broke {
 			a.unsure, a.idle = a.unsure+c.amount, a.idle+vain
@@ -340,19 +360,20 @@
 		}
 		return
 	}
-	l.asks = math.Min(1, l.asks+askMore)
+	l.answered++
+	l.asks = math.Min(1, l.asks+askMore*l.answered)
 	l.see(now, c, name, total)
 	if c.back {
 		return
 	}
 	if j.state != Reserving {
-		l.release(now, j, j.units)
+		l.release(now, j, j.charge)
 		return
 	}
-	if a.quota.level < j.units {
-		l.release(now, j, j.units)
-		if !l.beyond(now, j) {
-			l.reject(now, j, nanos((j.units-a.quota.level)/a.quota.rate), ForQuota)
+	if a.quota.level < j.charge {
+		l.release(now, j, j.charge)
+		if !l.beyond(now, j, true) {
+			l.reject(now, j, nanos((j.charge-a.quota.level)/a.quota.rate), ForQuota)
 			return
 		}
 	}
@@ -377,12 +398,12 @@
 	// Others add back what they rejected, but a total that falls further means that the counter has
 	// forgotten, and that gives nothing back: a flushed counter grants nobody a fresh burst.
 	gap := seconds(now-a.looked) * a.quota.rate / a.quota.depth
-	if others < -l.set.MostUnits*float64(l.set.Limiters)*weight {
+	if others < -a.most*float64(l.set.Limiters)*weight {
 		others = 0
 	} else if !a.known || gap > 1 {
 		// What was known here of the store counts no more: it stands as the faded use of all says.
 		if a.quota.level, others = a.quota.depth-total/weight, 0; c.job.state == Reserving && !c.back {
-			a.quota.level += c.job.units
+			a.quota.level += c.job.charge
 		}
 	} else {
 		// They added over the whole time since the last look, so a store that has spilt meanwhile did not.
@@ -397,14 +418,15 @@
 // slice gives this limiter its part of what the store holds. It holds the largest job at least: among many
 // limiters an equal part is smaller than that, and would refuse jobs for good that are well inside the quota.
 func (l *Limiter) slice(now int64, a *account, level float64) {
-	a.slice = store{level: math.Min(level, max(level/a.part, l.set.MostUnits)),
-		depth: max(a.quota.depth/a.part, l.set.MostUnits), rate: a.quota.rate / a.part, at: now}
+	part := max(1, a.part/uneven)
+	a.slice = store{level: math.Min(level, max(level/part, a.most)),
+		depth: max(a.quota.depth/part, a.most), rate: a.quota.rate / part, at: now}
 }
 
 // bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
-	if s := &j.account.slice; s.fill(now) < j.units && !l.beyond(now, j) {
-		l.reject(now, j, nanos((j.units-s.level)/s.rate), ForSlice)
+	if s := &j.account.slice; s.fill(now) < j.charge && !l.beyond(now, j, false) {
+		l.reject(now, j, nanos((j.charge-s.level)/s.rate), ForSlice)
 		return
 	}
 	l.place(now, j)
@@ -412,10 +434,10 @@
 
 // beyond lets a job in past the quota where the plan makes that earn more than it costs, half of all room is
 // free and what it takes of the ceiling leaves half of that to jobs inside the quota.
-func (l *Limiter) beyond(now int64, j *job) bool {
+func (l *Limiter) beyond(now int64, j *job, sure bool) bool {
 	p, c := j.account.plan, &j.account.ceiling
 	spare := p.CeilingRate == 0 || c.fill(now)-j.units >= c.depth/2
-	j.beyond = p.BeyondEarns > p.BeyondCosts && !l.busy && spare
+	j.beyond = p.BeyondEarns > p.BeyondCosts && (p.Open == 0 || !sure) && !l.busy && spare
 	return j.beyond
 }
 
@@ -436,17 +458,17 @@
 		s, wait, cause = l.pick(now, j), l.crowded(), ForRoom
 	}
 	if s == nil {
-		l.release(now, j, j.units)
+		l.release(now, j, j.charge)
 		l.reject(now, j, wait, cause)
 		return
 	}
 	a.quota.fill(now)
 	a.slice.fill(now)
 	if !j.beyond { // what goes beyond the quota takes nothing from it
-		a.quota.level -= j.units
-		a.slice.level -= j.units
-		if !j.reserved && a.plan.Rate > 0 {
-			a.owed += j.units * l.turn(now, a)
+		a.quota.level -= j.charge
+		a.slice.level -= j.charge
+		if !j.reserved && a.quota.rate > 0 {
+			a.owed += j.charge * l.turn(now, a)
 		}
 	}
 	a.ceiling.fill(now)
@@ -571,6 +593,13 @@
 	turn := 0.0
 	for _, s := range able {
 		w := l.weight(now, s)
+		if l.warmth(now, s) < 1 {
+			// Where no other has room, or in a small group, a cold one gets no more than its turns either.
+			if s.turns += w / max(l.whole, w); s.turns < 1 {
+				continue
+			}
+			s.turns = 1
+		}
 		if s.out/w > out/sum {
 			continue
 		}
@@ -582,6 +611,7 @@
 	}
 	if best != nil {
 		best.credit -= turn
+		best.turns--
 	}
 	return best
 }
@@ -761,6 +791,12 @@
 		return over
 	})
 	l.load -= l.load / beats
+	l.whole = 0
+	for i, near := 0, l.circle(); i < len(l.order) && near > 0; i++ {
+		if s := l.order[i]; s.listing == Ready && s.standing != aside {
+			l.whole, near = l.whole+l.weight(now, s), near-1
+		}
+	}
 	for _, s := range l.order {
 		for _, sh := range s.shots {
 			l.overdue(now, sh)
@@ -795,12 +831,10 @@
 		}
 	}
 	for _, s := range l.order {
-		if s.standing != aside && s.listing != Gone {
-			continue
-		}
 		for _, sh := range slices.Clone(s.shots) {
 			j := sh.job
-			if j.state != Out || j.open > 1 || j.track.Effect == Binding || now-sh.at > j.track.Agreed {
+			if s.standing != aside && s.listing != Gone && !l.lost(now, sh) || j.state != Out || j.open > 1 ||
+				j.track.Effect == Binding || now-sh.at > j.track.Agreed {
 				continue
 			}
 			if l.set.SecondCopies {
@@ -812,6 +846,14 @@
 	}
 }
 
+// lost tells whether a shot's answer is likely not to come, whether its server lives or not: it is out for many times as
+// long as a job of its size takes there, while the answers that do come are prompt.
+func (l *Limiter) lost(now int64, sh *shot) bool {
+	s := sh.server
+	return s.did > 0 && l.slow < lateAll*slowLeast &&
+		now-sh.at > max(nanos(lostAfter*sh.job.units*s.took/s.did), sh.job.track.Agreed/lostLeast)
+}
+
 // comeBack lets a server that was set aside have one job at a time. One that failed may be a new process that
 // the list does not tell of yet, so it is taken as cold.
 func (l *Limiter) comeBack(now int64, s *server) {
@@ -859,7 +901,7 @@
 func (l *Limiter) forget(now int64) {
 	for id, a := range l.accounts {
 		full := a.quota.fill(now) >= a.quota.depth
-		if a.plan.Rate > 0 && a.ceiling.fill(now) >= a.ceiling.depth && full && now-a.used > l.span(a.plan) {
+		if a.quota.rate > 0 && a.ceiling.fill(now) >= a.ceiling.depth && full && now-a.used > l.span(a) {
 			delete(l.accounts, id)
 		}
 	}
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -75,7 +75,7 @@
 // opens lets a window of the plan's customer begin at the time.
 func opens(l *Limiter, plan string, at int64) {
 	acc := l.accountOf(0, arrival("", "read", plan), l.set.Plans[plan])
-	acc.phase = l.span(acc.plan) - at
+	acc.phase = l.span(acc) - at
 }
 
 func arrival(id, track, plan string) Arrival {
--- a/choice/state.go
+++ b/choice/state.go
@@ -20,7 +20,8 @@
 	track    *Track
 	account  *account
 	units    float64
-	end      int64 // the last moment for a final answer
+	charge   float64 // what it takes from its customer's store: units, or one place under a cap
+	end      int64   // the last moment for a final answer
 	shots    []*shot
 	open     int // shots that are out
 	reserved bool
@@ -61,6 +62,7 @@
 	rest     int64
 	fullTill int64   // it has turned a job away and gets none until then
 	credit   float64 // its claim on the next turn
+	turns    float64 // while it is cold: the turns that it is owed
 }
 
 type standing uint8
@@ -89,6 +91,7 @@
 	looked  int64   // and when last
 	slice   store   // this limiter's part of it: decides when no total comes
 	part    float64 // the number of limiters that share the customer
+	most    float64 // the most that one job can take from its store
 	owed    float64 // what is still to be added to the counter, weighted as of its time
 	unsure  float64 // what calls without an answer may have added
 	idle    float64 // the part of them that was never sent
