--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,6 +54,7 @@
 	stay     float64 // the fading mean of the logarithm of the seconds that jobs stay, by load reports
 	reported int64   // when the latest came
 	busy     bool    // more than half of it was taken when a job last looked for room
+	dearest  *Track  // the track whose units bring the most, and of several the most urgent
 	mild     bool    // some track's jobs may run again
 }
 
@@ -77,6 +78,7 @@
 	uneven       = 4         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
 	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
 	lostLeast    = 4         // but not before such a part of the agreed time
+	cheapLess    = 0.5       // the part of the room that a job worth nothing beside the dearest track's does not get
 	easing       = 2         // the room widens with this power of how far jobs stay inside the agreed time
 	grow         = 8         // prompt answers that raise a limit by their own size
 	paceMost     = 3         // a server's weight may be so many times the mean or so small a part of it
@@ -107,6 +109,10 @@
 	for _, t := range set.Tracks {
 		agreed = min(agreed, t.Agreed)
 		l.mild = l.mild || t.Effect != Binding
+		if l.dearest == nil || t.Benefit > l.dearest.Benefit ||
+			t.Benefit == l.dearest.Benefit && t.Agreed < l.dearest.Agreed {
+			l.dearest = t
+		}
 	}
 	l.stint = seconds(agreed) / stints
 	l.beat = max(agreed/beats, set.Granularity)
@@ -418,7 +424,7 @@
 // slice gives this limiter its part of what the store holds. It holds the largest job at least: among many
 // limiters an equal part is smaller than that, and would refuse jobs for good that are well inside the quota.
 func (l *Limiter) slice(now int64, a *account, level float64) {
-	part := max(1, a.part/uneven)
+	part := max(1, a.part/(1+(uneven-1)*max(0, level)/a.quota.depth))
 	a.slice = store{level: math.Min(level, max(level/part, a.most)),
 		depth: max(a.quota.depth/part, a.most), rate: a.quota.rate / part, at: now}
 }
@@ -553,6 +559,7 @@
 		}
 	}
 	room := l.room * l.ease(now, j) * usable / max(ready, 1)
+	room *= 1 - cheapLess*(1-j.track.Benefit/l.dearest.Benefit)
 	if l.busy = out > room/2; out > room && out > j.units {
 		return nil
 	}
@@ -566,7 +573,8 @@
 	if l.reported == 0 || now-l.reported > j.track.Agreed {
 		return 1
 	}
-	return max(1, math.Pow(seconds(j.track.Agreed)/wellInside/math.Exp(l.stay), easing))
+	agreed := min(j.track.Agreed, l.dearest.Agreed) // one track's jobs must not fill the servers for a dearer one's
+	return max(1, math.Pow(seconds(agreed)/wellInside/math.Exp(l.stay), easing))
 }
 
 // stay is how long jobs stay at the server by its load report, in seconds, 0 where it does not tell: what it
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -36,9 +36,9 @@
 	d := &deeds{}
 	set := &Settings{
 		Tracks: map[string]*Track{
-			"read":  {Agreed: second, Effect: Retriable},
-			"mark":  {Agreed: second, Effect: Fingerprinted, Group: GroupZone, Repeats: second},
-			"write": {Agreed: second, Effect: Binding},
+			"read":  {Agreed: second, Effect: Retriable, Benefit: 1},
+			"mark":  {Agreed: second, Effect: Fingerprinted, Group: GroupZone, Repeats: second, Benefit: 1},
+			"write": {Agreed: second, Effect: Binding, Benefit: 1},
 		},
 		Plans: map[string]*Plan{
 			"plain": {Rate: 5, Burst: 10},
--- a/choice/types.go
+++ b/choice/types.go
@@ -63,7 +63,8 @@
 	Agreed  int64
 	Effect  Effect
 	Group   Group
-	Repeats int64 // how long a fingerprinted job's repeats are dropped
+	Repeats int64   // how long a fingerprinted job's repeats are dropped
+	Benefit float64 // what one unit is worth, beside other tracks
 }
 
 // Plan is what a customer has bought; units and units a second.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,7 @@
 		Effect string  `json:"effect"`
 		Group  string  `json:"group"`
 		Window float64 `json:"dedup-window"`
+		Worth  float64 `json:"worth"`
 	} `json:"classes"`
 	Tariffs []struct {
 		Name        string  `json:"name"`
@@ -117,8 +118,14 @@
 		if c.Aim <= 0 {
 			return nil, fmt.Errorf("classes: %s: aim is %v", c.Name, c.Aim)
 		}
+		if c.Worth < 0 {
+			return nil, fmt.Errorf("classes: %s: worth is %v", c.Name, c.Worth)
+		}
 		s.Tracks[c.Name] = &choice.Track{Agreed: nanos(c.Aim), Effect: effect, Group: group,
-			Repeats: nanos(c.Window)}
+			Repeats: nanos(c.Window), Benefit: c.Worth}
+		if c.Worth == 0 { // not told: as good as any
+			s.Tracks[c.Name].Benefit = 1
+		}
 	}
 	if len(s.Tracks) == 0 {
 		return nil, errors.New("classes: none")
