--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,7 +78,7 @@
 	uneven       = 4         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
 	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
 	lostLeast    = 4         // but not before such a part of the agreed time
-	cheapLess    = 0.5       // the part of the room that a job worth nothing beside the dearest track's does not get
+	cheapLess    = 0.8       // the part of the room that a job worth nothing beside the dearest track's does not get
 	easing       = 2         // the room widens with this power of how far jobs stay inside the agreed time
 	grow         = 8         // prompt answers that raise a limit by their own size
 	paceMost     = 3         // a server's weight may be so many times the mean or so small a part of it
@@ -759,7 +759,7 @@
 		s.limit = math.Min(s.limit, s.out)
 		l.slow += (1 - l.slow) / slowFade
 		l.narrow(sh.job)
-	case Broke, Unconnected, Reset:
+	case Broke, Unconnected, Reset, Cancelled:
 		// A server that fails is quick at it: its answers say nothing of its pace, or it would draw all jobs.
 		// One that takes no connection is not tried three times: among many limiters, each would do so.
 		if s.bad += badStep * (1 - s.bad); s.bad > badMost || r.Outcome == Unconnected {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -149,7 +149,7 @@
 		if expect(t, d, "send j a"); j.account.owed != 2 {
 			t.Fatal("owed", j.account.owed)
 		}
-		l.reserve(0, &job{id: "k", account: j.account, units: 2, track: j.track})
+		l.reserve(0, &job{id: "k", account: j.account, units: 2, charge: 2, track: j.track})
 		l.Counted(0, j.name, Done, 6)
 		if expect(t, d, "count 4", "send k b"); j.account.owed != -2 {
 			t.Fatal("owed", j.account.owed)
@@ -189,7 +189,7 @@
 		j.account.slice.level = 1
 		l.Counted(0, j.name, TimedOut, 0)
 		expect(t, d, "count 2", "reject j")
-		l.reserve(0, &job{id: "k", account: j.account, units: 1})
+		l.reserve(0, &job{id: "k", account: j.account, units: 1, charge: 1})
 		l.Counted(0, j.name, Done, 3)
 		if j.account.owed != -2 {
 			t.Fatal("owed", j.account.owed)
