--- a/choice/choice.go
+++ b/choice/choice.go
@@ -327,8 +327,9 @@
 	if more := units - j.units; units > 0 && more != 0 && !j.beyond && j.account.plan.Rate > 0 {
 		a := j.account
 		a.quota.level, a.slice.level = a.quota.level-more, a.slice.level-more
-		if !j.reserved {
+		if !j.reserved || l.asks < 1 { // a crowded counter is spared the call: the next one brings it
 			a.owed += more * l.turn(now, a)
+			j.reserved = false
 		}
 		l.release(now, j, -more)
 	}
