--- a/choice/choice.go
+++ b/choice/choice.go
@@ -444,7 +444,7 @@
 func (l *Limiter) beyond(now int64, j *job, sure bool) bool {
 	p, c := j.account.plan, &j.account.ceiling
 	spare := p.CeilingRate == 0 || c.fill(now)-j.units >= c.depth/2
-	j.beyond = p.BeyondEarns > p.BeyondCosts && (p.Open == 0 || !sure) && !l.busy && spare
+	j.beyond = p.BeyondEarns > p.BeyondCosts && (p.Open == 0 || !sure && j.account.told <= 1) && !l.busy && spare
 	return j.beyond
 }
 
@@ -663,6 +663,9 @@
 	j.open--
 	sh.maybe = r.Outcome != Full && r.Outcome != Unconnected && r.Outcome != Moot
 	l.learn(now, sh, r)
+	if r.Metered && j.account != nil {
+		j.account.told = r.Used
+	}
 	if r.Outcome == Done && r.Final && !j.ended() {
 		l.settle(now, j, r.Units)
 		if !sh.late { // well spent: where some servers are bad and others good, more may follow
