--- a/choice/choice.go
+++ b/choice/choice.go
@@ -425,7 +425,11 @@
 // slice gives this limiter its part of what the store holds. It holds the largest job at least: among many
 // limiters an equal part is smaller than that, and would refuse jobs for good that are well inside the quota.
 func (l *Limiter) slice(now int64, a *account, level float64) {
-	part := max(1, a.part/(1+(uneven-1)*max(0, level)/a.quota.depth))
+	full := max(0, level) / a.quota.depth
+	if a.told > 1 {
+		full = 0
+	}
+	part := max(1, a.part/(1+(uneven-1)*full))
 	a.slice = store{level: math.Min(level, max(level/part, a.most)),
 		depth: max(a.quota.depth/part, a.most), rate: a.quota.rate / part, at: now}
 }
@@ -627,6 +631,9 @@
 
 // crowded is the retry-after of a job for which no server has room: about when work now out will be done.
 func (l *Limiter) crowded() int64 {
+	if l.reported > 0 {
+		return max(l.beat, nanos(math.Exp(l.stay)))
+	}
 	return max(l.beat, l.set.DialTimeout)
 }
 
