--- a/choice/choice.go
+++ b/choice/choice.go
@@ -437,7 +437,7 @@
 // bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
 	if s := &j.account.slice; s.fill(now) < j.charge && !l.beyond(now, j, false) {
-		l.reject(now, j, nanos((j.charge-s.level)/s.rate), ForSlice)
+		l.reject(now, j, min(nanos((j.charge-s.level)/s.rate), l.crowded()), ForSlice)
 		return
 	}
 	l.place(now, j)
