--- a/choice/choice.go
+++ b/choice/choice.go
@@ -379,7 +379,7 @@
 	}
 	if a.quota.level < j.charge {
 		l.release(now, j, j.charge)
-		if !l.beyond(now, j, true) {
+		if !l.beyond(now, j) {
 			l.reject(now, j, nanos((j.charge-a.quota.level)/a.quota.rate), ForQuota)
 			return
 		}
@@ -425,18 +425,14 @@
 // slice gives this limiter its part of what the store holds. It holds the largest job at least: among many
 // limiters an equal part is smaller than that, and would refuse jobs for good that are well inside the quota.
 func (l *Limiter) slice(now int64, a *account, level float64) {
-	full := max(0, level) / a.quota.depth
-	if a.told > 1 {
-		full = 0
-	}
-	part := max(1, a.part/(1+(uneven-1)*full))
+	part := max(1, a.part/(1+(uneven-1)*max(0, level)/a.quota.depth))
 	a.slice = store{level: math.Min(level, max(level/part, a.most)),
 		depth: max(a.quota.depth/part, a.most), rate: a.quota.rate / part, at: now}
 }
 
 // bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
-	if s := &j.account.slice; s.fill(now) < j.charge && !l.beyond(now, j, false) {
+	if s := &j.account.slice; s.fill(now) < j.charge && !l.beyond(now, j) {
 		l.reject(now, j, min(nanos((j.charge-s.level)/s.rate), l.crowded()), ForSlice)
 		return
 	}
@@ -445,10 +441,10 @@
 
 // beyond lets a job in past the quota where the plan makes that earn more than it costs, half of all room is
 // free and what it takes of the ceiling leaves half of that to jobs inside the quota.
-func (l *Limiter) beyond(now int64, j *job, sure bool) bool {
+func (l *Limiter) beyond(now int64, j *job) bool {
 	p, c := j.account.plan, &j.account.ceiling
 	spare := p.CeilingRate == 0 || c.fill(now)-j.units >= c.depth/2
-	j.beyond = p.BeyondEarns > p.BeyondCosts && (p.Open == 0 || !sure && j.account.told <= 1) && !l.busy && spare
+	j.beyond = p.BeyondEarns > p.BeyondCosts && p.Open == 0 && !l.busy && spare
 	return j.beyond
 }
 
@@ -670,9 +666,6 @@
 	j.open--
 	sh.maybe = r.Outcome != Full && r.Outcome != Unconnected && r.Outcome != Moot
 	l.learn(now, sh, r)
-	if r.Metered && j.account != nil {
-		j.account.told = r.Used
-	}
 	if r.Outcome == Done && r.Final && !j.ended() {
 		l.settle(now, j, r.Units)
 		if !sh.late { // well spent: where some servers are bad and others good, more may follow
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -189,7 +189,7 @@
 		j.account.slice.level = 1
 		l.Counted(0, j.name, TimedOut, 0)
 		expect(t, d, "count 2", "reject j")
-		l.reserve(0, &job{id: "k", account: j.account, units: 1, charge: 1})
+		l.reserve(0, &job{id: "k", account: j.account, units: 1, charge: 1, track: j.track})
 		l.Counted(0, j.name, Done, 3)
 		if j.account.owed != -2 {
 			t.Fatal("owed", j.account.owed)
--- a/choice/state.go
+++ b/choice/state.go
@@ -96,7 +96,6 @@
 	unsure  float64 // what calls without an answer may have added
 	idle    float64 // the part of them that was never sent
 	ceiling store   // this limiter's part of the hard ceiling
-	told    float64 // the meter's latest figure: the use of all limiters over the rate or the cap
 	used    int64
 }
 
