--- a/choice/choice.go
+++ b/choice/choice.go
@@ -845,6 +845,13 @@
 	for _, s := range l.order {
 		for _, sh := range slices.Clone(s.shots) {
 			j := sh.job
+			if j.state == Out && j.track.Effect != Binding && l.set.Cancelling && l.lost(now, sh) &&
+				now-j.shots[0].at > j.track.Agreed {
+				// A late answer is worth nothing: the server and the client are spared it.
+				l.finish(now, j)
+				l.deeds.Cancel(j.id, sh.number)
+				continue
+			}
 			if s.standing != aside && s.listing != Gone && !l.lost(now, sh) || j.state != Out || j.open > 1 ||
 				j.track.Effect == Binding || now-sh.at > j.track.Agreed {
 				continue
