--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,6 +70,7 @@
 	fade         = 40        // answers after which an old one has lost most of its weight
 	slowFade     = 16        // the same for the share of slow answers
 	wellInside   = 2         // an answer within this part of the agreed time is prompt
+	stayFade     = 8        // the same for the mean stay: among many limiters each hears a few reports a second
 	late         = 10        // a late shot takes off so many times what a prompt one adds to a limit
 	lateAll      = 4         // and at most so many times from the room at all servers
 	slowLeast    = 1.0 / 32  // that is by a shot for each such share of slow answers
@@ -79,7 +80,7 @@
 	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
 	lostLeast    = 4         // but not before such a part of the agreed time
 	cheapLess    = 0.8       // the part of the room that a job worth nothing beside the dearest track's does not get
-	easing       = 2         // the room widens with this power of how far jobs stay inside the agreed time
+	easing       = 1.5         // the room widens with this power of how far jobs stay inside the agreed time
 	grow         = 8         // prompt answers that raise a limit by their own size
 	paceMost     = 3         // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25      // the weight of the latest shot in the share that came to nothing
@@ -263,7 +264,7 @@
 func (l *Limiter) asked(a *account) bool {
 	stake := max(0, a.plan.BeyondCosts-a.plan.BeyondEarns) * a.plan.Benefit
 	l.stake += (stake - l.stake) / fade
-	share := l.asks / (1 - l.asks) * stake / l.stake
+	share := (l.asks - askLeast) / (1 - l.asks) * stake / l.stake
 	return float64(a.phase)/math.MaxInt64 < share || l.rng.Float64() < askLeast
 }
 
@@ -742,7 +743,7 @@
 			if l.reported == 0 {
 				l.stay = stay
 			}
-			l.stay, l.reported = l.stay+(stay-l.stay)/slowFade, now
+			l.stay, l.reported = l.stay+(stay-l.stay)/stayFade, now
 		}
 		took := seconds(r.Took)
 		s.took, s.did = s.took*(1-1.0/fade)+took, s.did*(1-1.0/fade)+u
