--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,7 @@
 	slowLeast    = 1.0 / 32  // that is by a shot for each such share of slow answers
 	swing        = 4         // the room grows to the load and so many times the deviation of a random one
 	stints       = 4         // a shot that is out under a cap is taken to last for this part of the shortest agreed time
-	uneven       = 2.5         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
+	uneven       = 2         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
 	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
 	lostLeast    = 4         // but not before such a part of the agreed time
 	cheapLess    = 0.8       // the part of the room that a job worth nothing beside the dearest track's does not get
