--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,7 @@
 	slowFade     = 16        // the same for the share of slow answers
 	wellInside   = 2         // an answer within this part of the agreed time is prompt
 	stayFade     = 4         // the same for the mean stay: among many limiters each hears a few reports a second
+	narrow       = 0.75      // with less than this part of the circle to choose from, a cold server must be owed a turn
 	late         = 10        // a late shot takes off so many times what a prompt one adds to a limit
 	lateAll      = 4         // and at most so many times from the room at all servers
 	slowLeast    = 1.0 / 32  // that is by a shot for each such share of slow answers
@@ -604,10 +605,10 @@
 		w := l.weight(now, s)
 		if l.warmth(now, s) < 1 {
 			// Where no other has room, or in a small group, a cold one gets no more than its turns either.
-			if s.turns += w / max(l.whole, w); s.turns < 1 {
+			s.turns = math.Min(1, s.turns+w/max(l.whole, w))
+			if s.turns < 1 && sum < l.whole*narrow {
 				continue
 			}
-			s.turns = 1
 		}
 		if s.out/w > out/sum {
 			continue
