--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,13 +71,13 @@
 	slowFade     = 16        // the same for the share of slow answers
 	wellInside   = 2         // an answer within this part of the agreed time is prompt
 	stayFade     = 4         // the same for the mean stay: among many limiters each hears a few reports a second
-	narrow       = 0.75      // with less than this part of the circle to choose from, a cold server must be owed a turn
+	narrow       = 0.5       // with less than that part of the circle to choose from, a cold server must be owed a turn
 	late         = 10        // a late shot takes off so many times what a prompt one adds to a limit
 	lateAll      = 4         // and at most so many times from the room at all servers
 	slowLeast    = 1.0 / 32  // that is by a shot for each such share of slow answers
 	swing        = 4         // the room grows to the load and so many times the deviation of a random one
 	stints       = 4         // a shot that is out under a cap is taken to last for this part of the shortest agreed time
-	uneven       = 2         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
+	Uneven       = 2         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
 	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
 	lostLeast    = 4         // but not before such a part of the agreed time
 	cheapLess    = 0.8       // the part of the room that a job worth nothing beside the dearest track's does not get
@@ -426,7 +426,7 @@
 // slice gives this limiter its part of what the store holds. It holds the largest job at least: among many
 // limiters an equal part is smaller than that, and would refuse jobs for good that are well inside the quota.
 func (l *Limiter) slice(now int64, a *account, level float64) {
-	part := max(1, a.part/(1+(uneven-1)*max(0, level)/a.quota.depth))
+	part := max(1, a.part/(1+(Uneven-1)*max(0, level)/a.quota.depth))
 	a.slice = store{level: math.Min(level, max(level/part, a.most)),
 		depth: max(a.quota.depth/part, a.most), rate: a.quota.rate / part, at: now}
 }
@@ -870,7 +870,7 @@
 // long as a job of its size takes there, while the answers that do come are prompt.
 func (l *Limiter) lost(now int64, sh *shot) bool {
 	s := sh.server
-	return s.did > 0 && l.slow < lateAll*slowLeast &&
+	return !l.set.SecondCopies && s.did > 0 && l.slow < lateAll*slowLeast &&
 		now-sh.at > max(nanos(lostAfter*sh.job.units*s.took/s.did), sh.job.track.Agreed/lostLeast)
 }
 
--- a/internal/countloss/countloss.go
+++ b/internal/countloss/countloss.go
@@ -4,7 +4,8 @@
 // prints them, so that an operator knows the error before the counter fails.
 //
 // Source: Reserve and Reconcile (docs/design.md): without the counter each of a customer's s limiters decides by
-// its slice, which holds max(B/s, J) and fills at R/s (B the plan's burst, R its rate, J the largest job); a
+// its slice, which holds max(u·B/s, J) and fills at u·R/s (B the plan's burst, R its rate, J the largest job, u the
+// most equal parts that a slice can be, choice.Uneven, and no more than s); a
 // fallen total gives no store back; a hard ceiling is kept by each limiter's own part, D/s filling at H/s, with
 // no answer of the counter at all.
 package countloss
@@ -71,8 +72,9 @@
 	n := float64(s)
 	switch c {
 	case Lost:
-		// s slices, each max(B/s, J) at once and R/s a second: max(B, s·J) + R·t in all, against B + R·t.
-		b.AtOnce = max(0, n*mostUnits-plan.Burst)
+		// s slices, each max(u·B/s, J) at once and u·R/s a second, against B + R·t.
+		u := math.Min(n, choice.Uneven)
+		b.AtOnce, b.ASecond = max(u*plan.Burst, n*mostUnits)-plan.Burst, (u-1)*plan.Rate
 	case Reset:
 		// A limiter that has not looked lately takes the burst anew from an empty total, once for the store
 		// that was forgotten; those that had looked keep what they knew, and a fallen total gives nothing back.
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -143,6 +143,9 @@
 	if job.Retry {
 		list += ",r=1"
 	}
+	if d.e.Settings.Tracks[job.Track].Effect == choice.Fingerprinted {
+		list += ",k=" + job.ID // the mark by which servers know a repeat
+	}
 	words := [][]byte{[]byte("SVC.QUERY"), []byte(job.Customer), []byte(job.ID), []byte(list)}
 	if d.e.Settings.Tracks[job.Track].Effect != choice.Retriable {
 		words[0] = []byte("SVC.SUBMIT")
