Settings of the new shape from the configuration too, checked; tests of the reworked parts

tariffs.parallel and classes.worth are decoded for both programs (defaults: no cap, all tracks alike), backlog and recent_ms read from load reports on the wire and on sockets.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -836,3 +836,141 @@
 		t.Fatal("all begin at", first)
 	}
 }
+
+func TestCap(t *testing.T) {
+	capped := func() (*Limiter, *deeds) {
+		l, d := made()
+		l.set.Plans["cap"] = &Plan{Open: 2, BeyondEarns: 0.1}
+		opens(l, "cap", 0)
+		return l, d
+	}
+	t.Run("counts each job as one, whatever its units, and lets none in beyond it though that would earn", func(t *testing.T) {
+		l, d := capped()
+		j := reserving(l, "read", "cap")
+		expect(t, d, "count 1")
+		l.Counted(0, j.name, Done, 3) // two of others have just gone out
+		expect(t, d, "count -1", "reject j")
+		d.because(t, ForQuota)
+	})
+	t.Run("a place fades with the shots that hold it", func(t *testing.T) {
+		l, d := capped()
+		reserving(l, "read", "cap")
+		acc := l.jobs["j"].account
+		l.Counted(0, l.jobs["j"].name, Done, 3)
+		l.Job(second, arrival("k", "read", "cap"))
+		if last := d.did[len(d.did)-1]; !strings.HasPrefix(last, "count ") || acc.quota.level < 1 {
+			t.Fatalf("did %q, level %v", d.did, acc.quota.level)
+		}
+	})
+	t.Run("true units change nothing of it", func(t *testing.T) {
+		l, d := capped()
+		j := reserving(l, "read", "cap")
+		l.Counted(0, j.name, Done, 1)
+		d.did = nil
+		l.Answer(1, Reply{Job: "j", Outcome: Done, Took: 1, Final: true, Units: 4})
+		if len(d.did) != 0 || j.account.owed != 0 {
+			t.Fatalf("did %q, owes %v", d.did, j.account.owed)
+		}
+	})
+}
+
+func TestLost(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		track  string
+		slow   float64
+		copies bool
+		at     int64
+		want   string
+	}{
+		{"a shot out for many times its job's time is called off", "read", 0, false, second / 3, "cancel j 0"},
+		{"but not before that", "read", 0, false, second / 5, "send j a"},
+		{"nor where what is answered is slow", "read", 1, false, second / 3, "send j a"},
+		{"nor where it cannot go again", "write", 0, false, second / 3, "send j a"},
+		{"nor where a copy may be sent once its server is aside", "read", 0, true, second / 3, "send j a"},
+		{"a job past its agreed time is given up at once", "read", 0, false, second + 1, "reject j"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, d := made()
+			l.set.Cancelling, l.set.SecondCopies = true, c.copies
+			j := sent(l, c.track)
+			l.slow = c.slow
+			for _, s := range l.order {
+				s.took, s.did = 0.02, 2 // 10 ms a unit
+			}
+			if l.look(c.at); c.want == "reject j" {
+				expect(t, d, "reject j", "cancel j 0")
+				return
+			}
+			expect(t, d, c.want)
+			if c.want == "cancel j 0" {
+				l.Answer(c.at, Reply{Job: "j", Outcome: Cancelled, Took: c.at})
+				if expect(t, d, "send j b"); j.shots[0].server.bad == 0 {
+					t.Fatal("it does not count against its server")
+				}
+			}
+		})
+	}
+}
+
+func TestColdTurns(t *testing.T) {
+	l, _ := made()
+	l.Members(second, true, []Entry{{ID: "a", Zone: "x", Hint: 1}, {ID: "b", Zone: "y", Hint: 1, Since: second}})
+	l.look(second)
+	a, b := l.servers["a"], l.servers["b"]
+	a.fullTill, b.turns = 1<<62, 0
+	got := 0
+	for range 100 { // the warm one has no room: the cold one gets its turns and no more
+		if s := l.pick(second, &job{units: 1, track: l.set.Tracks["read"]}); s == b {
+			got++
+		}
+	}
+	if share := l.set.ColdFrom / (1 + l.set.ColdFrom); float64(got) < 90*share || float64(got) > 100*share+1 {
+		t.Fatal("it got", got, "of 100")
+	}
+}
+
+func TestBenefit(t *testing.T) {
+	l, _ := made()
+	dear := &Track{Agreed: second / 2, Benefit: 5}
+	l.set.Tracks["dear"], l.room = dear, 4
+	l = func() *Limiter { n := New(0, l.set, 1, &deeds{}); n.Members(0, true, []Entry{{ID: "a"}, {ID: "b"}}); return n }()
+	l.room = 4
+	l.servers["a"].out = 2
+	if len(l.able(0, &job{units: 2, track: dear})) == 0 {
+		t.Fatal("the dearest track's jobs do not get all of the room")
+	}
+	if len(l.able(0, &job{units: 2, track: l.set.Tracks["read"]})) != 0 {
+		t.Fatal("a cheap track's jobs get as much room")
+	}
+	l.reported, l.stay = 1, math.Log(0.2)
+	if e := l.ease(1, &job{track: l.set.Tracks["read"]}); math.Abs(e-1.25) > 1e-9 { // by half a second, not one
+		t.Fatal("a longer agreed time widens the room by", e)
+	}
+}
+
+func TestStay(t *testing.T) {
+	for _, c := range []struct {
+		reply Reply
+		want  float64
+	}{
+		{Reply{Held: 6, Pace: 12, Work: second}, 0.5},
+		{Reply{Work: second / 4, Queue: 5, Pace: 20}, 0.5},
+		{Reply{Work: second / 4, Queue: 5}, 0.25},
+		{Reply{Held: 6}, 0},
+	} {
+		if got := c.reply.stay(); got != c.want {
+			t.Errorf("%+v: %v, want %v", c.reply, got, c.want)
+		}
+	}
+}
+
+func TestSettleWhileCrowded(t *testing.T) {
+	l, d := made()
+	j := sent(l, "read")
+	l.asks = 0.5
+	l.Answer(1, Reply{Job: "j", Outcome: Done, Took: 1, Final: true, Units: 4})
+	if expect(t, d, "count 2", "send j a"); j.account.owed < 1.99 || j.account.owed > 2.01 {
+		t.Fatal("owes", j.account.owed)
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -94,8 +94,6 @@
 	SecondCopies bool
 	Cancelling   bool
 	Granularity  int64
-	Zone         string // this limiter's own; empty where it is not told
-	Meter        int64  // answers tell a customer's use in the last finished period of this length; 0 where none do
 }
 
 // Arrival is a job as a client sends it.
@@ -131,8 +129,6 @@
 	Pace    float64 // and does, jobs a second; 0 where it says nothing
 	Queue   float64 // the jobs that wait at it
 	Work    int64   // and how long its latest jobs took without waiting, 0 where it says nothing
-	Metered bool    // the answer tells the customer's use
-	Used    float64 // by all limiters in the last finished period, over its rate or its cap on shots out
 }
 
 // Deeds is what a limiter can do; each call takes effect at once.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -858,13 +858,15 @@
 		{"*3\r\n$1\r\nv\r\n$-1\r\n$32\r\nthroughput=4.397,outstanding=250\r\n", choice.Done, 0, 250, 4.397},
 		{"*3\r\n$1\r\nv\r\n$-1\r\n$31\r\nthroughput=4.397,outstanding=2.\r\n", choice.Done, 0, 2, 4.397},
 		{"*3\r\n$1\r\nv\r\n$-1\r\n$29\r\nthroughput=-1,outstanding=NaN\r\n", choice.Done, 0, 0, 0},
+		{"*3\r\n$1\r\nv\r\n$-1\r\n$46\r\nbacklog=3,throughput=2.5000,recent_ms=135.5000\r\n", choice.Done, 0, 0, 2.5},
 		{"-BUSY inflight=7\r\n", choice.Full, 0, 0, 0},
 		{"-BUSYBODY\r\n", choice.Broke, 0, 0, 0},
 		{"-ERR failed inflight=7\r\n", choice.Broke, 0, 0, 0},
 	} {
 		t.Run(strconv.Quote(c.in), func(t *testing.T) {
 			v, _, err := resp.ReadAnswer([]byte(c.in))
-			if r, _ := judge(v, 8); err != nil || r.Outcome != c.outcome || r.Units != c.units || r.Held != c.held || r.Pace != c.pace {
+			if r, _ := judge(v, 8); err != nil || r.Outcome != c.outcome || r.Units != c.units || r.Held != c.held || r.Pace != c.pace ||
+				strings.Contains(c.in, "backlog") && (r.Queue != 3 || r.Work != 135500000) {
 				t.Fatalf("%+v, error %v", r, err)
 			}
 		})
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -205,9 +205,6 @@
 	switch {
 	case v.Kind == '*':
 		reply = choice.Reply{Outcome: choice.Done, Units: figure(v.List[1].Text, "cost", most)}
-		if used := figure(v.List[1].Text, "used", mostReport); used > 0 {
-			reply.Metered, reply.Used = true, (used-1)/100
-		}
 		if len(v.List) > 2 {
 			reply.Held = figure(v.List[2].Text, "outstanding", mostReport)
 			reply.Pace = figure(v.List[2].Text, "throughput", mostReport)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,7 +49,6 @@
 		CountWait  float64 `json:"count-wait"`
 		UnitsTop   float64 `json:"units-top"`
 		TruedUp    bool    `json:"trued-up"`
-		Meter      float64 `json:"meter"`
 	} `json:"family-info"`
 	Contract struct {
 		ColdFrom   float64 `json:"cold-from"`
@@ -57,7 +56,6 @@
 		AskEvery   float64 `json:"ask-every"`
 	} `json:"contract"`
 	Mode        string `json:"registry-mode"`
-	Zone        string `json:"my-zone"`
 	Permissions struct {
 		AttemptsCap   int     `json:"attempts-cap"`
 		DialTimeout   float64 `json:"dial-timeout"`
@@ -101,7 +99,7 @@
 		ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
 		DialTimeout: nanos(f.Permissions.DialTimeout), MostShots: f.Permissions.AttemptsCap,
 		Probes: f.Permissions.Probes, SecondCopies: f.Permissions.SecondCopies,
-		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity), Zone: f.Zone,
+		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity),
 	}
 	if f.Family.HasCounter {
 		s.CounterWait = nanos(f.Family.CountWait)
@@ -144,10 +142,6 @@
 			CeilingRate: t.HardRate, CeilingBurst: t.HardDepth, Open: t.Parallel,
 			BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts, Benefit: t.ValueFactor}
 	}
-	if f.Family.Meter < 0 {
-		return nil, fmt.Errorf("family-info: meter is %v", f.Family.Meter)
-	}
-	s.Meter = nanos(f.Family.Meter)
 	for _, f := range []figure{{"units-top", s.MostUnits}, {"granularity", f.Granularity},
 		{"attempts-cap", float64(s.MostShots)}, {"balancers", float64(s.Limiters)},
 		{"warm-within", f.Contract.WarmWithin}} {
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -47,7 +47,6 @@
 	Copy    *int            `json:"copy"`
 	Final   *bool           `json:"final"`
 	True    *float64        `json:"true-units"`
-	Used    *float64        `json:"metered"`
 	Load    struct {
 		Held   float64 `json:"outstanding"`
 		Pace   float64 `json:"throughput"`
@@ -232,9 +231,6 @@
 	if it.True != nil {
 		a.Units = *it.True
 	}
-	if it.Used != nil && *it.Used > 0 {
-		a.Metered, a.Used = true, (*it.Used-1)/100
-	}
 	return a
 }
 
--- a/internal/simwire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -83,11 +83,15 @@
 	for _, c := range []struct {
 		load       string
 		held, pace float64
-	}{{`{"outstanding":7,"throughput":12.5,"other":1}`, 7, 12.5}, {"null", 0, 0}} {
+		queue      float64
+		work       int64
+	}{{`{"outstanding":7,"throughput":12.5,"other":1}`, 7, 12.5, 0, 0}, {"null", 0, 0, 0, 0},
+		{`{"backlog":3,"throughput":2.5,"recent_ms":135.5}`, 0, 2.5, 3, 135500000}} {
 		var it item
 		err := json.Unmarshal([]byte(`{"handle":"j","copy":1,"rc":0,"took":0.5,"final":true,"true-units":3,"feedback":`+c.load+`}`), &it)
 		r := &reading{}
-		want := choice.Reply{Job: "j", Shot: 1, Took: 5e8, Final: true, Units: 3, Held: c.held, Pace: c.pace}
+		want := choice.Reply{Job: "j", Shot: 1, Took: 5e8, Final: true, Units: 3, Held: c.held, Pace: c.pace,
+			Queue: c.queue, Work: c.work}
 		if got := it.reply(r); err != nil || r.missing != "" || got != want {
 			t.Fatalf("%+v, want %+v, error %v", got, want, err)
 		}
