--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -934,7 +934,11 @@
 	l, _ := made()
 	dear := &Track{Agreed: second / 2, Benefit: 5}
 	l.set.Tracks["dear"], l.room = dear, 4
-	l = func() *Limiter { n := New(0, l.set, 1, &deeds{}); n.Members(0, true, []Entry{{ID: "a"}, {ID: "b"}}); return n }()
+	l = func() *Limiter {
+		n := New(0, l.set, 1, &deeds{})
+		n.Members(0, true, []Entry{{ID: "a"}, {ID: "b"}})
+		return n
+	}()
 	l.room = 4
 	l.servers["a"].out = 2
 	if len(l.able(0, &job{units: 2, track: dear})) == 0 {
