--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,7 +70,7 @@
 	fade         = 40        // answers after which an old one has lost most of its weight
 	slowFade     = 16        // the same for the share of slow answers
 	wellInside   = 2         // an answer within this part of the agreed time is prompt
-	stayFade     = 4         // the same for the mean stay: among many limiters each hears a few reports a second
+	stayFade     = 8         // the same for the mean stay: among many limiters each hears a few reports a second
 	narrow       = 0.5       // with less than that part of the circle to choose from, a cold server must be owed a turn
 	late         = 10        // a late shot takes off so many times what a prompt one adds to a limit
 	lateAll      = 4         // and at most so many times from the room at all servers
