--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,7 +13,7 @@
 //  4. room: the work out is bounded by what is answered well inside the agreed time, at a server and in all,
 //     more widely while load reports show short stays;
 //  5. standing: a server that shows no life is set aside until it has answered, and its jobs go elsewhere;
-//  6. beyond: a job past its quota goes in where its plan earns by it and there is plenty of room.
+//  6. lost: so does a job whose answer is long overdue where others come promptly.
 package choice
 
 import (
@@ -325,7 +325,7 @@
 // settle puts the true units in the place of the guess, once: on the count that has the reservation, or with
 // the next call where there is none, and in the stores kept here.
 func (l *Limiter) settle(now int64, j *job, units float64) {
-	if more := units - j.units; units > 0 && more != 0 && !j.beyond && j.account.plan.Rate > 0 {
+	if more := units - j.units; units > 0 && more != 0 && j.account.plan.Rate > 0 {
 		a := j.account
 		a.quota.level, a.slice.level = a.quota.level-more, a.slice.level-more
 		if !j.reserved || l.asks < 1 { // a crowded counter is spared the call: the next one brings it
@@ -380,10 +380,8 @@
 	}
 	if a.quota.level < j.charge {
 		l.release(now, j, j.charge)
-		if !l.beyond(now, j) {
-			l.reject(now, j, nanos((j.charge-a.quota.level)/a.quota.rate), ForQuota)
-			return
-		}
+		l.reject(now, j, nanos((j.charge-a.quota.level)/a.quota.rate), ForQuota)
+		return
 	}
 	l.place(now, j)
 }
@@ -433,22 +431,13 @@
 
 // bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, j *job) {
-	if s := &j.account.slice; s.fill(now) < j.charge && !l.beyond(now, j) {
+	if s := &j.account.slice; s.fill(now) < j.charge {
 		l.reject(now, j, min(nanos((j.charge-s.level)/s.rate), l.crowded()), ForSlice)
 		return
 	}
 	l.place(now, j)
 }
 
-// beyond lets a job in past the quota where the plan makes that earn more than it costs, half of all room is
-// free and what it takes of the ceiling leaves half of that to jobs inside the quota.
-func (l *Limiter) beyond(now int64, j *job) bool {
-	p, c := j.account.plan, &j.account.ceiling
-	spare := p.CeilingRate == 0 || c.fill(now)-j.units >= c.depth/2
-	j.beyond = p.BeyondEarns > p.BeyondCosts && p.Open == 0 && !l.busy && spare
-	return j.beyond
-}
-
 // overCeiling is how long this limiter's part of the ceiling must fill before it holds the units.
 func (a *account) overCeiling(now int64, units float64) int64 {
 	if a.plan.CeilingRate <= 0 || a.ceiling.fill(now) >= units {
@@ -472,12 +461,10 @@
 	}
 	a.quota.fill(now)
 	a.slice.fill(now)
-	if !j.beyond { // what goes beyond the quota takes nothing from it
-		a.quota.level -= j.charge
-		a.slice.level -= j.charge
-		if !j.reserved && a.quota.rate > 0 {
-			a.owed += j.charge * l.turn(now, a)
-		}
+	a.quota.level -= j.charge
+	a.slice.level -= j.charge
+	if !j.reserved && a.quota.rate > 0 {
+		a.owed += j.charge * l.turn(now, a)
 	}
 	a.ceiling.fill(now)
 	a.ceiling.level -= j.units
@@ -688,7 +675,7 @@
 
 // again sends a further shot where the track's kind, the time, the shots left and the pressure allow it.
 func (l *Limiter) again(now int64, j *job) bool {
-	if j.end <= now || len(j.shots) >= l.set.MostShots || l.spare < 1 || j.open > 0 && !l.set.SecondCopies {
+	if j.end <= now || len(j.shots) >= l.set.MostShots || l.spare < 1 || j.open > 0 {
 		return false
 	}
 	for _, sh := range j.shots {
@@ -845,21 +832,20 @@
 	}
 	for _, s := range l.order {
 		for _, sh := range slices.Clone(s.shots) {
-			j := sh.job
-			if j.state == Out && j.track.Effect != Binding && l.set.Cancelling && l.lost(now, sh) &&
-				now-j.shots[0].at > j.track.Agreed {
+			j, lost := sh.job, l.lost(now, sh)
+			if j.state != Out || j.track.Effect == Binding || !l.set.Cancelling {
+				continue
+			}
+			if lost && now-j.shots[0].at > j.track.Agreed {
 				// A late answer is worth nothing: the server and the client are spared it.
 				l.finish(now, j)
 				l.deeds.Cancel(j.id, sh.number)
 				continue
 			}
-			if s.standing != aside && s.listing != Gone && !l.lost(now, sh) || j.state != Out || j.open > 1 ||
-				j.track.Effect == Binding || now-sh.at > j.track.Agreed {
+			if s.standing != aside && s.listing != Gone && !lost || now-sh.at > j.track.Agreed {
 				continue
 			}
-			if l.set.SecondCopies {
-				l.again(now, j)
-			} else if l.set.Cancelling && l.spare >= 1 && len(l.able(now, j)) > 0 {
+			if l.spare >= 1 && len(l.able(now, j)) > 0 {
 				l.deeds.Cancel(j.id, sh.number) // it is sent again once its end is known
 			}
 		}
@@ -870,7 +856,7 @@
 // long as a job of its size takes there, while the answers that do come are prompt.
 func (l *Limiter) lost(now int64, sh *shot) bool {
 	s := sh.server
-	return !l.set.SecondCopies && s.did > 0 && l.slow < lateAll*slowLeast &&
+	return s.did > 0 && l.slow < lateAll*slowLeast &&
 		now-sh.at > max(nanos(lostAfter*sh.job.units*s.took/s.did), sh.job.track.Agreed/lostLeast)
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,7 +26,6 @@
 	open     int // shots that are out
 	reserved bool
 	weight   float64 // what one unit weighs in the window that has the reservation
-	beyond   bool    // let in past the quota
 	name     uint64  // the count that holds the reservation
 	lease    int64   // when that count is forgotten
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -72,7 +72,7 @@
 	Rate, Burst               float64
 	CeilingRate, CeilingBurst float64
 	Open                      float64 // a job sent while so many shots of its customer are out is beyond; 0 for no cap
-	BeyondEarns, BeyondCosts  float64
+	BeyondEarns, BeyondCosts  float64 // of a job's benefit, when it is sent past the quota
 	Benefit                   float64 // what one unit of a job is worth, beside other plans
 }
 
@@ -91,7 +91,6 @@
 	MostShots    int
 	MostAdvice   int64 // the longest retry-after that clients honour; 0 where none is passed on
 	Probes       bool
-	SecondCopies bool
 	Cancelling   bool
 	Granularity  int64
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,6 @@
 		MaxRetryAfter float64 `json:"max-retry-after"`
 		RetryAfter    bool    `json:"retry-after"`
 		Probes        bool    `json:"probes"`
-		SecondCopies  bool    `json:"second-copies"`
 		Cancelling    bool    `json:"cancelling"`
 	} `json:"permissions"`
 	Granularity float64 `json:"granularity"`
@@ -98,8 +97,7 @@
 		MostUnits: f.Family.UnitsTop, LongestLease: longestLease, Limiters: f.Balancers, Position: -1,
 		ColdFrom: f.Contract.ColdFrom, WarmWithin: nanos(f.Contract.WarmWithin),
 		DialTimeout: nanos(f.Permissions.DialTimeout), MostShots: f.Permissions.AttemptsCap,
-		Probes: f.Permissions.Probes, SecondCopies: f.Permissions.SecondCopies,
-		Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity),
+		Probes: f.Permissions.Probes, Cancelling: f.Permissions.Cancelling, Granularity: nanos(f.Granularity),
 	}
 	if f.Family.HasCounter {
 		s.CounterWait = nanos(f.Family.CountWait)
