--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,16 +71,16 @@
 	slowFade     = 16        // the same for the share of slow answers
 	wellInside   = 2         // an answer within this part of the agreed time is prompt
 	stayFade     = 8         // the same for the mean stay: among many limiters each hears a few reports a second
-	narrow       = 0.5       // with less than that part of the circle to choose from, a cold server must be owed a turn
+	narrow       = 0.5       // with less of the circle to choose from, a cold server must be owed a turn
 	late         = 10        // a late shot takes off so many times what a prompt one adds to a limit
 	lateAll      = 4         // and at most so many times from the room at all servers
 	slowLeast    = 1.0 / 32  // that is by a shot for each such share of slow answers
 	swing        = 4         // the room grows to the load and so many times the deviation of a random one
-	stints       = 4         // a shot that is out under a cap is taken to last for this part of the shortest agreed time
+	stints       = 4         // a shot under a cap is taken to last for this part of the shortest agreed time
 	Uneven       = 2         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
 	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
 	lostLeast    = 4         // but not before such a part of the agreed time
-	cheapLess    = 0.8       // the part of the room that a job worth nothing beside the dearest track's does not get
+	cheapLess    = 0.8       // the part of the room that a job worth nothing beside the dearest does not get
 	grow         = 8         // prompt answers that raise a limit by their own size
 	paceMost     = 3         // a server's weight may be so many times the mean or so small a part of it
 	badStep      = 0.25      // the weight of the latest shot in the share that came to nothing
@@ -562,7 +562,7 @@
 	if l.reported == 0 || now-l.reported > j.track.Agreed {
 		return 1
 	}
-	agreed := min(j.track.Agreed, l.dearest.Agreed) // one track's jobs must not fill the servers for a dearer one's
+	agreed := min(j.track.Agreed, l.dearest.Agreed) // no track's jobs may fill the servers for a dearer one
 	return max(1, seconds(agreed)/wellInside/math.Exp(l.stay))
 }
 
@@ -852,8 +852,8 @@
 	}
 }
 
-// lost tells whether a shot's answer is likely not to come, whether its server lives or not: it is out for many times as
-// long as a job of its size takes there, while the answers that do come are prompt.
+// lost tells whether a shot's answer is likely not to come, whether its server lives or not: it is out for
+// many times as long as a job of its size takes there, while the answers that do come are prompt.
 func (l *Limiter) lost(now int64, sh *shot) bool {
 	s := sh.server
 	return s.did > 0 && l.slow < lateAll*slowLeast &&
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -966,3 +966,38 @@
 		t.Fatal("owes", j.account.owed)
 	}
 }
+
+func TestCapWithRateAndCeiling(t *testing.T) {
+	l, d := made()
+	l.set.Plans["cap+rate"] = &Plan{Rate: 5, Burst: 40, Open: 4, CeilingRate: 8, CeilingBurst: 16}
+	opens(l, "cap+rate", second)
+	j := func() *job { l.Job(second, arrival("j", "read", "cap+rate")); return l.jobs["j"] }()
+	// The burst is what four jobs of half the largest size take, and units are counted, not places.
+	if expect(t, d, "count 2"); j.account.quota.depth != 8 {
+		t.Fatal("the store holds", j.account.quota.depth)
+	}
+	l.Counted(second, j.name, Done, 2)
+	if expect(t, d, "count 2", "send j a"); j.account.ceiling.level != 2 { // half of 8 units filled, 2 taken
+		t.Fatal("the ceiling's part holds", j.account.ceiling.level)
+	}
+	l.Answer(second, Reply{Job: "j", Outcome: Done, Took: 1, Final: true, Units: 4})
+	if expect(t, d, "count 2"); j.account.ceiling.level != 2 { // settled on the quota, not on the ceiling
+		t.Fatal("the ceiling's part holds", j.account.ceiling.level)
+	}
+	l.Job(second, Arrival{ID: "k", Budget: second, Customer: 8, Plan: "cap+rate", Track: "read", Units: 3, Spread: 2})
+	expect(t, d, "reject k")
+	d.because(t, ForCeiling)
+}
+
+func TestRepeatsWithinAPod(t *testing.T) {
+	pod := &Track{Agreed: second, Effect: Fingerprinted, Group: GroupCell, Repeats: second, Benefit: 1}
+	first := &shot{server: &server{cell: 3, zone: "x"}, at: second, maybe: true}
+	for _, c := range []struct {
+		cell, at int64
+		want     bool
+	}{{3, second * 3 / 2, true}, {4, second * 3 / 2, false}, {3, 2 * second, false}} {
+		if got := pod.dropsRepeat(c.at, first, &server{cell: c.cell, zone: "x"}); got != c.want {
+			t.Errorf("cell %d at %d: %v", c.cell, c.at, got)
+		}
+	}
+}
--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -4,10 +4,12 @@
 import (
 	"fmt"
 	"log"
+	"maps"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -36,6 +38,14 @@
 			}
 			fmt.Printf("ok name=%s limiters=%d plans=%d tracks=%d\n", config.Name, config.Settings.Limiters,
 				len(config.Settings.Plans), len(config.Settings.Tracks))
+			for _, name := range slices.Sorted(maps.Keys(config.Settings.Plans)) {
+				if open := config.Settings.Plans[name].Open; open > 0 {
+					fmt.Printf("cap plan=%s shots_out=%v\n", name, open)
+				}
+			}
+			for _, name := range slices.Sorted(maps.Keys(config.Settings.Tracks)) {
+				fmt.Printf("track name=%s worth=%v\n", name, config.Settings.Tracks[name].Benefit)
+			}
 			return bounds(config, func(line string) { fmt.Println(line) })
 		}})
 	if err := root.Execute(); err != nil {
--- a/internal/settings/config_test.go
+++ b/internal/settings/config_test.go
@@ -30,6 +30,7 @@
 		{"an agreed time of 0", `"aim":1`, `"aim":0`, "settings: classes: c: aim"},
 		{"a rate below 0", `"rate":5`, `"rate":-5`, "settings: tariffs: p: rate"},
 		{"a cap below 0", `"most-at-once":10`, `"most-at-once":10,"parallel":-1`, "settings: tariffs: p: parallel"},
+		{"half a place under a cap", `"most-at-once":10`, `"most-at-once":10,"parallel":2.5`, "settings: tariffs: p: parallel"},
 		{"a cap that is no number", `"most-at-once":10`, `"most-at-once":10,"parallel":"x"`, "parallel"},
 		{"a worth below 0", `"aim":1`, `"aim":1,"worth":-1`, "settings: classes: c: worth"},
 		{"no dial time-out", `"dial-timeout":0.25,`, "", "settings: idle-close or dial-timeout"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,6 +133,9 @@
 				return nil, fmt.Errorf("tariffs: %s: %s is %v", t.Name, f.name, f.value)
 			}
 		}
+		if t.Parallel != math.Trunc(t.Parallel) {
+			return nil, fmt.Errorf("tariffs: %s: parallel is %v, no whole number", t.Name, t.Parallel)
+		}
 		if t.MostAtOnce < 0 || t.Rate > 0 && t.MostAtOnce == 0 {
 			return nil, fmt.Errorf("tariffs: %s: most-at-once is %v", t.Name, t.MostAtOnce)
 		}
