Tests of the slice's parts, its retry-after and the rise of the asks

Eleven broken forms of the module were tried against its tests; three survived (parts of a slice by the level seen, the asks' rise, a slice's retry-after) and are caught now.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1001,3 +1001,36 @@
 		}
 	}
 }
+
+func TestSliceParts(t *testing.T) {
+	l, d := made()
+	a := l.accountOf(0, Arrival{Customer: 99, Spread: 4}, &Plan{Rate: 40, Burst: 80})
+	for _, c := range []struct{ seen, holds, rate float64 }{{80, 40, 20}, {40, 15, 15}, {0, 0, 10}} {
+		if l.slice(0, a, c.seen); math.Abs(a.slice.level-c.holds) > 1e-9 || math.Abs(a.slice.rate-c.rate) > 1e-9 {
+			t.Errorf("seen at %v it holds %v and fills by %v", c.seen, a.slice.level, a.slice.rate)
+		}
+	}
+	l.asks, l.set.CounterWait = 0, 0
+	l.reported, l.stay = 1, math.Log(0.1)
+	slow := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
+	slow.slice.level, slow.slice.rate = -9, 0.1
+	l.Job(0, arrival("j", "read", "plain"))
+	if expect(t, d, "reject j"); d.after > second/10+l.beat { // another limiter may have the units
+		t.Fatal("told to wait", d.after)
+	}
+}
+
+func TestAsksRise(t *testing.T) {
+	l, _ := made()
+	j := reserving(l, "read", "plain")
+	l.Counted(0, j.name, TimedOut, 0)
+	var at []float64
+	for range 3 {
+		l.reserve(0, &job{id: "k", account: j.account, track: j.track, charge: 1})
+		l.Counted(0, j.name, Done, 1)
+		at = append(at, l.asks)
+	}
+	if at[0] != 0.75+1.0/256 || at[1] != at[0]+2.0/256 || at[2] != at[1]+3.0/256 {
+		t.Fatal("asks rise by", at)
+	}
+}
