A server that comes back cold owes no turns from its warm time

Cause, seen on reading the change again: pick takes a turn from every server it chooses (best.turns--), warm ones too, and only cold ones are given any, so after 500 jobs a server stood at some -250; comeBack made it cold without a new record, and where the choice was narrow it would have got nothing for thousands of jobs. A restart told by the list begins anew and was not struck. Change: comeBack draws its turns anew. TestColdAgain fails without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,7 +62,7 @@
 	windowBursts = 16        // a window is so many times the time in which the store fills
 	sharers      = 16        // the limiters that share a server
 	circleLeast  = 8         // the servers that a limiter has at least, where there are so many
-	startJobs    = 3         // the largest jobs that all limiters together may have out at a server unseen yet
+	startJobs    = 3         // the largest jobs that all limiters together may have out at an unseen server
 	askLess      = 0.75      // the share of jobs asked for falls so with each call unanswered
 	askLeast     = 1.0 / 16  // it is never less
 	askMore      = 1.0 / 256 // and rises by so much times the answers since the last one that failed
@@ -70,14 +70,14 @@
 	fade         = 40        // answers after which an old one has lost most of its weight
 	slowFade     = 16        // the same for the share of slow answers
 	wellInside   = 2         // an answer within this part of the agreed time is prompt
-	stayFade     = 8         // the same for the mean stay: among many limiters each hears a few reports a second
+	stayFade     = 8         // the same for the mean stay: each of many limiters hears a few reports a second
 	narrow       = 0.5       // with less of the circle to choose from, a cold server must be owed a turn
 	late         = 10        // a late shot takes off so many times what a prompt one adds to a limit
 	lateAll      = 4         // and at most so many times from the room at all servers
 	slowLeast    = 1.0 / 32  // that is by a shot for each such share of slow answers
 	swing        = 4         // the room grows to the load and so many times the deviation of a random one
 	stints       = 4         // a shot under a cap is taken to last for this part of the shortest agreed time
-	Uneven       = 2         // a slice is so many equal parts: jobs come unevenly, and most customers leave half
+	Uneven       = 2         // a slice is so many equal parts: jobs come unevenly and most customers use half
 	lostAfter    = 4         // a shot out for so many times what its job should take is taken for lost
 	lostLeast    = 4         // but not before such a part of the agreed time
 	cheapLess    = 0.8       // the part of the room that a job worth nothing beside the dearest does not get
@@ -864,7 +864,7 @@
 // the list does not tell of yet, so it is taken as cold.
 func (l *Limiter) comeBack(now int64, s *server) {
 	if s.standing, s.heard = trial, now; s.bad > badMost {
-		s.warmFrom = now
+		s.warmFrom, s.turns = now, l.rng.Float64()
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -918,6 +918,25 @@
 	}
 }
 
+// A server that got hundreds of jobs while it was warm owes none of those turns when it comes back cold.
+func TestColdAgain(t *testing.T) {
+	l, _ := made()
+	a, b := l.servers["a"], l.servers["b"]
+	l.look(0)
+	for range 500 {
+		l.pick(0, &job{units: 1, track: l.set.Tracks["read"]})
+	}
+	b.bad = 1
+	l.comeBack(second, b)
+	a.fullTill, b.bad = 1<<62, 0
+	for range 40 {
+		if l.pick(second, &job{units: 1, track: l.set.Tracks["read"]}) == b {
+			return
+		}
+	}
+	t.Fatal("it gets none of 40, and owes", -b.turns)
+}
+
 func TestBenefit(t *testing.T) {
 	l, _ := made()
 	dear := &Track{Agreed: second / 2, Benefit: 5}
--- a/internal/countloss/countloss.go
+++ b/internal/countloss/countloss.go
@@ -105,7 +105,7 @@
 	for _, name := range names {
 		plan := set.Plans[name]
 		if plan.Rate <= 0 {
-			continue // a plan with no rate rejects everything; nothing can pass it
+			continue // it has no quota in units that could be passed; a cap on shots out is not bounded here
 		}
 		for _, c := range []struct {
 			c     Case
