A silent watch is given up while there is room before its news counts as told

Need: asked every 10 s, a call was given up 8 dial time-outs behind its wait, at 250 ms the very 2 s after which its news counts as told; after 503s up to 12 s passed; where lists are pushed an agent that had news was asked up to 1.5 s late.

Change: internal/inquiry holds the rule's figures and derives the give-up from them (room for a dial never answered, its pause, a dial and an answer), one early call an outage after refusals, pauses of 25 to 75 ms where lists are pushed, a dial to discovery of 500 ms at most.

--- a/internal/inquiry/inquiry.go
+++ b/internal/inquiry/inquiry.go
@@ -7,13 +7,20 @@
 
 import "math"
 
-// End is how a call to discovery ended.
+// End is how a call to discovery ended that brought no list.
 type End uint8
 
 const (
-	Answered End = iota // with a list
-	Turned              // turned away: discovery has too much to do
-	Broke               // no answer, or one that cannot be read
+	Turned End = iota // turned away: discovery has too much to do
+	Broke             // no answer, or one that cannot be read
+)
+
+// When news counts as told to a limiter, whether it came or not; the figures are the protocol's.
+const (
+	toldAfter = 6e9 // so long after discovery fell silent,
+	toldWait  = 2e9 // where a call may wait no sooner than so long after its wait,
+	toldMoved = 4e9 // and so long after a new configuration
+	grace     = 250e6
 )
 
 const (
@@ -21,62 +28,120 @@
 	brokeMost   = 4  // and after further ones later and later, up to so many dial time-outs;
 	turnedFirst = 8  // after it turned a call away, after so many dial time-outs,
 	turnedMost  = 32 // and up to so many
-	holds       = 4  // where changes are pushed a watch waits for so many: one that is never answered hides all news,
-	patience    = 2  // and is given up, as is any call, if no answer comes for so many more;
-	queue       = 8  // where a call is work for discovery, which answers in turn, for so many more
-	startShare  = 2  // there the first call comes within this part of the time in which each limiter must have asked once
+	pushedPart  = 5  // where changes are pushed what the own machine's agent has counts at once: after this part of the grace
+	holds       = 4  // there a watch waits for so many dial time-outs: one that is never answered hides all news,
+	patience    = 2  // and is given up if no answer comes for so many more
+	startShare  = 2  // where it is asked the first call comes within this part of the time in which each must have asked once
+
+	mostDial = 500e6 // no dial to discovery, and no answer that could come at once, is waited for longer
+	margin   = 100e6 // what all that is not waiting takes together
 )
 
 // Pace is one limiter's way of asking. The zero value is not of use; see New.
 type Pace struct {
-	unit     int64   // a dial time-out
+	dial     int64   // a dial time-out
 	every    int64   // the longest time between calls where they are work for discovery, 0 where changes are pushed
 	place    float64 // this limiter's place among all, in [0, 1)
 	failures int     // calls in a row without an answer
+	known    int64   // when the list that is held was last known to be discovery's
+	waits    int64   // until when the latest call may wait
+	told     int64   // from when on what is missed counts as told, 0 while nothing is
+	early    bool    // one call may come early for that
+	resume   int64   // when the next call would have come without that one, 0 where there was none
 }
 
 // New makes the pace of the limiter with this number among all. dialTimeout is in nanoseconds and above 0; every is the
 // settings' longest time between calls where discovery tells only those that ask, and 0 where it tells all.
-func New(dialTimeout int64, position int, every int64) *Pace {
+func New(now, dialTimeout int64, position int, every int64) *Pace {
 	_, place := math.Modf(float64(position) * math.Phi)
-	return &Pace{unit: dialTimeout, place: place, every: every}
+	return &Pace{dial: min(dialTimeout, mostDial), place: place, every: every, known: now}
 }
 
 // First is how long to wait before the first call. Limiters that start together would overbook a discovery that takes their
 // calls in turn, and what it cannot answer in time is work in vain: by their places they come evenly. The list of the
-// configuration holds until then.
-func (p *Pace) First() int64 { return int64(p.place * float64(p.every/startShare)) }
-
-// Wait is how long a watch waits for news, and how long after that a call that is still unanswered is given up. To give one
-// up that stands in discovery's queue and ask again adds to the queue, so there it is held for long.
-func (p *Pace) Wait() (hold, more int64) {
-	if p.every > 0 {
-		return p.every, queue * p.unit
-	}
-	return holds * p.unit, patience * p.unit
+// configuration holds until then, but not for longer than its news takes to count as told.
+func (p *Pace) First() int64 {
+	return int64(p.place * float64(min(p.every/startShare, toldAfter-p.room())))
 }
 
-// Next takes the end of a call and tells how long to wait before the next one: nothing after an answer, else longer with
-// each failure in a row. Limiters that failed together come again apart: the wait is between half and one and a
-// half of its span, by the limiter's place, which steps on with each failure.
-func (p *Pace) Next(end End) int64 {
-	var first, most int64
-	switch end {
-	case Answered:
-		p.failures = 0
-		return 0
-	case Turned:
-		first, most = turnedFirst*p.unit, turnedMost*p.unit
+// Dial is how long a connection to discovery may take to come up.
+func (p *Pace) Dial() int64 { return p.dial }
+
+// Half is how long the rest of an answer that has begun may take.
+func (p *Pace) Half() int64 { return 2 * p.dial }
+
+// room is what has to be left when a call is given up: a dial that is never answered, the pause after it, a dial and an
+// answer.
+func (p *Pace) room() int64 { return 3*p.dial + p.dial/brokeFirst*3/2 + margin }
+
+// Ask tells how long a call that is made now is to wait for news, and after how long it is given up if it is still
+// unanswered. A call for the whole list does not wait. To give one up that stands in discovery's queue and ask again
+// adds to the queue, so where it is asked it is held for as long as leaves room before news counts as told.
+func (p *Pace) Ask(now int64, whole bool) (hold, limit int64) {
+	told := now + toldAfter
+	switch {
+	case whole && p.told-p.room()-now >= p.dial:
+		told = min(told, p.told)
+	case whole:
+	case p.every > 0:
+		hold = p.every
 	default:
-		first, most = p.unit/brokeFirst, brokeMost*p.unit
+		hold = holds * p.dial
+	}
+	p.waits = now + hold
+	limit = max(told, p.waits+toldWait) - now - p.room()
+	if whole {
+		limit = told - now - p.room()
+	}
+	if p.every == 0 {
+		limit = min(limit, hold+patience*p.dial)
+	}
+	return hold, max(limit, hold+p.dial)
+}
+
+// Answered notes a list: nothing is missed.
+func (p *Pace) Answered(now int64) {
+	p.failures, p.known, p.told, p.early, p.resume = 0, now, 0, true, 0
+}
+
+// Moved notes that discovery is at a new address, from which nothing has come yet. As at the start, all limiters ask it
+// together, so no call comes early.
+func (p *Pace) Moved(now int64) { p.failures, p.told, p.early, p.resume = 0, now+toldMoved, false, 0 }
+
+// Next takes the end of a call that brought no list and tells how long to wait before the next one: longer with each in a
+// row. Limiters that failed together come again apart: the wait is between half and one and a half of its span, by the
+// limiter's place, which steps on with each failure. Where the next call would come after what is missed counts as told, one
+// comes before that, apart again: one more a limiter and outage, and the others stay where they were.
+func (p *Pace) Next(now int64, end End) int64 {
+	if p.told == 0 {
+		p.told = p.known + toldAfter
+		if end == Broke {
+			p.told = max(p.told, min(now, p.waits)+toldWait)
+		}
+	}
+	span, most := p.dial/brokeFirst, brokeMost*p.dial
+	switch {
+	case p.every == 0:
+		span = min(span, grace/pushedPart)
+		most = span
+	case end == Turned:
+		span, most = turnedFirst*p.dial, turnedMost*p.dial
 	}
-	span := first
 	for range p.failures {
 		if span = min(2*span, most); span == most {
 			break
 		}
 	}
+	if left := p.resume - now; left > 0 {
+		p.resume = 0
+		return left
+	}
 	p.failures++
 	_, part := math.Modf(p.place + float64(p.failures)*math.Phi)
-	return span/2 + int64(part*float64(span))
+	pause := span/2 + int64(part*float64(span))
+	if left := p.told - now - 2*p.dial - margin; p.early && pause > left && left > 0 {
+		p.early, p.resume = false, now+pause
+		return left/4 + int64(part*float64(left*3/4))
+	}
+	return pause
 }
--- a/internal/inquiry/inquiry_test.go
+++ b/internal/inquiry/inquiry_test.go
@@ -2,16 +2,20 @@
 
 import "testing"
 
-const unit = int64(250e6)
+const (
+	unit  = int64(250e6)
+	every = int64(10e9)
+	late  = int64(60e9) // all that is missed counts as told
+)
 
 func TestNext(t *testing.T) {
 	t.Run("a failure is tried again soon, more of them later", func(t *testing.T) {
-		p := New(unit, 3, 0)
-		if first := p.Next(Broke); first <= 0 || first > unit/2 {
+		p := New(0, unit, 3, every)
+		if first := p.Next(late, Broke); first <= 0 || first > unit/2 {
 			t.Fatal(first)
 		}
 		for range 20 {
-			if wait := p.Next(Broke); wait > 2*brokeMost*unit {
+			if wait := p.Next(late, Broke); wait > 2*brokeMost*unit {
 				t.Fatal(wait)
 			}
 		}
@@ -19,7 +23,7 @@
 	t.Run("limiters that failed together come again apart", func(t *testing.T) {
 		tenths := [10]int{}
 		for i := range 80 {
-			tenths[10*(New(unit, i, 0).Next(Turned)-turnedFirst*unit/2)/(turnedFirst*unit)]++
+			tenths[10*(New(0, unit, i, every).Next(late, Turned)-turnedFirst*unit/2)/(turnedFirst*unit)]++
 		}
 		for _, n := range tenths {
 			if n < 6 || n > 10 {
@@ -28,35 +32,104 @@
 		}
 	})
 	t.Run("silence between calls that are turned away does not end it", func(t *testing.T) {
-		p := New(unit, 3, 0)
+		p := New(0, unit, 3, every)
 		for range 9 {
-			p.Next(Turned)
-			p.Next(Broke)
+			p.Next(late, Turned)
+			p.Next(late, Broke)
 		}
-		if wait := p.Next(Turned); wait < turnedMost*unit/2 {
+		if wait := p.Next(late, Turned); wait < turnedMost*unit/2 {
 			t.Fatal(wait)
 		}
 	})
 	t.Run("an answer ends the waiting", func(t *testing.T) {
-		p := New(unit, 3, 0)
+		p := New(0, unit, 3, every)
 		for range 9 {
-			p.Next(Turned)
+			p.Next(late, Turned)
 		}
-		if wait := p.Next(Answered); wait != 0 {
-			t.Fatal(wait)
-		}
-		if wait := p.Next(Turned); wait > 2*turnedFirst*unit {
+		p.Answered(late)
+		if wait := p.Next(late, Turned); wait > 2*turnedFirst*unit {
 			t.Fatal(wait, "after an answer")
 		}
 	})
 }
 
-func TestWait(t *testing.T) {
-	if hold, more := New(unit, 0, 10e9).Wait(); hold != 10e9 || more < 2e9 {
-		t.Fatalf("a call in discovery's queue is given up after %v and %v", hold, more)
+// What is missed counts as told 6 s after discovery fell silent, or 2 s after a wait is over. A silent call has to be
+// given up while a dial that is never answered, its pause, a dial and an answer still come before that.
+func TestAsk(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		dial, every, told int64
+		whole             bool
+		least             int64 // it is held for so long behind its wait: discovery may have a queue
+	}{
+		{"asked", unit, every, 12e9, false, 1e9},
+		{"asked often", unit, 2e9, 6e9, false, 1e9},
+		{"asked, the whole list", unit, every, 6e9, true, 4e9},
+		{"asked, far away", 400e6, every, 12e9, false, 400e6},
+		{"pushed", unit, 0, 6e9, false, 400e6},
+		{"pushed, long dials", 5e9, 0, 6e9, false, 400e6},
+		{"pushed, the whole list", unit, 0, 6e9, true, 400e6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(0, c.dial, 3, c.every)
+			hold, limit := p.Ask(0, c.whole)
+			now := limit + p.Dial() // a dial is not answered
+			now += p.Next(now, Broke) + 2*p.Dial()
+			if now > c.told || limit < hold+c.least {
+				t.Fatalf("held for %d behind %d, heard at %d", limit-hold, hold, now)
+			}
+		})
 	}
-	if hold, more := New(unit, 0, 0).Wait(); hold+more > 2e9 {
-		t.Fatalf("an unanswered watch hides news for %v and %v", hold, more)
+	t.Run("a dial that takes for ever leaves room for one try", func(t *testing.T) {
+		p := New(0, 60e9, 3, every)
+		if _, limit := p.Ask(0, false); limit+2*p.Dial() > 12e9 {
+			t.Fatal(limit)
+		}
+	})
+	t.Run("the whole list at a new address", func(t *testing.T) {
+		p := New(0, unit, 3, every)
+		p.Moved(60e9)
+		if _, limit := p.Ask(60e9, true); limit > 4e9-3*unit || limit < 2e9 {
+			t.Fatal(limit)
+		}
+	})
+}
+
+// An outage that is over before what was missed counts as told ends in a call before that, one for each limiter and not
+// all at once; where changes are pushed the agent on the own machine is asked within a small part of the grace.
+func TestOutage(t *testing.T) {
+	for _, end := range []End{Turned, Broke} {
+		tenths := [10]int{}
+		// calls are how many of a limiter come within a minute, and when the last one does before its news counts.
+		calls := func(p *Pace) (n int, last int64) {
+			for now := int64(0); now < late; n++ {
+				if now <= 6e9-2*unit {
+					last = now
+				}
+				now += p.Next(now, end)
+			}
+			return n, last
+		}
+		for i := range 300 {
+			p, without := New(0, unit, i, every), New(0, unit, i, every)
+			p.Answered(0)
+			n, last := calls(p)
+			if most, _ := calls(without); n > most+1 || last < 2e9 {
+				t.Fatalf("limiter %d: %d calls, without the early one %d, the last at %d", i, n, most, last)
+			}
+			tenths[last/6e8]++
+		}
+		for _, n := range tenths {
+			if end == Turned && n > 150 {
+				t.Fatalf("last calls in tenths of the time: %v", tenths)
+			}
+		}
+		p := New(0, unit, 3, 0)
+		for range 40 {
+			if pause := p.Next(0, end); pause > 80e6 || pause < 12e6 {
+				t.Fatal(pause)
+			}
+		}
 	}
 }
 
@@ -73,7 +146,7 @@
 		}
 		askers := make([]asker, limiters)
 		for i := range askers {
-			askers[i].pace = New(unit, i, 10e9)
+			askers[i].pace = New(0, unit, i, every)
 			askers[i].at = askers[i].pace.First()
 		}
 		calls, left := 0, limiters
@@ -88,14 +161,14 @@
 				}
 				calls++
 				if busy = max(busy, now) + cost/4; busy-now > patience { // turning away costs work too
-					a.at = now + a.pace.Next(Turned)
+					a.at = now + a.pace.Next(now, Turned)
 					continue
 				}
 				busy += cost - cost/4
 				a.has, left = now+1, left-1
 			}
 		}
-		if calls > 3*limiters {
+		if calls > 5*limiters/4+2 {
 			t.Fatalf("%d calls of %d limiters", calls, limiters)
 		}
 	}
--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -46,7 +46,7 @@
 func (k *counter) open() *line {
 	ln := &line{counter: k}
 	k.lines = append(k.lines, ln)
-	ln.c = k.l.dial(ln, k.l.config.Counter)
+	ln.c = k.l.dial(ln, k.l.config.Counter, k.l.set.DialTimeout)
 	return ln
 }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -150,7 +150,7 @@
 		jobs: map[string]*job{}, pools: map[string]*pool{}}
 	l.counter.l, l.counter.heard, l.watch.l = l, now, l
 	l.keep = l.set.IdleClose / idleShare
-	l.watch.pace = inquiry.New(l.set.DialTimeout, max(l.set.Position, 0), l.set.AskEvery)
+	l.watch.pace = inquiry.New(now, l.set.DialTimeout, max(l.set.Position, 0), l.set.AskEvery)
 	l.logic = choice.New(now, l.set.Settings, config.Seed, l)
 	if err := l.watch.known(config.Known); err != nil {
 		return nil, err
@@ -253,10 +253,10 @@
 
 // dial begins a connection for a party, which is told when it is up or has ended. It ends in time even where the
 // sockets say nothing.
-func (l *Limiter) dial(p party, address string) *conn {
-	c := &conn{id: l.effects.Dial(address, l.set.DialTimeout), party: p, since: l.now}
+func (l *Limiter) dial(p party, address string, timeout int64) *conn {
+	c := &conn{id: l.effects.Dial(address, timeout), party: p, since: l.now}
 	l.conns[c.id] = c
-	c.limit = l.at(l.now+l.set.DialTimeout, func() { l.over(c, DialOver) })
+	c.limit = l.at(l.now+timeout, func() { l.over(c, DialOver) })
 	return c
 }
 
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -55,22 +55,27 @@
 const known = `{"generation":7,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:9","lifecycle":"in_service","weight":1}]}`
 
 // made is a limiter that has one server, with its connections to discovery and the counter up and one client.
-func made(t *testing.T) (*Limiter, *wire) {
+func made(t *testing.T) (*Limiter, *wire) { return madeTo(t, 0, 0) }
+
+// madeTo is the same where discovery tells only those that ask, every so often, or else all, for one of many limiters.
+func madeTo(t *testing.T, every int64, position int) (*Limiter, *wire) {
 	t.Helper()
 	w := &wire{dialed: map[ID]string{}, wrote: map[ID]string{}, kernel: map[ID]int64{}}
 	l, err := New(0, &settings.Config{Discovery: "disco", Counter: "counter", Memory: 1 << 27, Sockets: 64, Known: []byte(known),
-		Settings: &settings.Settings{IdleClose: 15 * second, Settings: &choice.Settings{
+		Settings: &settings.Settings{IdleClose: 15 * second, AskEvery: every, Settings: &choice.Settings{
 			Tracks: map[string]*choice.Track{"read": {Agreed: second}, "write": {Agreed: second, Effect: choice.Binding}},
 			Plans:  map[string]*choice.Plan{"plain": {Rate: 5, Burst: 100}},
 			// With one limiter and large jobs the first room holds several of them.
-			CounterWait: second / 20, MostUnits: 8, LongestLease: 60 * second, Limiters: 1, ColdFrom: 0.25,
+			CounterWait: second / 20, MostUnits: 8, LongestLease: 60 * second, Limiters: 1, Position: position, ColdFrom: 0.25,
 			WarmWithin: 10 * second, DialTimeout: second / 4, MostShots: 3, MostAdvice: second, Granularity: second / 250,
 		}}}, w)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Step(0, Happening{Kind: Connected, Conn: watching})
-	l.Step(0, Happening{Kind: Connected, Conn: counting})
+	if w.dialed[watching] == "disco" {
+		l.Step(0, Happening{Kind: Connected, Conn: watching})
+		l.Step(0, Happening{Kind: Connected, Conn: counting})
+	}
 	l.Step(0, Happening{Kind: Accepted, Conn: visitor})
 	return l, w
 }
@@ -554,7 +559,7 @@
 }
 
 func TestWatchTurnedAway(t *testing.T) {
-	l, w := made(t)
+	l, w := madeTo(t, 10*second, 0)
 	w.say(l, 0, watching, httpAnswer(known))
 	w.say(l, 0, watching, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 	dialled := len(w.dialed)
@@ -563,7 +568,7 @@
 		t.Fatalf("it is asked again at once: dialled %v, closed %v, %d servers", w.dialed, w.closed, len(l.servers))
 	}
 	t.Run("but at once where it has moved", func(t *testing.T) {
-		l, w := made(t)
+		l, w := madeTo(t, 10*second, 0)
 		w.say(l, 0, watching, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		config := *l.config
 		config.Discovery = "disco 2"
@@ -893,7 +898,7 @@
 		t.Run(c.end.String(), func(t *testing.T) {
 			l, w, id := sent(t, "read")
 			p := l.pools["s"]
-			p.idle = append(p.idle, &backend{pool: p, c: l.dial(nil, "")})
+			p.idle = append(p.idle, &backend{pool: p, c: l.dial(nil, "", second)})
 			p.idle[0].c.party = p.idle[0]
 			l.over(l.conns[id], c.end)
 			if len(p.idle) != c.idle {
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -83,7 +83,7 @@
 		}
 		if b.c == nil {
 			begin(b)
-			b.c = p.l.dial(b, b.to)
+			b.c = p.l.dial(b, b.to, p.l.set.DialTimeout)
 			return true
 		}
 		if p.l.effects.Alive(b.c.id) {
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -14,6 +14,9 @@
 
 var errTurned = errors.New("discovery has turned the call away")
 
+// noteEvery is how far apart lines on a failing discovery are in the log, nanoseconds.
+const noteEvery = 1e9
+
 // watch is the connection to discovery.
 type watch struct {
 	l       *Limiter
@@ -24,7 +27,9 @@
 	told    bool   // the connection has brought an answer
 	again   *timer // when it is dialled next, while it waits for that
 	pace    *inquiry.Pace
-	last    inquiry.End // how the latest call ended
+	last    inquiry.End // how the latest call ended, where it brought no list
+	half    bool        // an answer has begun
+	noted   int64       // when a failure was last logged
 }
 
 // known takes the list of the configuration, which may be old.
@@ -43,7 +48,7 @@
 
 func (w *watch) dial() {
 	w.told, w.last = false, inquiry.Broke
-	w.c = w.l.dial(w, w.l.config.Discovery)
+	w.c = w.l.dial(w, w.l.config.Discovery, w.pace.Dial())
 }
 
 func (w *watch) up() { w.ask() }
@@ -51,25 +56,43 @@
 // ask calls for the whole list first and then waits for what is newer.
 func (w *watch) ask() {
 	l := w.l
-	wait, more := w.pace.Wait()
+	wait, limit := w.pace.Ask(l.now, !w.fetched)
 	if w.fetched {
 		l.scratch = discovery.AppendWatch(l.scratch[:0], l.config.Discovery, w.version, wait)
 	} else {
-		wait = 0
 		l.scratch = discovery.AppendFetch(l.scratch[:0], l.config.Discovery)
 	}
 	l.write(w.c, l.scratch)
-	l.timers.drop(w.limit)
-	w.limit = l.at(l.now+wait+more, func() { l.over(w.c, Silent) })
+	w.half = false
+	w.until(l.now + limit)
+}
+
+// until gives the call that is out up at a time.
+func (w *watch) until(at int64) {
+	w.l.timers.drop(w.limit)
+	w.limit = w.l.at(at, func() { w.l.over(w.c, Silent) })
+}
+
+// note logs a failure, if none was lately: an agent on the own machine is asked again many times a second.
+func (w *watch) note(form string, args ...any) {
+	if w.noted == 0 || w.l.now-w.noted >= noteEvery {
+		w.noted = w.l.now
+		log.Printf(form, args...)
+	}
 }
 
 func (w *watch) read(b []byte) (int, error) {
 	a, n, err := discovery.Read(b)
+	if err == nil && n == 0 && len(b) > 0 && !w.half {
+		// The rest of an answer is right behind; one that stops there would hide its news for the whole wait.
+		w.half = true
+		w.until(min(w.limit.at, w.l.now+w.pace.Half()))
+	}
 	if err != nil || n == 0 || a.Status < 200 { // the answer itself comes behind a status of 1xx
 		return n, err
 	}
-	if w.told, w.last = true, inquiry.Answered; a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		log.Printf("event=list-turned-away status=%d", a.Status)
+	if w.told = true; a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
+		w.note("event=list-turned-away status=%d", a.Status)
 		w.told, w.last = false, inquiry.Turned // what is held stays, and what is newer than that is asked for again
 		return 0, errTurned
 	}
@@ -79,11 +102,13 @@
 	}
 	if err != nil {
 		// The last good list stays. Asked at once again, it would be as bad.
-		log.Printf("event=list-refused error=%q", err)
+		w.note("event=list-refused error=%q", err)
 		w.fetched, w.told, w.last = false, false, inquiry.Broke
 		return 0, err
 	}
-	w.fetched = true
+	w.pace.Answered(w.l.now)
+	// One that counts from anew behind the same address may hold what was never told here.
+	w.fetched = list.Whole || list.Version >= w.version
 	w.apply(list)
 	w.l.readyNow()
 	if a.Last {
@@ -97,8 +122,8 @@
 // ended renews the connection: at once where it has served, else when the pace allows it.
 func (w *watch) ended(end End, _ int64) {
 	w.l.timers.drop(w.limit)
-	if pause := w.pace.Next(w.last); !w.told {
-		w.again = w.l.at(w.l.now+pause, w.dial)
+	if !w.told {
+		w.again = w.l.at(w.l.now+w.pace.Next(w.l.now, w.last), w.dial)
 		return
 	}
 	w.dial()
@@ -108,6 +133,7 @@
 // the last good one holds meanwhile.
 func (w *watch) move() {
 	w.fetched = false
+	w.pace.Moved(w.l.now)
 	if w.c != nil && w.l.conns[w.c.id] == w.c {
 		w.told = true
 		w.l.over(w.c, Unused)
