A limiter that stops answers all it takes; one that stood still doubts its list

Need: after SIGTERM a client that pipelines kept its connection, and the process, for ever; what came late could outlast SIGKILL; the process could end with an accepted connection in its queue; a reset could destroy answers on their way. After a SIGSTOP jobs that had waited unread were sent with their whole time, by a list that was old, before the watch was read.

Change: jobs on a connection that is to be closed, and late ones that may outlast the process, get -BUSY with a retry-after and nothing is sent on; the listener is closed once all that wait are in; connections end by halves. After a gap of more than two dial time-outs what came is read before timers run, jobs have so much less time, the list is asked for anew and shots wait for it, a dial time-out at most; old shots and repeats past their window are taken back.

--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -20,9 +20,11 @@
 	c       *conn
 	answers []*answer
 	closing bool          // it is closed once it is answered
+	parting bool          // that is looked at again soon
 	deaf    bool          // what it sent was malformed, and what comes behind that is not read
 	reading bool          // what has come is being read: its answers go out together behind that
 	since   int64         // when it connected
+	wrote   int64         // when it was last written to
 	used    int64         // when its present command began, or its last one was answered
 	half    bool          // a command has begun and is not whole
 	regular bool          // it has brought a job
@@ -145,19 +147,31 @@
 	return len(cl.answers) == 0 && (cl.deaf || len(cl.c.in.Bytes()) == 0) && cl.l.effects.Written(cl.c.id) >= cl.c.sent
 }
 
-// leave closes the connection as soon as that loses nothing.
+// leave closes the connection as soon as that loses nothing. Its client may send on until it finds the end, and what comes
+// on a connection that is closed brings a reset, which would destroy answers on their way. In a process that goes on these are
+// few and the descriptor is needed; at its end every connection is closed so, and only the sending first, until the
+// client's machine has it all.
 func (cl *client) leave() {
+	l := cl.l
 	cl.closing = true
-	if cl.idle() {
-		cl.l.over(cl.c, Unused)
-	} else if len(cl.answers) == 0 {
-		// The rest of an answer is on its way into the kernel, or the rest of a command to us.
-		cl.l.at(cl.l.now+cl.l.set.Granularity, func() {
-			if cl.l.conns[cl.c.id] == cl.c && len(cl.answers) == 0 {
-				cl.leave()
-			}
-		})
+	if len(cl.answers) > 0 || cl.parting {
+		return
+	}
+	if cl.idle() && l.stopping != 0 && !cl.deaf {
+		cl.deaf = true // a job that crosses with the end is sent once more by its client, elsewhere
+		l.effects.Part(cl.c.id)
+	}
+	if cl.idle() && (l.stopping == 0 || l.now-cl.wrote > l.set.DialTimeout || l.effects.Heard(cl.c.id)) {
+		l.over(cl.c, Unused)
+		return
 	}
+	// The rest of an answer is on its way, or the rest of a command to us.
+	cl.parting = true
+	l.at(l.now+l.set.Granularity, func() {
+		if cl.parting = false; l.conns[cl.c.id] == cl.c {
+			cl.leave()
+		}
+	})
 }
 
 func (cl *client) up() {}
@@ -228,6 +242,15 @@
 	cl.answer(a, []byte(text+"\r\n"))
 }
 
+// busy rejects a job that nothing was done for: another limiter may take it soon.
+func (cl *client) busy() {
+	text := "-BUSY"
+	if after := min(cl.l.set.DialTimeout, cl.l.set.MostAdvice); after > 0 {
+		text += " " + strconv.FormatInt((after+1e6-1)/1e6, 10)
+	}
+	cl.own(text)
+}
+
 func (cl *client) command(words [][]byte) {
 	l := cl.l
 	switch string(bytes.ToUpper(words[0])) {
@@ -265,11 +288,18 @@
 		cl.fault(fault)
 		return
 	}
+	age := l.age()
+	if cl.closing || l.leaves(arrival.Budget) || arrival.Budget <= age {
+		// A connection that is never without an open job would never end, nor would the process; or the client's time is over.
+		cl.busy()
+		return
+	}
 	if l.held > l.config.Memory/heldShare {
 		// Nothing of it was sent, and one more might end the process with all that it has taken.
 		cl.own("-BUSY")
 		return
 	}
+	arrival.Budget -= age
 	if !cl.regular {
 		l.strangers.Remove(cl.place)
 		cl.regular, cl.place = true, l.regulars.PushBack(cl)
@@ -278,6 +308,9 @@
 	a := &answer{}
 	cl.answers = append(cl.answers, a)
 	a.job = l.take(cl, a, words, before, past, arrival.Budget)
+	if t := l.set.Tracks[arrival.Track]; t.Effect == choice.Fingerprinted {
+		a.job.repeats = t.Repeats
+	}
 	l.logic.Job(l.now, arrival)
 }
 
@@ -393,10 +426,10 @@
 	}
 	cl.touch()
 	l.write(cl.c, l.scratch)
-	l.quiet = l.now
+	l.quiet, cl.wrote = l.now, l.now
 	if l.effects.Written(cl.c.id) < cl.c.sent && l.backlog() > l.config.Memory/heldShare {
 		l.over(cl.c, Overrun)
-	} else if cl.closing {
+	} else if cl.closing || l.stopping != 0 && l.now >= l.stopping { // one that came late is left after its first answers
 		cl.leave()
 	}
 }
--- a/internal/limiter/jobs.go
+++ b/internal/limiter/jobs.go
@@ -27,9 +27,11 @@
 	client *client
 	answer *answer // its place among the client's answers
 	cutOff int64
-	shots  []*shot
-	open   int // shots that are out
-	size   int64
+	// How long a server knows the job again after a shot, where it does; 0 else.
+	repeats int64
+	shots   []*shot
+	open    int // shots that are out
+	size    int64
 	// The command as the client sent it: its words, and the third of them around the time that it gives.
 	words        [][]byte
 	before, past []byte
@@ -134,16 +136,27 @@
 		l.endShot(s, choice.Reply{Outcome: choice.Moot})
 		return
 	}
-	l.pools[server].send(s)
+	p := l.pools[server]
+	l.sure(func() {
+		if j.state != Taken || l.now >= j.cutOff || p.leaving {
+			l.endShot(s, choice.Reply{Outcome: choice.Moot})
+		} else if s.open {
+			p.send(s)
+		}
+	})
 }
 
 // Cancel is a deed of the module: it closes the shot's connection.
 func (l *Limiter) Cancel(id string, number int) {
 	j := l.jobs[id]
-	if j == nil || number >= len(j.shots) || !j.shots[number].open || j.shots[number].backend == nil {
+	if j == nil || number >= len(j.shots) || !j.shots[number].open {
 		return
 	}
-	l.over(j.shots[number].backend.c, CalledOff)
+	if b := j.shots[number].backend; b != nil {
+		l.over(b.c, CalledOff)
+	} else { // it waits for a sure list
+		l.endShot(j.shots[number], choice.Reply{Outcome: choice.Moot})
+	}
 }
 
 // endShot ends a shot, once, and owes the module its answer.
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -57,6 +57,12 @@
 	// Close ends the connection, if it has not ended yet; no happening follows. It tells how many bytes the
 	// kernel had taken, which will not become more.
 	Close(id ID) int64
+	// Part ends what is sent on the connection; the other side finds its end behind all that was written.
+	Part(id ID)
+	// Heard tells whether the other side's machine has all that was written; true where that cannot be known.
+	Heard(id ID) bool
+	// Refuse ends listening for clients and tells whether it has: not while some wait in the kernel to be let in.
+	Refuse() bool
 	// Wake asks for Due at a time; only the latest wish counts.
 	Wake(at int64)
 }
@@ -109,6 +115,8 @@
 	watch               watch
 	ready               bool
 	stopping            int64 // until when clients still come once the end was asked for, 0 before
+	refused             int64 // since when no new ones are let in, 0 before
+	wake                wake
 	quiet               int64 // the latest time at which an answer was written
 	scratch             []byte
 	words               [][]byte
@@ -137,11 +145,15 @@
 	mayClose     = 2e9 // a client's connection without an open job may be closed from then on
 	idleShare    = 2   // an idle connection is closed after this part of that time
 	lingers      = 500e6
-	keepLess     = 4    // that is shortened by this part when one turns out to have ended unsaid,
-	keepMore     = 16   // and lengthened by this part when one still serves near its end, and with each look
-	prompt       = 8    // an end within this part of a dial time-out is the answer to the command's first byte
-	mostID       = 64   // bytes of a job's id
-	mostPipeline = 1024 // commands that may wait on one client's connection
+	lastLook     = 100e6 // then no new connections are let in, and so long after that no byte of a client is on its way to us
+	lateFrom     = 700e6 // what comes later than this after the word to stop is lost where SIGKILL finds it unanswered,
+	killFrom     = 3e9   // which may be so long after that,
+	killSpare    = 200e6 // less what it takes to answer
+	keepLess     = 4     // that is shortened by this part when one turns out to have ended unsaid,
+	keepMore     = 16    // and lengthened by this part when one still serves near its end, and with each look
+	prompt       = 8     // an end within this part of a dial time-out is the answer to the command's first byte
+	mostID       = 64    // bytes of a job's id
+	mostPipeline = 1024  // commands that may wait on one client's connection
 )
 
 // New makes a limiter from its configuration. It knows the servers that the configuration lists.
@@ -183,11 +195,12 @@
 
 // Step takes one happening.
 func (l *Limiter) Step(now int64, h Happening) {
-	l.now = now
+	l.looked(now)
 	c := l.conns[h.Conn]
 	switch {
 	case h.Kind == Accepted:
 		l.accept(h.Conn)
+	case h.Kind == Due && now < l.wake.blind:
 	case h.Kind == Due:
 		for len(l.timers) > 0 && l.timers[0].at <= now {
 			heap.Pop(&l.timers).(*timer).run()
@@ -354,7 +367,7 @@
 	}
 }
 
-func (l *Limiter) arm() { l.effects.Wake(l.timers[0].at) }
+func (l *Limiter) arm() { l.effects.Wake(max(l.timers[0].at, l.wake.blind)) }
 
 // renew goes on by a configuration that has replaced the present one under load. Discovery and the counter may move;
 // what else differs holds from the next start on.
@@ -389,11 +402,28 @@
 			}
 		}
 	})
+	l.at(l.stopping+lastLook, l.refuse)
+}
+
+// refuse lets no new clients in any more; those that wait for a place are let in first, or they were broken off.
+func (l *Limiter) refuse() {
+	if !l.effects.Refuse() {
+		l.at(l.now+l.set.Granularity, l.refuse)
+		return
+	}
+	l.refused = l.now
+}
+
+// leaves: what the process takes now it may not be able to answer. A job that came late is lost if the process is
+// killed first.
+func (l *Limiter) leaves(budget int64) bool {
+	since := l.now - (l.stopping - lingers)
+	return l.stopping != 0 && since > lateFrom && since+budget > lateFrom+killFrom-killSpare
 }
 
 // Finished tells whether nothing is left to do after Stopping.
 func (l *Limiter) Finished() bool {
-	if l.stopping == 0 || l.now < l.stopping {
+	if l.stopping == 0 || l.refused == 0 || l.now < l.refused+lastLook {
 		return false
 	}
 	for _, j := range l.jobs {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -24,6 +24,10 @@
 	dead   map[ID]bool
 	coming string
 	wake   int64
+
+	unheard map[ID]bool // its client's machine has not got all
+	parted  []ID        // nothing more is sent on these
+	full    bool        // clients wait to be let in
 }
 
 func (w *wire) Dial(address string, _ int64) ID {
@@ -44,7 +48,18 @@
 	w.closed = append(w.closed, id)
 	return w.Written(id)
 }
-func (w *wire) Wake(at int64) { w.wake = at }
+func (w *wire) Wake(at int64)    { w.wake = at }
+func (w *wire) Part(id ID)       { w.parted = append(w.parted, id) }
+func (w *wire) Heard(id ID) bool { return !w.unheard[id] }
+func (w *wire) Refuse() bool     { return !w.full }
+
+// pass lets the time pass as it does on sockets: nothing is due for longer than a wake takes.
+func (w *wire) pass(l *Limiter, to int64) {
+	for w.wake < to {
+		l.Step(max(l.now, w.wake), Happening{Kind: Due})
+	}
+	l.Step(to, Happening{Kind: Due})
+}
 
 const (
 	watching ID = 1 // the connections that a limiter dials at its start
@@ -97,10 +112,12 @@
 }
 
 // dialling is a limiter with one job, whose shot waits for its connection.
-func dialling(t *testing.T, track string) (*Limiter, *wire, ID) {
+func dialling(t *testing.T, track string) (*Limiter, *wire, ID) { return diallingFor(t, track, "480") }
+
+func diallingFor(t *testing.T, track, left string) (*Limiter, *wire, ID) {
 	t.Helper()
 	l, w := made(t)
-	w.say(l, 0, visitor, command("j", track, "480"))
+	w.say(l, 0, visitor, command("j", track, left))
 	w.say(l, 0, counting, "ok 2\r\n")
 	if w.dialed[w.last] != "127.0.0.1:9" {
 		t.Fatalf("dialled %v, wrote %v", w.dialed, w.wrote)
@@ -111,7 +128,12 @@
 // sent is the same with the shot written.
 func sent(t *testing.T, track string) (*Limiter, *wire, ID) {
 	t.Helper()
-	l, w, id := dialling(t, track)
+	return sentFor(t, track, "480")
+}
+
+func sentFor(t *testing.T, track, left string) (*Limiter, *wire, ID) {
+	t.Helper()
+	l, w, id := diallingFor(t, track, left)
 	l.Step(0, Happening{Kind: Connected, Conn: id})
 	return l, w, id
 }
@@ -185,7 +207,7 @@
 			for _, b := range c.in { // one byte at a time
 				w.say(l, 0, visitor, string(b))
 			}
-			l.Step(second/100, Happening{Kind: Due})
+			w.pass(l, second/100)
 			expect(t, w.wrote[visitor], c.out)
 			if slices.Contains(w.closed, visitor) != c.closed || w.wrote[counting] != counted || len(l.jobs) > 0 {
 				t.Fatalf("closed %v, counted %q, jobs %d", w.closed, w.wrote[counting], len(l.jobs))
@@ -221,13 +243,13 @@
 		l.set.Plans["plain"].CeilingRate, l.set.Plans["plain"].CeilingBurst = 8, 8
 		w.say(l, 0, watching, httpAnswer(strings.Replace(known, "7", "8", 1)))
 		w.say(l, 0, visitor, "*1\r\n$4\r\nPING\r\n")
-		l.Step(second, Happening{Kind: Due})
+		w.pass(l, second)
 		w.say(l, second, visitor, "*1\r\n$4\r\nPING\r\n")
 		expect(t, w.wrote[visitor], "-LOADING not ready yet\r\n+PONG\r\n")
 	})
 	t.Run("or is silent: the configuration's list must do", func(t *testing.T) {
 		l, w := made(t)
-		l.Step(second/4, Happening{Kind: Due})
+		w.pass(l, second/4)
 		w.say(l, second/4, visitor, "*1\r\n$4\r\nPING\r\n")
 		expect(t, w.wrote[visitor], "+PONG\r\n")
 	})
@@ -305,7 +327,7 @@
 		for _, in := range []string{"*3\r\n*3\r\n", ":5\r\n", "*2\r\n", "*3\r\n$-7\r\n", "*3\r\n$3000000000\r\n", "*3\r\n$9\r\nv\r\n"} {
 			l, w, id := sent(t, "write")
 			w.say(l, 0, id, in)
-			l.Step(l.set.DialTimeout, Happening{Kind: Due})
+			w.pass(l, l.set.DialTimeout)
 			expect(t, w.wrote[visitor], string(writtenOff))
 			if !slices.Contains(w.closed, id) || l.seen.garbled != 1 {
 				t.Fatalf("closed %v after %q", w.closed, in)
@@ -407,7 +429,7 @@
 
 func TestCutOff(t *testing.T) {
 	l, w, id := sent(t, "write")
-	l.Step(second/2, Happening{Kind: Due})
+	w.pass(l, second/2)
 	expect(t, w.wrote[visitor], string(writtenOff))
 	if !slices.Contains(w.closed, id) || len(l.jobs) > 0 || l.backends != 0 {
 		t.Fatalf("closed %v, %d jobs, %d connections", w.closed, len(l.jobs), l.backends)
@@ -418,7 +440,7 @@
 func TestLateCount(t *testing.T) {
 	l, w := made(t)
 	w.say(l, 0, visitor, command("j", "read", "480"))
-	l.Step(second/20, Happening{Kind: Due})
+	w.pass(l, second/20)
 	first := l.counter.lines[0].calls[0]
 	if !first.told {
 		t.Fatal("a call without an answer was not given up")
@@ -442,7 +464,7 @@
 		l.Step(0, Happening{Kind: Ended, Conn: counting, End: PeerClosed})
 		l.Count(1, 2, second)
 		line := w.last
-		l.Step(second/20, Happening{Kind: Due})
+		w.pass(l, second/20)
 		l.Step(second/20, Happening{Kind: Connected, Conn: line})
 		expect(t, w.wrote[line], "")
 	})
@@ -457,11 +479,11 @@
 	})
 	t.Run("a silent one is given up, an idle one pinged", func(t *testing.T) {
 		l, w := made(t)
-		l.Step(3*second, Happening{Kind: Due})
+		w.pass(l, 3*second)
 		if !strings.HasSuffix(w.wrote[counting], "ping\r\n") {
 			t.Fatalf("wrote %q", w.wrote[counting])
 		}
-		l.Step(5*second, Happening{Kind: Due})
+		w.pass(l, 5*second)
 		if !slices.Contains(w.closed, counting) {
 			t.Fatalf("closed %v", w.closed)
 		}
@@ -516,7 +538,7 @@
 	t.Run("one that is never answered is asked again elsewhere, soon", func(t *testing.T) {
 		l, w := made(t)
 		w.say(l, 0, watching, httpAnswer(known))
-		l.Step(3*second/2, Happening{Kind: Due})
+		w.pass(l, 3*second/2)
 		l.Step(3*second/2, Happening{Kind: Connected, Conn: w.last})
 		if !slices.Contains(w.closed, watching) || !strings.Contains(w.wrote[w.last], "from=7&") {
 			t.Fatalf("closed %v, wrote %q", w.closed, w.wrote[w.last])
@@ -536,7 +558,7 @@
 		if l.watch.version != 7 || len(l.servers) != 1 || !slices.Contains(w.closed, watching) {
 			t.Fatalf("version %d, closed %v", l.watch.version, w.closed)
 		}
-		l.Step(second/10, Happening{Kind: Due})
+		w.pass(l, second/10)
 		l.Step(second/10, Happening{Kind: Connected, Conn: w.last})
 		if !strings.HasPrefix(w.wrote[w.last], "GET /discovery/hosts HTTP") {
 			t.Fatalf("wrote %q", w.wrote[w.last])
@@ -563,7 +585,7 @@
 	w.say(l, 0, watching, httpAnswer(known))
 	w.say(l, 0, watching, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 	dialled := len(w.dialed)
-	l.Step(second/2, Happening{Kind: Due})
+	w.pass(l, second/2)
 	if len(w.dialed) != dialled || !slices.Contains(w.closed, watching) || len(l.servers) != 1 {
 		t.Fatalf("it is asked again at once: dialled %v, closed %v, %d servers", w.dialed, w.closed, len(l.servers))
 	}
@@ -575,13 +597,17 @@
 		if l.Step(second/10, Happening{Kind: Renewed, Config: &config}); w.dialed[w.last] != "disco 2" {
 			t.Fatalf("dialled %v", w.dialed)
 		}
+		l.Step(second/10, Happening{Kind: Connected, Conn: w.last})
+		w.say(l, second/10, w.last, httpAnswer(known))
 		dialled := len(w.dialed)
-		if l.Step(6*second, Happening{Kind: Due}); len(w.dialed) > dialled {
+		if w.pass(l, 6*second); len(w.dialed) > dialled {
 			t.Fatalf("the pause at the old address goes on: %v", w.dialed)
 		}
 	})
-	l.Step(6*second, Happening{Kind: Due})
-	l.Step(6*second, Happening{Kind: Connected, Conn: w.last})
+	for len(w.dialed) == dialled && l.now < 6*second {
+		w.pass(l, w.wake)
+	}
+	l.Step(l.now, Happening{Kind: Connected, Conn: w.last})
 	if !strings.Contains(w.wrote[w.last], "from=7&") {
 		t.Fatalf("what is newer is not asked for: %q", w.wrote[w.last])
 	}
@@ -613,10 +639,10 @@
 	early := 0
 	for i := range 80 {
 		l, w := first(i)
-		if l.Step(second/2, Happening{Kind: Due}); asked(w) {
+		if w.pass(l, second/2); asked(w) {
 			early++
 		}
-		if l.Step(5*second, Happening{Kind: Due}); !asked(w) {
+		if w.pass(l, 5*second); !asked(w) {
 			t.Fatalf("limiter %d has not asked after 5 s", i)
 		}
 	}
@@ -680,7 +706,7 @@
 		}
 		l.Step(0, Happening{Kind: Connected, Conn: l.counter.lines[0].c.id})
 		expect(t, w.wrote[l.counter.lines[0].c.id], "tally 1 2 1000\r\n")
-		l.Step(second/20, Happening{Kind: Due})
+		w.pass(l, second/20)
 		if !l.counter.lines[0].calls[0].told {
 			t.Fatal("its time is over, and the module has not heard so")
 		}
@@ -765,7 +791,7 @@
 			}
 			l.now = c.at
 			l.visit()
-			l.Step(c.at, Happening{Kind: Due})
+			w.pass(l, c.at)
 			expect(t, w.wrote[visitor], c.out)
 			if slices.Contains(w.closed, visitor) != c.closed || c.closed && l.clients != 0 {
 				t.Fatalf("closed %v, %d clients", w.closed, l.clients)
@@ -923,6 +949,7 @@
 			l, w, id := sent(t, "read")
 			if c.idle > 0 {
 				w.say(l, 0, id, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+				w.pass(l, c.idle)
 				w.say(l, c.idle, visitor, command("k", "write", "480"))
 				w.say(l, c.idle, counting, "ok 4\r\n")
 			}
@@ -958,24 +985,222 @@
 }
 
 func TestStop(t *testing.T) {
-	l, w, id := sent(t, "read")
+	l, w, id := sentFor(t, "read", "3000")
 	l.Step(0, Happening{Kind: Stopping})
+	w.pass(l, lingers/2)
 	l.Step(lingers/2, Happening{Kind: Accepted, Conn: visitor + 1})
 	w.say(l, lingers/2, visitor+1, "*1\r\n$4\r\nECHO\r\n")
 	expect(t, w.wrote[visitor+1], "-ERR unknown command\r\n") // it is served still
 	w.kernel[visitor] = 0
-	l.now = lingers
-	for _, c := range l.byID() {
-		if cl, is := c.party.(*client); is {
-			cl.leave()
-		}
-	}
-	if slices.Contains(w.closed, visitor) || l.Finished() {
+	w.pass(l, lingers)
+	if slices.Contains(w.closed, visitor) || !slices.Contains(w.closed, visitor+1) || l.Finished() {
 		t.Fatal("what was taken has no answer yet")
 	}
 	delete(w.kernel, visitor)
 	w.say(l, lingers, id, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
-	if !slices.Contains(w.closed, visitor) || !slices.Contains(w.closed, visitor+1) || !l.Finished() {
-		t.Fatalf("closed %v, finished %v", w.closed, l.Finished())
+	if !slices.Contains(w.closed, visitor) || l.Finished() {
+		t.Fatalf("closed %v, finished %v while one may come", w.closed, l.Finished())
+	}
+	w.full = true
+	w.pass(l, second)
+	if l.Finished() {
+		t.Fatal("clients wait to be let in")
+	}
+	w.full = false
+	w.pass(l, 6*second/5)
+	if !l.Finished() {
+		t.Fatal("nothing is left to do")
+	}
+}
+
+// Clients go on on each connection that stays open, up to SIGKILL: 3.7 s after the word to stop at the earliest.
+func TestStopUnderLoad(t *testing.T) {
+	busy := "-BUSY 250\r\n"
+	answer := "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
+	stopped := func() (*Limiter, *wire, ID) {
+		l, w, id := sentFor(t, "read", "3000")
+		l.Step(0, Happening{Kind: Stopping})
+		w.pass(l, lingers-1)
+		return l, w, id
+	}
+	t.Run("a client that is never without an open job comes to its end", func(t *testing.T) {
+		l, w, id := stopped()
+		w.pass(l, lingers)
+		counted := w.wrote[counting]
+		w.say(l, lingers, visitor, command("k", "read", "480"))
+		if w.wrote[visitor] != "" || len(l.jobs) != 1 || w.wrote[counting] != counted {
+			t.Fatalf("wrote %q, %d jobs", w.wrote[visitor], len(l.jobs))
+		}
+		w.say(l, lingers, id, answer)
+		expect(t, w.wrote[visitor], "$1\r\nv\r\n"+busy)
+		if !slices.Contains(w.closed, visitor) {
+			t.Fatalf("closed %v", w.closed)
+		}
+	})
+	t.Run("one that comes late is served and left", func(t *testing.T) {
+		l, w, id := stopped()
+		w.say(l, lingers-1, id, answer)
+		w.pass(l, lingers+1)
+		l.Step(lingers+1, Happening{Kind: Accepted, Conn: visitor + 1})
+		w.say(l, lingers+1, visitor+1, command("k", "read", "480"))
+		w.say(l, lingers+1, counting, "ok 4\r\n")
+		l.Step(lingers+1, Happening{Kind: Connected, Conn: w.last})
+		w.say(l, lingers+1, w.last, answer)
+		expect(t, w.wrote[visitor+1], "$1\r\nv\r\n")
+		if !slices.Contains(w.closed, visitor+1) {
+			t.Fatalf("closed %v", w.closed)
+		}
+	})
+	for _, c := range []struct {
+		name, left string
+		at         int64
+		taken      bool
+	}{
+		{"in time, however long it may take", "9000", lateFrom, true},
+		{"late, and it ends before the process", "1500", second, true},
+		{"late, and it may not", "3000", second, false},
+	} {
+		t.Run("a job that comes "+c.name, func(t *testing.T) {
+			l, w, id := stopped()
+			w.say(l, lingers-1, id, answer)
+			w.pass(l, lingers+1)
+			l.Step(lingers+1, Happening{Kind: Accepted, Conn: visitor + 1})
+			w.pass(l, c.at)
+			w.say(l, c.at, visitor+1, command("k", "read", c.left))
+			if len(l.jobs) == 1 != c.taken || (w.wrote[visitor+1] == busy) == c.taken {
+				t.Fatalf("%d jobs, wrote %q", len(l.jobs), w.wrote[visitor+1])
+			}
+		})
+	}
+	t.Run("answers are with the client's machine before its connection is closed", func(t *testing.T) {
+		l, w, id := stopped()
+		w.unheard = map[ID]bool{visitor: true}
+		w.say(l, lingers-1, id, answer)
+		w.pass(l, lingers+second/10)
+		if slices.Contains(w.closed, visitor) || !slices.Contains(w.parted, visitor) {
+			t.Fatal("a reset may destroy the answer")
+		}
+		counted := w.wrote[counting]
+		w.say(l, lingers+second/10, visitor, command("k", "read", "480")) // it crosses
+		if w.wrote[counting] != counted || w.wrote[visitor] != "$1\r\nv\r\n" {
+			t.Fatalf("counted %q, wrote %q", w.wrote[counting], w.wrote[visitor])
+		}
+		delete(w.unheard, visitor)
+		w.pass(l, lingers+second/8)
+		if !slices.Contains(w.closed, visitor) {
+			t.Fatal("it has the answer")
+		}
+	})
+	t.Run("what is added back is waited for", func(t *testing.T) {
+		l, w, id := stopped()
+		w.say(l, lingers-1, id, answer)
+		w.pass(l, second-1)
+		l.Count(1, -2, second)
+		if l.now = second; l.Finished() {
+			t.Fatal("the counter has not answered")
+		}
+		w.say(l, second, counting, "ok 0\r\n")
+		if !l.Finished() {
+			t.Fatal("it has")
+		}
+	})
+}
+
+// A process that stood still has old timers, old jobs and an old list.
+func TestWoken(t *testing.T) {
+	drains := httpAnswer(strings.Replace(strings.Replace(known, "7", "8", 1), "in_service", "terminating", 1))
+	nothing := httpAnswer(`{"generation":7,"instances":[]}`)
+	woken := 10 * second
+	servers := func(w *wire) (n int) {
+		for _, address := range w.dialed {
+			if address == "127.0.0.1:9" {
+				n++
+			}
+		}
+		return n
+	}
+	// asked wakes the limiter with the bytes and lets it take the new job at the counter.
+	asked := func(t *testing.T, left string) (*Limiter, *wire) {
+		l, w := made(t)
+		w.say(l, 0, watching, httpAnswer(known))
+		w.say(l, woken, visitor, command("k", "read", left))
+		w.say(l, woken, counting, "ok 2\r\n")
+		return l, w
 	}
+	hear := func(l *Limiter, w *wire, text string) {
+		id := l.watch.c.id
+		l.Step(woken+1, Happening{Kind: Connected, Conn: id})
+		if !strings.Contains(w.wrote[id], "from=7&hold_ms=1 ") {
+			t.Fatalf("wrote %q", w.wrote[id])
+		}
+		w.say(l, woken+1, id, text)
+	}
+	t.Run("a job whose client has waited for longer is not sent", func(t *testing.T) {
+		_, w := asked(t, "9999")
+		expect(t, w.wrote[visitor], "-BUSY 250\r\n")
+	})
+	t.Run("others have what is left, and nothing is sent before the list is heard", func(t *testing.T) {
+		l, w := asked(t, "10480")
+		if servers(w) != 0 || l.jobs["k"].cutOff != woken+480*second/1000 {
+			t.Fatalf("%d dials, cut-off %d", servers(w), l.jobs["k"].cutOff)
+		}
+		if hear(l, w, nothing); servers(w) != 1 {
+			t.Fatalf("%d dials", servers(w))
+		}
+	})
+	t.Run("nor at all where its server drains", func(t *testing.T) {
+		l, w := asked(t, "10480")
+		if hear(l, w, drains); servers(w) != 0 || len(l.jobs) != 0 || !strings.HasPrefix(w.wrote[visitor], "-BUSY") {
+			t.Fatalf("%d dials, %d jobs, client got %q", servers(w), len(l.jobs), w.wrote[visitor])
+		}
+	})
+	t.Run("a list service that is down stops nothing", func(t *testing.T) {
+		l, w := asked(t, "10480")
+		if w.pass(l, woken+l.set.DialTimeout); servers(w) != 1 {
+			t.Fatalf("%d dials", servers(w))
+		}
+	})
+	t.Run("one that is asked is asked anew after 2 s only", func(t *testing.T) {
+		for _, c := range []struct {
+			slept int64
+			anew  bool
+		}{{second, false}, {2 * second, true}} {
+			l, w := madeTo(t, 10*second, 0)
+			w.say(l, 0, watching, nothing)
+			l.Step(c.slept, Happening{Kind: Due})
+			if slices.Contains(w.closed, watching) != c.anew || l.wake.doubts != true {
+				t.Fatalf("closed %v after %d", w.closed, c.slept)
+			}
+			w.pass(l, c.slept+l.set.DialTimeout)
+			if l.wake.doubts {
+				t.Fatal("it never trusts the list again")
+			}
+		}
+	})
+	t.Run("what came meanwhile is read before timers run", func(t *testing.T) {
+		l, w, id := sent(t, "write")
+		l.Step(woken, Happening{Kind: Due})
+		w.say(l, woken, id, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+		expect(t, w.wrote[visitor], "$1\r\nv\r\n")
+	})
+	t.Run("a shot decided on before is not sent", func(t *testing.T) {
+		l, w, id := diallingFor(t, "read", "20000")
+		l.Step(woken, Happening{Kind: Connected, Conn: id})
+		expect(t, w.wrote[id], "")
+	})
+	t.Run("a repeat past the window in which servers know it is not sent", func(t *testing.T) {
+		l, w, id := dialling(t, "read")
+		j := l.jobs["j"]
+		j.repeats, j.shots = second/5, []*shot{{job: j, at: 0, last: 1}, j.shots[0]}
+		j.shots[1].number = 1
+		l.Step(second/5, Happening{Kind: Connected, Conn: id})
+		expect(t, w.wrote[id], "")
+	})
+	t.Run("a cancelled shot that waits for the list has ended", func(t *testing.T) {
+		l, w := asked(t, "10480")
+		l.Cancel("k", 0)
+		if hear(l, w, nothing); servers(w) > 1 || l.jobs["k"] != nil && l.jobs["k"].shots[0].open {
+			t.Fatalf("%d dials", servers(w))
+		}
+	})
 }
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -118,8 +118,9 @@
 
 func (b *backend) up() {
 	l := b.pool.l
-	if s := b.shot; s != nil && (s.job.state != Taken || l.now >= s.job.cutOff) {
-		// The job has ended while its connection came up, and nothing may be sent for it any more.
+	if s := b.shot; s != nil && (s.job.state != Taken || l.now >= s.job.cutOff || b.pool.leaving || s.stale()) {
+		// The job has ended while its connection came up, and nothing may be sent for it any more, or it is too late for this
+		// shot: it was decided on before the process stood still.
 		b.shot = nil
 		l.endShot(s, choice.Reply{Outcome: TimeOver.outcome(false)})
 	}
--- /dev/null
+++ b/internal/limiter/wake.go
@@ -0,0 +1,86 @@
+package limiter
+
+import "log"
+
+// The process may stand still for long, stopped or without a processor, and finds on waking that all its timers are due,
+// that clients' jobs have waited unread, and that the list may have changed. What it was told meanwhile counts.
+
+const (
+	standsStill = 2   // so many dial time-outs without a happening are none that the timers allow
+	settles     = 8   // for this part of one what has come meanwhile is read, and no timer runs
+	countsFrom  = 2e9 // where discovery is asked, what it had to tell in less than this is in the kernel, or not told
+)
+
+// wake is what the limiter knows of the latest time for which it stood still.
+type wake struct {
+	begun  bool  // something has happened
+	at     int64 // when it ended
+	slept  int64 // how long it was
+	blind  int64 // until when no timer runs
+	doubts bool  // the list may have changed meanwhile, and no shot goes out
+	held   []func()
+	limit  *timer
+}
+
+// looked moves the clock on. Something happens at least once in a dial time-out, for clients are visited then.
+func (l *Limiter) looked(now int64) {
+	gap, first := now-l.now, !l.wake.begun
+	l.now, l.wake.begun = now, true
+	if first || gap <= standsStill*l.set.DialTimeout { // what a start takes is no standing still
+		return
+	}
+	w := &l.wake
+	w.at, w.slept, w.blind, w.doubts = now, gap, now+l.set.DialTimeout/settles, true
+	log.Printf("event=woken still_ms=%d", gap/1e6)
+	l.timers.drop(w.limit)
+	w.limit = l.at(now+l.set.DialTimeout, l.trust) // what is held then must do: a list service that is down stops nothing
+	if l.set.AskEvery == 0 || gap >= countsFrom {
+		l.watch.anew()
+	} else { // the answer of the call that is out is in the kernel, if there is one
+		l.timers.drop(w.limit)
+		w.limit = l.at(w.blind, l.trust)
+	}
+}
+
+// sure does something at once, or where the list is in doubt once it is not.
+func (l *Limiter) sure(do func()) {
+	if l.wake.doubts {
+		l.wake.held = append(l.wake.held, do)
+	} else {
+		do()
+	}
+}
+
+// trust lets go what waited for the list.
+func (l *Limiter) trust() {
+	l.timers.drop(l.wake.limit)
+	l.wake.doubts = false
+	held := l.wake.held
+	l.wake.held = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+// age is how long a job that is read now may have waited to be read.
+func (l *Limiter) age() int64 {
+	if l.wake.slept == 0 || l.now >= l.wake.at+l.set.DialTimeout/settles {
+		return 0
+	}
+	return l.wake.slept + l.now - l.wake.at
+}
+
+// stale: longer ago than the doubt and the dialling of a process that runs may take, or past the time for which servers
+// know the job again by an earlier shot. The module is to decide anew.
+func (s *shot) stale() bool {
+	l := s.backend.pool.l
+	if l.now-s.at > standsStill*l.set.DialTimeout {
+		return true
+	}
+	for _, e := range s.job.shots[:s.number] {
+		if s.job.repeats > 0 && e.last > 0 && l.now >= e.at+s.job.repeats {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -28,6 +28,7 @@
 	again   *timer // when it is dialled next, while it waits for that
 	pace    *inquiry.Pace
 	last    inquiry.End // how the latest call ended, where it brought no list
+	checks  bool        // the process stood still: what there is has to be told at once
 	half    bool        // an answer has begun
 	noted   int64       // when a failure was last logged
 }
@@ -57,6 +58,9 @@
 func (w *watch) ask() {
 	l := w.l
 	wait, limit := w.pace.Ask(l.now, !w.fetched)
+	if w.checks && wait > 0 {
+		wait, limit = 1e6, limit-wait
+	}
 	if w.fetched {
 		l.scratch = discovery.AppendWatch(l.scratch[:0], l.config.Discovery, w.version, wait)
 	} else {
@@ -110,6 +114,10 @@
 	// One that counts from anew behind the same address may hold what was never told here.
 	w.fetched = list.Whole || list.Version >= w.version
 	w.apply(list)
+	if w.checks {
+		w.checks = false
+		w.l.trust()
+	}
 	w.l.readyNow()
 	if a.Last {
 		w.l.over(w.c, PeerClosed)
@@ -129,6 +137,21 @@
 	w.dial()
 }
 
+// anew asks at once what has changed. Before the first call of all there is nothing to ask anew.
+func (w *watch) anew() {
+	if w.c == nil {
+		return
+	}
+	w.checks = true
+	if w.l.conns[w.c.id] == w.c {
+		w.told = true
+		w.l.over(w.c, Unused)
+		return
+	}
+	w.l.timers.drop(w.again)
+	w.dial()
+}
+
 // move goes to discovery's new address, which may count its lists otherwise: the whole of it is asked for there, and
 // the last good one holds meanwhile.
 func (w *watch) move() {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
@@ -43,6 +44,7 @@
 // Sockets is safe for use by nbio's goroutines and the one that calls Run; Effects are for the latter alone.
 type Sockets struct {
 	engine  *nbio.Engine
+	gate    *gate
 	waking  chan struct{}
 	mutex   sync.Mutex
 	lastID  limiter.ID
@@ -63,6 +65,7 @@
 	s := &Sockets{waking: make(chan struct{}, 1), links: map[limiter.ID]*link{}}
 	s.drained.L = &s.mutex
 	gate := &gate{free: make(chan struct{}, clients)}
+	s.gate = gate
 	s.engine = nbio.NewEngine(nbio.Config{
 		Name: "ospreycroft", Network: "tcp", Addrs: []string{address}, NPoller: 1,
 		// Edge-triggered, since nbio's level-triggered mode may stop waiting for room to write when a connection
@@ -117,10 +120,13 @@
 type gate struct {
 	net.Listener
 	free chan struct{}
+	full atomic.Bool // one more waits for a place, perhaps
 }
 
 func (g *gate) Accept() (net.Conn, error) {
+	g.full.Store(true)
 	g.free <- struct{}{}
+	g.full.Store(false)
 	c, err := g.Listener.Accept()
 	if err != nil {
 		g.leave()
@@ -246,7 +252,7 @@
 	c.SetSession(l)
 	l.conn.Store(c)
 	if _, err = s.engine.AddConn(c); err == nil && l.unasked.Load() {
-		shut(c)
+		shut(c, syscall.SHUT_RDWR)
 	}
 	return err
 }
@@ -288,18 +294,54 @@
 		l.cancel()
 	}
 	if c := l.conn.Load(); c != nil {
-		shut(c)
+		shut(c, syscall.SHUT_RDWR)
 	}
 	return l.written.Load()
 }
 
-// shut ends both directions and leaves closing the descriptor to the poller, which sees the end next. Were it
+// Part is an effect.
+func (s *Sockets) Part(id limiter.ID) {
+	if l := s.links[id]; l != nil {
+		shut(l.conn.Load(), syscall.SHUT_WR)
+	}
+}
+
+// Heard is an effect. The kernel counts what the other side's machine has not acknowledged.
+func (s *Sockets) Heard(id limiter.ID) bool {
+	l := s.links[id]
+	if l == nil {
+		return true
+	}
+	c := l.conn.Load()
+	c.Lock()
+	defer c.Unlock()
+	if closed, _ := c.IsClosed(); closed {
+		return true
+	}
+	waiting := int32(0)
+	_, _, failed := syscall.Syscall(syscall.SYS_IOCTL, uintptr(c.Hash()), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&waiting)))
+	return failed != 0 || waiting <= 0
+}
+
+// Refuse is an effect.
+func (s *Sockets) Refuse() bool {
+	if s.gate.full.Load() {
+		return false
+	}
+	logging.SetLevel(logging.LevelNone) // the acceptor ends with an error, as it should
+	if err := s.gate.Close(); err != nil {
+		log.Printf("event=listener error=%q", err)
+	}
+	return true
+}
+
+// shut ends one direction or both and leaves closing the descriptor to the poller, which sees the end next. Were it
 // closed here, what the poller still has to tell of it could hit a new connection with the same number.
-func shut(c *nbio.Conn) {
+func shut(c *nbio.Conn, how int) {
 	c.Lock()
 	defer c.Unlock()
 	if closed, _ := c.IsClosed(); !closed {
-		if err := syscall.Shutdown(c.Hash(), syscall.SHUT_RDWR); err != nil && err != syscall.ENOTCONN {
+		if err := syscall.Shutdown(c.Hash(), how); err != nil && err != syscall.ENOTCONN {
 			log.Printf("event=shutdown error=%q", err)
 		}
 	}
