Discovery's answers are read by net/http, with an exported error for each way to be bad

Need: the hand-written reader took two lengths that differ, and all its errors were one word.

http.ReadResponse reads the head and httputil the chunks behind the same interface; what is refused by our own limits stays ours. Garbage is told at its first byte, no longer at the end of a head. A whole list without instances and a start beyond an int64 are refused.

--- /dev/null
+++ b/internal/discovery/answer.go
@@ -0,0 +1,104 @@
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+)
+
+// Answer is one HTTP answer; the body points into the bytes it was read from, or is a copy where it came in chunks.
+type Answer struct {
+	Status int
+	Body   []byte
+	Last   bool // the connection ends behind it
+}
+
+var (
+	version = []byte("HTTP/1.")
+	headEnd = []byte("\r\n\r\n")
+)
+
+// Read reads one answer from all bytes that have come so far and tells how many it took: 0 while it is not whole. What
+// cannot become an answer is told as soon as it shows. The reading itself is net/http's; how much to wait for, and what
+// no list service sends, is settled here.
+func Read(b []byte) (a Answer, n int, err error) {
+	if k := min(len(b), len(version)); !bytes.Equal(b[:k], version[:k]) {
+		return a, 0, &MalformedError{Why: "it is no HTTP/1"}
+	}
+	end := bytes.Index(b[:min(len(b), mostHead)], headEnd)
+	if end < 0 {
+		if len(b) >= mostHead {
+			err = &TooLongError{Part: "head", Most: mostHead}
+		}
+		return a, 0, err
+	}
+	head, rest := b[:end+len(headEnd)], b[end+len(headEnd):]
+	// Only the head is given to it: it is short, so to read it again with each piece of a long body costs little.
+	from := bufio.NewReaderSize(bytes.NewReader(head), len(head))
+	r, err := http.ReadResponse(from, nil)
+	switch {
+	case err != nil:
+		return a, 0, &MalformedError{Cause: err}
+	case from.Buffered() > 0: // lines that end without a return: where the body begins is not sure
+		return a, 0, &MalformedError{Why: "its head ends twice"}
+	case r.StatusCode < 100:
+		return a, 0, &MalformedError{Why: "its status is " + r.Status}
+	}
+	a.Status, a.Last = r.StatusCode, r.Close || r.ProtoMinor == 0
+	switch {
+	case r.Body == http.NoBody: // by its status, whatever its fields say, or by a length of 0
+		return a, len(head), nil
+	case len(r.TransferEncoding) > 0: // net/http knows no other than chunked
+		if a.Body, n, err = unchunk(rest); n > 0 {
+			n += len(head)
+		}
+		return a, n, err
+	case r.ContentLength < 0:
+		return a, 0, &MalformedError{Why: "it has no length"}
+	case r.ContentLength > mostBody:
+		return a, 0, &TooLongError{Part: "body", Most: mostBody}
+	case int64(len(rest)) < r.ContentLength:
+		return a, 0, nil
+	}
+	a.Body = rest[:r.ContentLength]
+	return a, len(head) + len(a.Body), nil
+}
+
+// unchunk puts the chunks of a body together; it takes 0 bytes while the body is not whole.
+func unchunk(b []byte) (body []byte, took int, err error) {
+	// Nothing is kept until the last chunk is there: most calls find that more is to come.
+	size, took, err := chunks(b, io.Discard)
+	if err != nil || took == 0 {
+		return nil, 0, err
+	}
+	whole := bytes.NewBuffer(make([]byte, 0, size))
+	_, took, err = chunks(b, whole)
+	return whole.Bytes(), took, err
+}
+
+// chunks writes the content of chunks and tells its size and how many bytes they took.
+func chunks(b []byte, to io.Writer) (size int64, took int, err error) {
+	under := bytes.NewReader(b)
+	from := bufio.NewReader(under)
+	size, err = io.Copy(to, io.LimitReader(httputil.NewChunkedReader(from), mostBody+1))
+	switch {
+	case size > mostBody:
+		return 0, 0, &TooLongError{Part: "body", Most: mostBody}
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return 0, 0, nil
+	case err != nil:
+		return 0, 0, &MalformedError{Cause: err}
+	}
+	// Fields behind the last chunk are not for us; a server that sends them is not understood.
+	last, _ := from.Peek(2)
+	if !bytes.HasPrefix([]byte("\r\n"), last) {
+		return 0, 0, &MalformedError{Why: "fields stand behind its last chunk"}
+	}
+	if len(last) < 2 {
+		return 0, 0, nil
+	}
+	return size, len(b) - under.Len() - from.Buffered() + 2, nil
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,7 +1,11 @@
 package discovery
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -10,36 +14,69 @@
 
 const whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
 
+const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+const inChunks = chunked + "1\r\n{\r\n1;x=y\r\n}\r\n0\r\n\r\n"
+
+// is tells whether an error is one of a type, or has one underneath.
+func is[E error](err error) bool {
+	var e E
+	return errors.As(err, &e)
+}
+
+func none(err error) bool { return err == nil }
+
 func TestRead(t *testing.T) {
+	malformed, tooLong := is[*MalformedError], is[*TooLongError]
 	for _, c := range []struct {
 		name, in, body string
 		used           int
 		last           bool
-		err            error
+		err            func(error) bool
 	}{
-		{"whole, another behind it", whole + "HTTP", "{}", len(whole), false, nil},
-		{"the last on its connection", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nConnection: Close\r\n\r\n", "", 57, true, nil},
-		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1;x=y\r\n}\r\n0\r\n\r\n", "{}", 68, false, nil},
-		{"a chunk to come", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n", "", 0, false, nil},
-		{"no body", "HTTP/1.1 304 Not Modified\r\n\r\n", "", 29, false, nil},
-		{"no length", "HTTP/1.1 200 OK\r\n\r\n", "", 0, false, ErrMalformed},
-		{"a length below 0", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "", 0, false, ErrMalformed},
-		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "", 0, false, ErrMalformed},
-		{"no status", "HTTP/1.1 \r\n\r\n", "", 0, false, ErrMalformed},
-		{"another protocol", "+PONG 200 x\r\n\r\n", "", 0, false, ErrMalformed},
-		{"a head without an end", strings.Repeat("x", mostHead), "", 0, false, ErrMalformed},
+		{"whole, another behind it", whole + "HTTP", "{}", len(whole), false, none},
+		{"the last on its connection", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nConnection: Close\r\n\r\n", "", 57, true, none},
+		{"an older protocol", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n{}", "{}", 40, true, none},
+		{"an older protocol that keeps the connection",
+			"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n", "", 62, true, none},
+		{"in chunks, another behind it", inChunks + whole, "{}", len(inChunks), false, none},
+		{"a chunk to come", chunked + "1\r\n{\r\n", "", 0, false, none},
+		{"no body", "HTTP/1.1 304 Not Modified\r\n\r\n", "", 29, false, none},
+		{"nothing to tell", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nHTTP", "", 46, false, none},
+		{"nothing to tell, though in chunks",
+			"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "", 55, false, none},
+		{"the answer is still to come", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + whole, "", 37, false, none},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\n", "", 0, false, malformed},
+		{"no length, and the end of the connection ends it", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}", "", 0, false, malformed},
+		{"a length below 0", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "", 0, false, malformed},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "", 0, false, malformed},
+		{"a length that no number holds", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "", 0, false, malformed},
+		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "", 0, false, tooLong},
+		{"an encoding that is not known", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", "", 0, false, malformed},
+		{"a chunk without a size", chunked + "x\r\n", "", 0, false, malformed},
+		{"a chunk longer than told", chunked + "1\r\n{}\r\n", "", 0, false, malformed},
+		{"fields behind the last chunk", chunked + "0\r\nX: y\r\n\r\n", "", 0, false, malformed},
+		{"chunks that are too long together", chunked +
+			strings.Repeat("100000\r\n"+strings.Repeat("x", 1<<20)+"\r\n", 5), "", 0, false, tooLong},
+		{"no status", "HTTP/1.1 \r\n\r\n", "", 0, false, malformed},
+		{"a status that is none", "HTTP/1.1 099 x\r\nContent-Length: 0\r\n\r\n", "", 0, false, malformed},
+		{"a head that ends twice", "HTTP/1.1 200 OK\nContent-Length: 2\n\n{}\r\n\r\n", "", 0, false, malformed},
+		{"another protocol, told at its first byte", "+", "", 0, false, malformed},
+		{"a head without an end", "HTTP/1.1 200 " + strings.Repeat("x", mostHead), "", 0, false, tooLong},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a, used, err := Read([]byte(c.in))
-			if !errors.Is(err, c.err) || err == nil && (used != c.used || string(a.Body) != c.body || used > 0 && a.Last != c.last) {
+			if !c.err(err) || err == nil && (used != c.used || string(a.Body) != c.body || used > 0 && a.Last != c.last) {
 				t.Fatalf("answer %+v, used %d, error %v", a, used, err)
 			}
 		})
 	}
 	t.Run("each part of a whole one waits for more", func(t *testing.T) {
-		for i := range whole {
-			if _, used, err := Read([]byte(whole[:i])); used != 0 || err != nil {
-				t.Fatalf("%d bytes: used %d, error %v", i, used, err)
+		for _, text := range []string{whole, inChunks} {
+			for i := range text {
+				if _, used, err := Read([]byte(text[:i])); used != 0 || err != nil {
+					t.Fatalf("%q: used %d, error %v", text[:i], used, err)
+				}
 			}
 		}
 	})
@@ -53,32 +90,100 @@
 	if err != nil || list.Version != 4 || !list.Whole || len(list.Entries) != 1 || list.Entries[0].Entry != want {
 		t.Fatalf("list %+v, error %v", list, err)
 	}
-	for _, c := range []struct{ name, old, new, want string }{
-		{"no version", `"generation":4,`, "", "generation"},
-		{"an unknown state", "terminating", "resting", "lifecycle"},
-		{"no id", `"s"`, `""`, "instanceId"},
-		{"a server that is ready without an address", `"127.0.0.1:1","zone":"a","cell":3,"lifecycle":"terminating"`, `"","lifecycle":"in_service"`, "hostPort"},
-		{"a weight below 0", "1.5", "-1", "weight"},
-		{"no list", `{"generation"`, `[{"generation"`, "JSON"},
+	var indented bytes.Buffer
+	_ = json.Indent(&indented, []byte(good), "\r\n  ", "\t")
+	if again, err := Decode(append(indented.Bytes(), "\n"...)); err != nil || !reflect.DeepEqual(again, list) {
+		t.Fatalf("indented: list %+v, error %v", again, err)
+	}
+	malformed, refused := is[*ListMalformedError], is[*ListRefusedError]
+	for _, c := range []struct {
+		name, old, new, want string
+		err                  func(error) bool
+	}{
+		{"no version", `"generation":4,`, "", "generation", refused},
+		{"an unknown state", "terminating", "resting", "lifecycle", refused},
+		{"no id", `"s"`, `""`, "instanceId", refused},
+		{"a server that is ready without an address", `"127.0.0.1:1","zone":"a","cell":3,"lifecycle":"terminating"`,
+			`"","lifecycle":"in_service"`, "hostPort", refused},
+		{"a weight below 0", "1.5", "-1", "weight", refused},
+		{"a start that no clock tells", "2000", "1e13", "startedAtMs", refused},
+		{"a whole list without servers", `"instances"`, `"servers"`, "instances", refused},
+		{"no list", `{"generation"`, `[{"generation"`, "JSON", malformed},
+		{"half a list", `}]}`, `}]`, "JSON", malformed},
+		{"two lists", `}]}`, `}]}{}`, "after top-level", malformed},
+		{"a number in place of a name", `"s"`, `7`, "instanceId", malformed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if _, err := Decode([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+			_, err := Decode([]byte(strings.Replace(good, c.old, c.new, 1)))
+			if !c.err(err) || !strings.Contains(err.Error(), c.want) {
 				t.Fatalf("error %v, want %s", err, c.want)
 			}
 		})
 	}
+	if list, err := Decode([]byte(`{"generation":5,"reset":false,"instances":null}`)); err != nil || len(list.Entries) > 0 {
+		t.Fatalf("changes that are none: list %+v, error %v", list, err)
+	}
 }
 
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(whole))
-	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"))
+	f.Add([]byte(chunked + "2\r\n{}\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + inChunks))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		a, used, err := Read(in)
 		if used > len(in) || used > 0 && err != nil {
 			t.Fatalf("used %d of %d, error %v", used, len(in), err)
 		}
-		if used > 0 {
-			_, _ = Decode(a.Body)
+		if used == 0 {
+			return
+		}
+		_, _ = Decode(a.Body)
+		// What stands behind an answer changes nothing, and no part of it is taken for the whole or for a bad one.
+		if same, n, err := Read(in[:used]); n != used || err != nil || !reflect.DeepEqual(same, a) {
+			t.Fatalf("alone %+v, used %d, error %v; before %+v, used %d", same, n, err, a, used)
+		}
+		for i := range min(used, 1<<10) {
+			if _, n, err := Read(in[:i]); n != 0 || err != nil {
+				t.Fatalf("%d bytes: used %d, error %v", i, n, err)
+			}
 		}
 	})
 }
+
+// list is discovery's answer with so many servers.
+func list(servers int) []byte {
+	body := []byte(`{"generation":41,"reset":true,"instances":[`)
+	for i := range servers {
+		body = fmt.Appendf(body, `{"instanceId":"s-%08x","hostPort":"10.1.%d.%d:6379","zone":"a","machineType":"m2","cell":%d,`+
+			`"lifecycle":"in_service","weight":1.0,"startedAtMs":0},`, i*2654435761%1<<32, i/250, i%250, i%8)
+	}
+	body = append(body[:len(body)-1], "]}"...)
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nDate: Wed, 02 Dec 2026 00:00:00 GMT\r\n"+
+		"Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// BenchmarkRead reads a list of 200 servers that comes in pieces of 4 KiB, and decodes it or not.
+func BenchmarkRead(b *testing.B) {
+	for _, decoded := range []bool{false, true} {
+		b.Run(fmt.Sprintf("decoded=%v", decoded), func(b *testing.B) {
+			text := list(200)
+			b.ReportAllocs()
+			for b.Loop() {
+				for to := 4 << 10; ; to += 4 << 10 {
+					a, n, err := Read(text[:min(to, len(text))])
+					if err != nil || n == 0 && to >= len(text) {
+						b.Fatalf("used %d, error %v", n, err)
+					} else if n == 0 {
+						continue
+					}
+					if decoded {
+						if l, err := Decode(a.Body); err != nil || len(l.Entries) != 200 {
+							b.Fatalf("error %v", err)
+						}
+					}
+					break
+				}
+			}
+		})
+	}
+}
