Errors an operator can act on have a type and a remedy, in the log and on the page

Need: event=failed and the like said what happened and left what to do to the reader.

internal/remedy has the interface and a log line's tail; settings, tally, sockets and discovery have the types. A key of the configuration is named by its whole path. At the start a limiter says if it may hold fewer descriptors than its limits (event=descriptors-short) and goes on. docs/on-call.md lists the types; a test finds each type with a Remedy in the source and wants it on the page and provoked by a bad input.

--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -17,6 +17,7 @@
 
 	"ospreycroft/internal/countloss"
 	"ospreycroft/internal/limiter"
+	"ospreycroft/internal/remedy"
 	"ospreycroft/internal/settings"
 	"ospreycroft/internal/sockets"
 )
@@ -32,7 +33,7 @@
 			if len(args) == 1 {
 				path = args[0]
 			}
-			config, err := readFrom(path)
+			config, err := settings.ReadFile(path)
 			if err != nil {
 				return fmt.Errorf("%s: %w", path, err)
 			}
@@ -49,7 +50,7 @@
 			return bounds(config, func(line string) { fmt.Println(line) })
 		}})
 	if err := root.Execute(); err != nil {
-		log.Fatalf("event=failed error=%q", err)
+		log.Fatalf("event=failed %s", remedy.Tail(err))
 	}
 }
 
@@ -89,10 +90,13 @@
 			if config, err := read(); err == nil {
 				renewed <- config
 			} else { // the one that is held stays
-				log.Printf("event=config-refused error=%q", err)
+				log.Printf("event=config-refused %s", remedy.Tail(err))
 			}
 		}
 	}()
+	if err := sockets.Descriptors(config.Sockets); err != nil { // it serves as far as they go
+		log.Printf("event=descriptors-short %s", remedy.Tail(err))
+	}
 	s, err := sockets.Listen(config.Listen, limiter.MostClients(config), config.Sockets)
 	if err != nil {
 		return err
@@ -115,13 +119,4 @@
 }
 
 // read reads the configuration, at the start and again when SIGHUP says that it was replaced.
-func read() (*settings.Config, error) { return readFrom(os.Getenv("GW_CONFIG")) }
-
-// readFrom reads and checks the configuration at path.
-func readFrom(path string) (*settings.Config, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return settings.ReadConfig(text)
-}
+func read() (*settings.Config, error) { return settings.ReadFile(os.Getenv("GW_CONFIG")) }
--- /dev/null
+++ b/internal/remedy/remedy.go
@@ -0,0 +1,30 @@
+// Package remedy names what all errors have in common that an operator can act on, and writes them into log lines. The
+// types themselves stand where the errors arise; docs/on-call.md lists them.
+package remedy
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Error is an error that an operator can act on: Error tells what happened, Remedy what to do about it, in one line of
+// plain words each. Where it has a cause, Unwrap gives it.
+type Error interface {
+	error
+	Remedy() string
+}
+
+// Unknown is the remedy of an error that has none of its own.
+const Unknown = "report it, with this line"
+
+// Of is the remedy of the outermost error in the chain that has one, else Unknown.
+func Of(err error) string {
+	var e Error
+	if errors.As(err, &e) {
+		return e.Remedy()
+	}
+	return Unknown
+}
+
+// Tail is the end of a log line: error="..." remedy="...".
+func Tail(err error) string { return fmt.Sprintf("error=%q remedy=%q", err, Of(err)) }
--- /dev/null
+++ b/internal/remedy/remedy_test.go
@@ -0,0 +1,150 @@
+package remedy_test
+
+import (
+	"errors"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/discovery"
+	"ospreycroft/internal/remedy"
+	"ospreycroft/internal/settings"
+	"ospreycroft/internal/sockets"
+	"ospreycroft/internal/tally"
+)
+
+// logged are made where the limiter logs them; its own tests provoke them.
+var logged = []string{"tally.CrossedError", "tally.RefusedError"}
+
+// match tells whether an error is one of a type or has one underneath, and names the type.
+func match[E remedy.Error](err error) (string, bool) {
+	var e E
+	return strings.TrimPrefix(reflect.TypeFor[E]().String(), "*"), errors.As(err, &e) && e.Remedy() != "" && e.Error() != ""
+}
+
+func answer(text string) error {
+	_, _, err := discovery.Read([]byte(text))
+	return err
+}
+
+func list(text string) error {
+	_, err := discovery.Decode([]byte(text))
+	return err
+}
+
+func config(text string) error {
+	_, err := settings.ReadConfig([]byte(text))
+	return err
+}
+
+func listen(address string) error {
+	_, err := sockets.Listen(address, 1, 64)
+	return err
+}
+
+// Each error that a bad input provokes is found by errors.As, also under other errors, and each type is on the page.
+func TestErrors(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer held.Close()
+	_, missing := settings.ReadFile(filepath.Join(t.TempDir(), "none.json"))
+	_, _, _, spoilt := tally.Read([]byte("what\r\n"))
+	provoked := map[string]bool{}
+	for _, c := range []struct {
+		name  string
+		err   error
+		match func(error) (string, bool)
+		want  string // in the error
+	}{
+		{"another protocol", answer("+PONG\r\n"), match[*discovery.MalformedError], "HTTP"},
+		{"a length of 5 MiB", answer("HTTP/1.1 200 OK\r\nContent-Length: 5242880\r\n\r\n"), match[*discovery.TooLongError], "body"},
+		{"a call too many", discovery.Answer{Status: 503}.Refused(), match[*discovery.TurnedAwayError], "503"},
+		{"calls too often", discovery.Answer{Status: 429}.Refused(), match[*discovery.TurnedAwayError], "429"},
+		{"no such page", discovery.Answer{Status: 404}.Refused(), match[*discovery.StatusError], "404 Not Found"},
+		{"half a list", list(`{"generation":4,`), match[*discovery.ListMalformedError], "JSON"},
+		{"a server without an id", list(`{"generation":4,"instances":[{"lifecycle":"terminating"}]}`),
+			match[*discovery.ListRefusedError], "0: instanceId"},
+		{"no file", missing, match[*settings.UnreadableError], "none.json"},
+		{"no JSON", config("listen = 1"), match[*settings.MalformedError], "invalid character"},
+		{"no settings", config("{}"), match[*settings.KeyError], "settings: missing"},
+		{"settings that are no object", config(`{"settings":[]}`), match[*settings.KeyError], "settings: "},
+		{"a name that is a number", config(`{"name":7}`), match[*settings.KeyError], "name: "},
+		{"an address that is held", listen(held.Addr().String()), match[*sockets.AddressInUseError], held.Addr().String()},
+		{"an address of another machine", listen("203.0.113.1:1"), match[*sockets.AddressError], "203.0.113.1:1"},
+		{"more than the kernel gives", sockets.Descriptors(1 << 60), match[*sockets.DescriptorsError], "1152921504606846976"},
+		{"a line of another protocol", spoilt, match[*tally.SpoiltError], `what\r\n`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			name, is := c.match(fmt.Errorf("above: %w", c.err))
+			provoked[name] = true
+			require.True(t, is, "%T: %v is no %s", c.err, c.err, name)
+			require.ErrorContains(t, c.err, c.want)
+		})
+	}
+	page, err := os.ReadFile("../../docs/on-call.md")
+	require.NoError(t, err)
+	var listed []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z]+\\.[A-Z]\\w+)` \\| .+ \\| .+ \\|$").FindAllSubmatch(page, -1) {
+		listed = append(listed, string(row[1]))
+	}
+	types := types(t)
+	require.ElementsMatch(t, types, listed, "types with a Remedy (first) and rows of docs/on-call.md (second)")
+	for _, name := range types {
+		require.True(t, provoked[name] != slices.Contains(logged, name), "%s: provoked %v", name, provoked[name])
+	}
+}
+
+// types are all types of the program with a method Remedy, by package and name.
+func types(t *testing.T) (names []string) {
+	err := filepath.WalkDir("../..", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		for _, d := range file.Decls {
+			f, is := d.(*ast.FuncDecl)
+			if !is || f.Recv == nil || f.Name.Name != "Remedy" {
+				continue
+			}
+			of := f.Recv.List[0].Type
+			if star, is := of.(*ast.StarExpr); is {
+				of = star.X
+			}
+			names = append(names, file.Name.Name+"."+of.(*ast.Ident).Name)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+	return names
+}
+
+func TestTail(t *testing.T) {
+	inner := &discovery.TurnedAwayError{Status: 503}
+	for _, c := range []struct {
+		name string
+		err  error
+		want string
+	}{
+		{"of the outermost that has one", &settings.KeyError{Key: "known", Cause: inner},
+			fmt.Sprintf("error=%q remedy=%q", "known: "+inner.Error(), (&settings.KeyError{Key: "known"}).Remedy())},
+		{"under another error", fmt.Errorf("a \"b\": %w", inner),
+			fmt.Sprintf("error=%q remedy=%q", "a \"b\": "+inner.Error(), inner.Remedy())},
+		{"none", errors.New("x"), `error="x" remedy="report it, with this line"`},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, remedy.Tail(c.err)) })
+	}
+}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"reflect"
@@ -56,35 +55,38 @@
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, err
+		return nil, broken(err)
 	}
 	set, err := Decode(f.Settings)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, below("settings", err)
 	}
 	if f.Counter == "" && set.CounterWait > 0 {
-		return nil, errors.New("counter: missing, but the settings have one")
+		return nil, wrong("counter", "missing, but the settings have one")
 	}
 	for _, a := range []struct{ key, address string }{{"listen", f.Listen}, {"discovery", f.Discovery}, {"counter", f.Counter}} {
 		if a.key == "counter" && a.address == "" {
 			continue
 		}
 		if _, port, err := net.SplitHostPort(a.address); err != nil || port == "" {
-			return nil, fmt.Errorf("%s: %q is no address", a.key, a.address)
+			return nil, &KeyError{Key: a.key, Why: fmt.Sprintf("%q is no address", a.address), Cause: err}
 		}
 	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
-		return nil, fmt.Errorf("seed: %w", err)
+		return nil, &KeyError{Key: "seed", Cause: err}
 	}
 	if f.Limits.MemoryMB <= 0 {
-		return nil, fmt.Errorf("limits: memory_mb is %v", f.Limits.MemoryMB)
+		return nil, wrong("limits: memory_mb", "is %v", f.Limits.MemoryMB)
 	}
 	if f.Limits.Sockets < leastSockets {
-		return nil, fmt.Errorf("limits: sockets is %d, at least %d are needed", f.Limits.Sockets, leastSockets)
+		return nil, wrong("limits: sockets", "is %d, at least %d are needed", f.Limits.Sockets, leastSockets)
 	}
-	if set.IdleClose <= 0 || set.DialTimeout <= 0 {
-		return nil, errors.New("settings: idle-close or dial-timeout is missing")
+	if set.IdleClose <= 0 {
+		return nil, wrong("settings: permissions: idle-close", "missing")
+	}
+	if set.DialTimeout <= 0 {
+		return nil, wrong("settings: permissions: dial-timeout", "missing")
 	}
 	return &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Seed: int64(seed),
 		Memory: int64(f.Limits.MemoryMB * (1 << 20)), Sockets: f.Limits.Sockets, Known: f.Known, Settings: set}, nil
--- a/internal/settings/config_test.go
+++ b/internal/settings/config_test.go
@@ -33,7 +33,7 @@
 		{"half a place under a cap", `"most-at-once":10`, `"most-at-once":10,"parallel":2.5`, "settings: tariffs: p: parallel"},
 		{"a cap that is no number", `"most-at-once":10`, `"most-at-once":10,"parallel":"x"`, "parallel"},
 		{"a worth below 0", `"aim":1`, `"aim":1,"worth":-1`, "settings: classes: c: worth"},
-		{"no dial time-out", `"dial-timeout":0.25,`, "", "settings: idle-close or dial-timeout"},
+		{"no dial time-out", `"dial-timeout":0.25,`, "", "settings: permissions: dial-timeout: missing"},
 		{"no address to listen on", `"listen":"127.0.0.1:1",`, "", "listen"},
 		{"an address without a port", `"127.0.0.1:2"`, `"127.0.0.1"`, "discovery"},
 		{"no counter where there is one", `"counter":"127.0.0.1:3",`, "", "counter: missing"},
--- /dev/null
+++ b/internal/settings/errors.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+)
+
+// UnreadableError is for a configuration that cannot be read from its file.
+type UnreadableError struct {
+	Path  string
+	Cause error
+}
+
+func (e *UnreadableError) Error() string {
+	return "the configuration cannot be read: " + e.Cause.Error()
+}
+func (e *UnreadableError) Unwrap() error { return e.Cause }
+func (e *UnreadableError) Remedy() string {
+	if e.Path == "" {
+		return "set GW_CONFIG to the path of the configuration"
+	}
+	return "check the path in GW_CONFIG and that this user may read the file"
+}
+
+// MalformedError is for a text that is no JSON object at all.
+type MalformedError struct{ Cause error }
+
+func (e *MalformedError) Error() string { return "the configuration is malformed: " + e.Cause.Error() }
+func (e *MalformedError) Unwrap() error { return e.Cause }
+func (e *MalformedError) Remedy() string {
+	return "mend the JSON; `ospreycroft check` reads it again without starting"
+}
+
+// KeyError is for a key that is missing or whose value cannot work.
+type KeyError struct {
+	Key   string // its path, with ": " between the steps: "settings: tariffs: small: rate"; empty for the whole text
+	Why   string // empty where the cause says it
+	Cause error  // or nil
+}
+
+func (e *KeyError) Error() string {
+	parts := []string{e.Key, e.Why}
+	if e.Cause != nil {
+		parts = append(parts, e.Cause.Error())
+	}
+	return strings.Join(slices.DeleteFunc(parts, func(p string) bool { return p == "" }), ": ")
+}
+func (e *KeyError) Unwrap() error { return e.Cause }
+func (e *KeyError) Remedy() string {
+	return fmt.Sprintf("mend the key %q of the configuration; `ospreycroft check` reads it again without starting", e.Key)
+}
+
+// wrong is the error of a key whose value cannot work.
+func wrong(key, why string, values ...any) error {
+	return &KeyError{Key: key, Why: fmt.Sprintf(why, values...)}
+}
+
+// broken makes an error of what encoding/json says: of one key where only that has a value of a wrong kind.
+func broken(err error) error {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) && kind.Field != "" {
+		return &KeyError{Key: strings.ReplaceAll(kind.Field, ".", ": "), Cause: err}
+	}
+	return &MalformedError{Cause: err}
+}
+
+// below puts the key of an error of a part under the part's own.
+func below(part string, err error) error {
+	var key *KeyError
+	if errors.As(err, &key) && key.Key == "" {
+		return &KeyError{Key: part, Why: key.Why, Cause: key.Cause}
+	} else if key != nil {
+		return &KeyError{Key: part + ": " + key.Key, Why: key.Why, Cause: key.Cause}
+	}
+	return &KeyError{Key: part, Cause: err}
+}
+
+// ReadFile reads and checks the configuration at a path.
+func ReadFile(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &UnreadableError{Path: path, Cause: err}
+	}
+	return ReadConfig(text)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,8 +4,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"fmt"
 	"math"
 
 	"ospreycroft/choice"
@@ -87,10 +85,10 @@
 func Decode(text []byte) (*Settings, error) {
 	var f facts
 	if len(text) == 0 || string(text) == "null" {
-		return nil, errors.New("missing")
+		return nil, &KeyError{Why: "missing"}
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, err
+		return nil, broken(err)
 	}
 	s := &choice.Settings{
 		Tracks: map[string]*choice.Track{}, Plans: map[string]*choice.Plan{},
@@ -109,13 +107,13 @@
 		effect, known := effects[c.Effect]
 		group, grouped := groups[c.Group]
 		if !known || effect == choice.Fingerprinted && !grouped {
-			return nil, fmt.Errorf("classes: %s: effect %q, group %q: not known", c.Name, c.Effect, c.Group)
+			return nil, wrong("classes: "+c.Name, "effect %q, group %q: not known", c.Effect, c.Group)
 		}
 		if c.Aim <= 0 {
-			return nil, fmt.Errorf("classes: %s: aim is %v", c.Name, c.Aim)
+			return nil, wrong("classes: "+c.Name+": aim", "is %v", c.Aim)
 		}
 		if c.Worth < 0 {
-			return nil, fmt.Errorf("classes: %s: worth is %v", c.Name, c.Worth)
+			return nil, wrong("classes: "+c.Name+": worth", "is %v", c.Worth)
 		}
 		s.Tracks[c.Name] = &choice.Track{Agreed: nanos(c.Aim), Effect: effect, Group: group,
 			Repeats: nanos(c.Window), Benefit: c.Worth}
@@ -124,41 +122,41 @@
 		}
 	}
 	if len(s.Tracks) == 0 {
-		return nil, errors.New("classes: none")
+		return nil, wrong("classes", "none")
 	}
 	for _, t := range f.Tariffs {
 		for _, f := range []figure{{"rate", t.Rate}, {"hard-rate", t.HardRate}, {"never-over-depth", t.HardDepth},
 			{"parallel", t.Parallel}} {
 			if f.value < 0 {
-				return nil, fmt.Errorf("tariffs: %s: %s is %v", t.Name, f.name, f.value)
+				return nil, wrong("tariffs: "+t.Name+": "+f.name, "is %v", f.value)
 			}
 		}
 		if t.Parallel != math.Trunc(t.Parallel) {
-			return nil, fmt.Errorf("tariffs: %s: parallel is %v, no whole number", t.Name, t.Parallel)
+			return nil, wrong("tariffs: "+t.Name+": parallel", "is %v, no whole number", t.Parallel)
 		}
 		if t.MostAtOnce < 0 || t.Rate > 0 && t.MostAtOnce == 0 {
-			return nil, fmt.Errorf("tariffs: %s: most-at-once is %v", t.Name, t.MostAtOnce)
+			return nil, wrong("tariffs: "+t.Name+": most-at-once", "is %v", t.MostAtOnce)
 		}
 		s.Plans[t.Name] = &choice.Plan{Rate: t.Rate, Burst: t.MostAtOnce,
 			CeilingRate: t.HardRate, CeilingBurst: t.HardDepth, Open: t.Parallel,
 			BeyondEarns: t.ExtraWorth, BeyondCosts: t.BeyondCosts, Benefit: t.ValueFactor}
 	}
-	for _, f := range []figure{{"units-top", s.MostUnits}, {"granularity", f.Granularity},
-		{"attempts-cap", float64(s.MostShots)}, {"balancers", float64(s.Limiters)},
-		{"warm-within", f.Contract.WarmWithin}} {
+	for _, f := range []figure{{"family-info: units-top", s.MostUnits}, {"granularity", f.Granularity},
+		{"permissions: attempts-cap", float64(s.MostShots)}, {"balancers", float64(s.Limiters)},
+		{"contract: warm-within", f.Contract.WarmWithin}} {
 		if f.value <= 0 {
-			return nil, fmt.Errorf("%s is %v", f.name, f.value)
+			return nil, wrong(f.name, "is %v", f.value)
 		}
 	}
 	if f.Position != nil {
 		if s.Position = *f.Position; s.Position < 0 || s.Position >= s.Limiters {
-			return nil, fmt.Errorf("position is %d, of %d balancers", s.Position, s.Limiters)
+			return nil, wrong("position", "is %d, of %d balancers", s.Position, s.Limiters)
 		}
 	}
 	all := &Settings{Settings: s, IdleClose: nanos(f.Permissions.IdleClose)}
 	if f.Mode == "on_request" {
 		if all.AskEvery = nanos(f.Contract.AskEvery); all.AskEvery <= 0 {
-			return nil, fmt.Errorf("contract: ask-every is %v", f.Contract.AskEvery)
+			return nil, wrong("contract: ask-every", "is %v", f.Contract.AskEvery)
 		}
 	}
 	if f.Family.TruedUp {
--- /dev/null
+++ b/internal/sockets/errors.go
@@ -0,0 +1,72 @@
+package sockets
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
+
+// AddressInUseError is for an address for clients on which another process listens.
+type AddressInUseError struct {
+	Address string
+	Cause   error
+}
+
+func (e *AddressInUseError) Error() string {
+	return fmt.Sprintf("%s is in use by another process: %v", e.Address, e.Cause)
+}
+func (e *AddressInUseError) Unwrap() error { return e.Cause }
+func (e *AddressInUseError) Remedy() string {
+	return "end the process that listens there, perhaps this limiter's last one, or change the configuration's listen address"
+}
+
+// AddressError is for an address for clients that this machine cannot listen on.
+type AddressError struct {
+	Address string
+	Cause   error
+}
+
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("cannot listen on %s: %v", e.Address, e.Cause)
+}
+func (e *AddressError) Unwrap() error { return e.Cause }
+func (e *AddressError) Remedy() string {
+	return "set the configuration's listen to an address of this machine and a port that this user may listen on"
+}
+
+// DescriptorsError is for a process that may hold fewer descriptors than it needs.
+type DescriptorsError struct {
+	Have, Need uint64 // 0 where they are not known
+	Cause      error  // what the kernel said, or nil
+}
+
+func (e *DescriptorsError) Error() string {
+	if e.Cause != nil {
+		return "no descriptor is left: " + e.Cause.Error()
+	}
+	return fmt.Sprintf("the process may hold %d descriptors, the configuration's limits say %d", e.Have, e.Need)
+}
+func (e *DescriptorsError) Unwrap() error { return e.Cause }
+func (e *DescriptorsError) Remedy() string {
+	return "raise the process's limit on open files (ulimit -n), or lower limits.sockets of the configuration to it"
+}
+
+// Descriptors tells, by a DescriptorsError, if the process may hold fewer descriptors than the configuration says.
+func Descriptors(need int) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur >= uint64(need) {
+		return nil // a limit that cannot be asked for shows when it is met
+	}
+	return &DescriptorsError{Have: limit.Cur, Need: uint64(need)}
+}
+
+// refused makes an error that an operator can act on of a failure to listen.
+func refused(address string, err error) error {
+	switch {
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		return &DescriptorsError{Cause: err}
+	case errors.Is(err, syscall.EADDRINUSE):
+		return &AddressInUseError{Address: address, Cause: err}
+	}
+	return &AddressError{Address: address, Cause: err}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -108,7 +108,7 @@
 		}
 	})
 	if err := s.engine.Start(); err != nil {
-		return nil, err
+		return nil, refused(address, err)
 	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/tally/errors.go
@@ -0,0 +1,48 @@
+package tally
+
+import "fmt"
+
+// SpoiltError is for a line that the counter does not write.
+type SpoiltError struct {
+	Line string // the first bytes of it
+}
+
+func (e *SpoiltError) Error() string {
+	return fmt.Sprintf("the counter wrote %q, which is no answer", e.Line)
+}
+func (e *SpoiltError) Remedy() string {
+	return "many of them: check that the counter, and nothing else, listens at the configuration's counter address"
+}
+
+// shown is how many bytes of a spoilt line an error holds.
+const shown = 32
+
+func spoilt(b []byte) error { return &SpoiltError{Line: string(b[:min(len(b), shown)])} }
+
+// CrossedError is for an answer of the wrong kind: a ping was out and a call's answer came, or the other way round.
+type CrossedError struct {
+	Ping bool // a ping was out
+}
+
+func (e *CrossedError) Error() string {
+	if e.Ping {
+		return "the counter answered a ping with a call's answer"
+	}
+	return "the counter answered a call with a ping's answer"
+}
+func (e *CrossedError) Remedy() string {
+	return "check what listens at the configuration's counter address; it must answer in the order of the calls"
+}
+
+// RefusedError is for a call that the counter does not take; nothing was added.
+type RefusedError struct {
+	Name   uint64
+	Amount float64
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("the counter knows no such call: name %d, amount %v", e.Name, e.Amount)
+}
+func (e *RefusedError) Remedy() string {
+	return "report it, with this line; if each call is refused, check that the counter has this protocol"
+}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -3,16 +3,12 @@
 
 import (
 	"bytes"
-	"errors"
 	"math"
 	"strconv"
 )
 
 const mostLine = 256
 
-// ErrMalformed is for a line that the counter does not write.
-var ErrMalformed = errors.New("malformed")
-
 // Kind is what the counter said.
 type Kind uint8
 
@@ -53,19 +49,19 @@
 	if i < 0 {
 		// A line that no answer begins with may never end.
 		if len(b) >= mostLine || !begins(b) {
-			err = ErrMalformed
+			err = spoilt(b)
 		}
 		return 0, 0, 0, err
 	}
 	if i == 0 || b[i-1] != '\r' {
-		return 0, 0, 0, ErrMalformed
+		return 0, 0, 0, spoilt(b)
 	}
 	word, rest, _ := bytes.Cut(b[:i-1], []byte(" "))
 	switch string(word) {
 	case "ok":
 		total, err = strconv.ParseFloat(string(rest), 64)
 		if err != nil || math.IsNaN(total) || math.IsInf(total, 0) {
-			return 0, 0, 0, ErrMalformed
+			return 0, 0, 0, spoilt(b)
 		}
 		return Added, total, i + 1, nil
 	case "busy":
@@ -75,5 +71,5 @@
 	case "pong":
 		return Pong, 0, i + 1, nil
 	}
-	return 0, 0, 0, ErrMalformed
+	return 0, 0, 0, spoilt(b)
 }
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -31,25 +31,26 @@
 		kind  Kind
 		total float64
 		used  int
-		err   error
+		bad   bool
 	}{
-		{"ok 38.5\r\nok 1\r\n", Added, 38.5, 9, nil},
-		{"busy\r\n", Busy, 0, 6, nil},
-		{"error\r\n", Refused, 0, 7, nil},
-		{"pong\r\n", Pong, 0, 6, nil},
-		{"ok 3", 0, 0, 0, nil},
-		{"ok\r\n", 0, 0, 0, ErrMalformed},
-		{"ok NaN\r\n", 0, 0, 0, ErrMalformed},
-		{"ok 1\n", 0, 0, 0, ErrMalformed},
-		{"what\r\n", 0, 0, 0, ErrMalformed},
-		{"ok 0x1f\r\n", 0, 0, 0, ErrMalformed},
-		{"pon", 0, 0, 0, nil},
-		{"ooo", 0, 0, 0, ErrMalformed}, // it may never end
-		{strings.Repeat("x", mostLine), 0, 0, 0, ErrMalformed},
+		{"ok 38.5\r\nok 1\r\n", Added, 38.5, 9, false},
+		{"busy\r\n", Busy, 0, 6, false},
+		{"error\r\n", Refused, 0, 7, false},
+		{"pong\r\n", Pong, 0, 6, false},
+		{"ok 3", 0, 0, 0, false},
+		{"ok\r\n", 0, 0, 0, true},
+		{"ok NaN\r\n", 0, 0, 0, true},
+		{"ok 1\n", 0, 0, 0, true},
+		{"what\r\n", 0, 0, 0, true},
+		{"ok 0x1f\r\n", 0, 0, 0, true},
+		{"pon", 0, 0, 0, false},
+		{"ooo", 0, 0, 0, true}, // it may never end
+		{strings.Repeat("x", mostLine), 0, 0, 0, true},
 	} {
 		t.Run(c.in[:min(8, len(c.in))], func(t *testing.T) {
 			kind, total, used, err := Read([]byte(c.in))
-			if kind != c.kind || total != c.total || used != c.used || !errors.Is(err, c.err) {
+			var spoilt *SpoiltError
+			if kind != c.kind || total != c.total || used != c.used || errors.As(err, &spoilt) != c.bad || !c.bad && err != nil {
 				t.Fatalf("kind %d, total %v, used %d, error %v", kind, total, used, err)
 			}
 		})
