Log lines on lists and the counter carry the error and the remedy

event=list-refused, list-turned-away, counter-line and counter-refused end in error= remedy=; an answer of discovery that is no HTTP is logged as list-refused too, where it ended the connection without a word before. Texts are cut at 400 bytes, as errors quote what others sent.

--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/remedy"
 	"ospreycroft/internal/tally"
 )
 
@@ -179,7 +180,7 @@
 	}
 	c := ln.calls[0]
 	if c.ping != (kind == tally.Pong) {
-		log.Printf("event=counter-line error=%q", "an answer to another call")
+		log.Printf("event=counter-line %s", remedy.Tail(&tally.CrossedError{Ping: c.ping}))
 		return 0, errUnasked
 	}
 	ln.calls = ln.calls[1:]
@@ -190,7 +191,8 @@
 	case tally.Busy:
 		ln.counter.tell(c, choice.Full, 0)
 	case tally.Refused:
-		log.Printf("event=counter-refused name=%d amount=%v", c.name, c.amount)
+		log.Printf("event=counter-refused name=%d amount=%v %s", c.name, c.amount,
+			remedy.Tail(&tally.RefusedError{Name: c.name, Amount: c.amount}))
 		ln.counter.tell(c, Refused.counted(false), 0)
 	}
 	ln.leave()
--- /dev/null
+++ b/internal/limiter/remedies_test.go
@@ -0,0 +1,44 @@
+package limiter
+
+import (
+	"bytes"
+	"log"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/discovery"
+	"ospreycroft/internal/remedy"
+	"ospreycroft/internal/tally"
+)
+
+// What discovery and the counter do wrong is logged with what to do about it.
+func TestRemedies(t *testing.T) {
+	defer log.SetOutput(os.Stderr)
+	for _, c := range []struct {
+		name, event, says string
+		from              ID
+		err               remedy.Error
+	}{
+		{"a list too many", "event=list-turned-away status=503 ", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", watching,
+			&discovery.TurnedAwayError{Status: 503}},
+		{"no list", "event=list-refused ", "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", watching,
+			&discovery.StatusError{Status: 404}},
+		{"a list without a version", "event=list-refused ", httpAnswer("{}"), watching,
+			&discovery.ListRefusedError{Key: "generation", Why: "missing"}},
+		{"no HTTP", "event=list-refused ", "ok 5\r\n", watching, &discovery.MalformedError{Why: "it is no HTTP/1"}},
+		{"a call refused", "event=counter-refused name=5 amount=1 ", "error\r\n", counting, &tally.RefusedError{Name: 5, Amount: 1}},
+		{"a ping's answer to a call", "event=counter-line ", "pong\r\n", counting, &tally.CrossedError{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, w := made(t)
+			l.Count(5, 1, second)
+			var out bytes.Buffer
+			log.SetOutput(&out)
+			w.say(l, second/100, c.from, c.says)
+			require.Contains(t, out.String(), c.event+remedy.Tail(c.err)+"\n")
+			require.Contains(t, out.String(), c.err.Remedy())
+		})
+	}
+}
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -10,6 +10,7 @@
 	"ospreycroft/choice"
 	"ospreycroft/internal/discovery"
 	"ospreycroft/internal/inquiry"
+	"ospreycroft/internal/remedy"
 )
 
 var errTurned = errors.New("discovery has turned the call away")
@@ -65,21 +66,24 @@
 
 func (w *watch) read(b []byte) (int, error) {
 	a, n, err := discovery.Read(b)
+	if err != nil {
+		log.Printf("event=list-refused %s", remedy.Tail(err))
+	}
 	if err != nil || n == 0 || a.Status < 200 { // the answer itself comes behind a status of 1xx
 		return n, err
 	}
 	if w.told, w.last = true, inquiry.Answered; a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		log.Printf("event=list-turned-away status=%d", a.Status)
+		log.Printf("event=list-turned-away status=%d %s", a.Status, remedy.Tail(a.Refused()))
 		w.told, w.last = false, inquiry.Turned // what is held stays, and what is newer than that is asked for again
 		return 0, errTurned
 	}
 	var list *discovery.List
-	if err = fmt.Errorf("status %d", a.Status); a.Status == 200 {
+	if err = a.Refused(); err == nil {
 		list, err = discovery.Decode(a.Body)
 	}
 	if err != nil {
 		// The last good list stays. Asked at once again, it would be as bad.
-		log.Printf("event=list-refused error=%q", err)
+		log.Printf("event=list-refused %s", remedy.Tail(err))
 		w.fetched, w.told, w.last = false, false, inquiry.Broke
 		return 0, err
 	}
--- a/internal/remedy/remedy.go
+++ b/internal/remedy/remedy.go
@@ -26,5 +26,17 @@
 	return Unknown
 }
 
+// longest is how many bytes of each text a log line holds: errors quote what others have sent, a list of 4 MiB perhaps.
+const longest = 400
+
 // Tail is the end of a log line: error="..." remedy="...".
-func Tail(err error) string { return fmt.Sprintf("error=%q remedy=%q", err, Of(err)) }
+func Tail(err error) string {
+	return fmt.Sprintf("error=%q remedy=%q", short(err.Error()), short(Of(err)))
+}
+
+func short(text string) string {
+	if len(text) > longest {
+		return text[:longest] + "..."
+	}
+	return text
+}
--- a/internal/remedy/remedy_test.go
+++ b/internal/remedy/remedy_test.go
@@ -143,6 +143,8 @@
 			fmt.Sprintf("error=%q remedy=%q", "known: "+inner.Error(), (&settings.KeyError{Key: "known"}).Remedy())},
 		{"under another error", fmt.Errorf("a \"b\": %w", inner),
 			fmt.Sprintf("error=%q remedy=%q", "a \"b\": "+inner.Error(), inner.Remedy())},
+		{"a long one", errors.New(strings.Repeat("x", 401)),
+			`error="` + strings.Repeat("x", 400) + `..." remedy="report it, with this line"`},
 		{"none", errors.New("x"), `error="x" remedy="report it, with this line"`},
 	} {
 		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, remedy.Tail(c.err)) })
