Tests of ending a connection by halves and of refusing clients on real sockets

Need: the reducer's tests have their own wire; that the kernel keeps answers through a half-closed connection, counts what is not acknowledged, and breaks off who waits when a listener is closed was taken for granted.

Change: TestPart and TestRefuse; a gap within the grace of a drain (250 ms) is no standing still, however short the dials.

Seen: both fail with SHUT_RDWR in place of SHUT_WR, with Heard always true, and with Refuse not looking at who waits.

--- a/internal/limiter/wake.go
+++ b/internal/limiter/wake.go
@@ -6,9 +6,10 @@
 // that clients' jobs have waited unread, and that the list may have changed. What it was told meanwhile counts.
 
 const (
-	standsStill = 2   // so many dial time-outs without a happening are none that the timers allow
-	settles     = 8   // for this part of one what has come meanwhile is read, and no timer runs
-	countsFrom  = 2e9 // where discovery is asked, what it had to tell in less than this is in the kernel, or not told
+	standsStill = 2     // so many dial time-outs without a happening are none that the timers allow
+	stillLeast  = 250e6 // nor are so many nanoseconds: news may be acted on as late
+	settles     = 8     // for this part of one what has come meanwhile is read, and no timer runs
+	countsFrom  = 2e9   // where discovery is asked, what it had to tell in less than this is in the kernel, or not told
 )
 
 // wake is what the limiter knows of the latest time for which it stood still.
@@ -26,7 +27,7 @@
 func (l *Limiter) looked(now int64) {
 	gap, first := now-l.now, !l.wake.begun
 	l.now, l.wake.begun = now, true
-	if first || gap <= standsStill*l.set.DialTimeout { // what a start takes is no standing still
+	if first || gap <= max(standsStill*l.set.DialTimeout, stillLeast) { // what a start takes is no standing still
 		return
 	}
 	w := &l.wake
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -237,3 +237,79 @@
 		t.Fatal("it has not stopped")
 	}
 }
+
+// Those that wait in the kernel are let in before listening ends: closed with it, they would be broken off.
+func TestRefuse(t *testing.T) {
+	s, address := listening(t, 1)
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, _ := next(t, s)
+	second, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := second.Write([]byte("early")); err != nil {
+		t.Fatal(err)
+	}
+	for begun := time.Now(); !s.gate.full.Load(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("nobody waits")
+		}
+	}
+	if s.Refuse() {
+		t.Fatal("it refuses one that waits")
+	}
+	_ = first.Close()
+	expect(t, s, limiter.Ended, h.Conn)
+	h, _ = next(t, s)
+	if _, text := next(t, s); h.Kind != limiter.Accepted || text != "early" {
+		t.Fatalf("happening %+v, then %q", h, text)
+	}
+	s.Close(h.Conn)
+	expect(t, s, limiter.Ended, h.Conn)
+	for begun := time.Now(); !s.Refuse(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("nobody waits, and it still listens")
+		}
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		_ = c.Close()
+		t.Fatal("it takes one more")
+	}
+}
+
+// A connection of which only the sending has ended brings no reset, and tells when the other machine has all.
+func TestPart(t *testing.T) {
+	s, address := listening(t, 1)
+	far, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, _ := next(t, s)
+	_ = far.(*net.TCPConn).SetReadBuffer(1 << 12)
+	// More than its machine takes before it reads, and less than ours does.
+	s.Write(h.Conn, []byte(strings.Repeat("x", 1<<16)))
+	if s.Written(h.Conn) < 1<<16 {
+		t.Fatalf("written %d", s.Written(h.Conn))
+	}
+	s.Part(h.Conn)
+	if s.Heard(h.Conn) {
+		t.Fatal("it cannot have all")
+	}
+	if _, err := io.WriteString(far, "crosses"); err != nil {
+		t.Fatal(err)
+	}
+	if _, text := next(t, s); text != "crosses" {
+		t.Fatalf("%q came", text)
+	}
+	if got, err := io.ReadAll(far); err != nil || len(got) < 1<<16 {
+		t.Fatalf("%d bytes, error %v", len(got), err)
+	}
+	for begun := time.Now(); !s.Heard(h.Conn); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("it has all")
+		}
+	}
+}
