internal/lab/link: a TCP forwarder for each pair of parties, with seven kinds of faults

Need: kills alone do not show how processes behave when the network between two of them fails.

Change: a link has a kept loopback port, is cut both ways or one, stalled, slowed, reset in the middle of a message or half open, for a seeded share of its connections.

--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,292 @@
+package link
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	soon   = 80 * time.Millisecond // what does not come within it is taken not to come
+	enough = 5 * time.Second
+)
+
+// ends is a link with the near end of one connection over it and the far end.
+type ends struct {
+	t         *testing.T
+	link      *Link
+	far       chan net.Conn
+	near, out net.Conn
+}
+
+// joined makes a link with a script whose faults hold from 1 to 2, and one connection that is up.
+func joined(t *testing.T, script ...Fault) *ends {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range script {
+		script[i].From, script[i].Until = 1, 2
+		if err := script[i].Check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e := &ends{t: t, far: make(chan net.Conn, 64)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.far <- c
+		}
+	}()
+	if e.link, err = New("a", "b", l.Addr().String(), script, 7); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.link.Close(); _ = l.Close() })
+	e.near, e.out = e.connect()
+	e.sends(e.near, e.out)
+	e.sends(e.out, e.near)
+	return e
+}
+
+func (e *ends) connect() (near, far net.Conn) {
+	e.t.Helper()
+	near, err := net.DialTimeout("tcp", e.link.Address(), enough)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	select {
+	case far = <-e.far:
+	case <-time.After(enough):
+		e.t.Fatal("no connection at the far side")
+	}
+	return near, far
+}
+
+func (e *ends) step(now int64) {
+	e.t.Helper()
+	if err := e.link.Step(now); err != nil {
+		e.t.Fatal(err)
+	}
+}
+
+// sends sends a word one way, which must come.
+func (e *ends) sends(from, to net.Conn) {
+	e.t.Helper()
+	_, _ = from.Write([]byte("word"))
+	e.comes(to)
+}
+
+func (e *ends) comes(to net.Conn) {
+	e.t.Helper()
+	buf := make([]byte, 4)
+	_ = to.SetReadDeadline(time.Now().Add(enough))
+	if _, err := io.ReadFull(to, buf); err != nil || string(buf) != "word" {
+		e.t.Fatalf("got %q, %v", buf, err)
+	}
+}
+
+// silent: nothing comes, not even an end.
+func (e *ends) silent(c net.Conn) {
+	e.t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(soon))
+	if n, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		e.t.Fatalf("%d bytes, error %v", n, err)
+	}
+}
+
+// ended reads until the end and tells how many bytes came before, and whether it was a reset.
+func (e *ends) ended(c net.Conn) (int, bool) {
+	e.t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(enough))
+	got, err := io.ReadAll(c)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		e.t.Fatal("it did not end")
+	}
+	return len(got), errors.Is(err, syscall.ECONNRESET)
+}
+
+func (e *ends) neverUp() {
+	e.t.Helper()
+	if c, err := net.DialTimeout("tcp", e.link.Address(), soon); err == nil {
+		_ = c.Close()
+		e.t.Fatal("a new connection came up")
+	} else if errors.Is(err, syscall.ECONNREFUSED) {
+		e.t.Fatal("a new connection was refused")
+	}
+}
+
+func TestCutIsSilentAndResetsWhenItHeals(t *testing.T) {
+	e := joined(t, Fault{Kind: Cut})
+	e.step(1)
+	_, _ = e.near.Write([]byte("word"))
+	_, _ = e.out.Write([]byte("word"))
+	e.silent(e.near)
+	e.silent(e.out)
+	e.neverUp()
+	e.step(2)
+	if n, reset := e.ended(e.near); n != 0 || !reset {
+		t.Errorf("near: %d bytes, reset %v", n, reset)
+	}
+	if n, reset := e.ended(e.out); n != 0 || !reset {
+		t.Errorf("far: %d bytes, reset %v", n, reset)
+	}
+	near, far := e.connect()
+	e.sends(near, far)
+}
+
+func TestCutOneWay(t *testing.T) {
+	for _, kind := range []string{CutTo, CutFrom} {
+		e := joined(t, Fault{Kind: kind})
+		from, to := e.near, e.out
+		if kind == CutFrom {
+			from, to = to, from
+		}
+		e.step(1)
+		_, _ = from.Write([]byte("word"))
+		e.silent(to)
+		e.sends(to, from)
+		e.neverUp()
+		e.step(2)
+		e.comes(to)
+	}
+}
+
+func TestStallHoldsBytesAndEnds(t *testing.T) {
+	e := joined(t, Fault{Kind: Stall})
+	e.step(1)
+	_, _ = e.near.Write([]byte("word"))
+	_ = e.near.Close()
+	e.silent(e.out)
+	e.step(2)
+	if n, reset := e.ended(e.out); n != 4 || reset {
+		t.Fatalf("%d bytes, reset %v", n, reset)
+	}
+}
+
+func TestSlowDelaysEachWay(t *testing.T) {
+	e := joined(t, Fault{Kind: Slow, Delay: int64(40 * time.Millisecond)})
+	e.step(1)
+	began := time.Now()
+	e.sends(e.near, e.out)
+	e.sends(e.out, e.near)
+	if took := time.Since(began); took < 80*time.Millisecond {
+		t.Fatalf("there and back took %v", took)
+	}
+}
+
+// Of eight connections each is reset within its first message, some on the way there and some on the way back.
+func TestResetInTheMiddleOfAMessage(t *testing.T) {
+	e := joined(t, Fault{Kind: Reset})
+	there, back := 0, 0
+	for range 8 {
+		e.step(0)
+		near, far := e.connect()
+		e.step(1)
+		_, _ = near.Write([]byte("ask"))
+		buf := make([]byte, 3)
+		_ = far.SetReadDeadline(time.Now().Add(enough))
+		if n, err := io.ReadFull(far, buf); err != nil { // a reset may overtake what came before it
+			if there++; n >= 3 {
+				t.Errorf("a whole message came before the reset: %v", err)
+			}
+		} else {
+			back++
+			_, _ = far.Write([]byte("answer"))
+		}
+		if n, reset := e.ended(near); n >= 6 || !reset {
+			t.Errorf("near: %d bytes, reset %v", n, reset)
+		}
+	}
+	if there == 0 || back == 0 {
+		t.Errorf("%d resets there, %d back", there, back)
+	}
+}
+
+func TestHalfOpenNeverTellsTheOtherSide(t *testing.T) {
+	for _, nearEnds := range []bool{true, false} {
+		e := joined(t, Fault{Kind: HalfOpen})
+		first, other := e.near, e.out
+		if !nearEnds {
+			first, other = other, first
+		}
+		e.step(1)
+		_ = first.Close()
+		e.silent(other)
+		_, _ = other.Write([]byte("word")) // nobody is there, and it is not told of that either
+		e.silent(other)
+		e.step(2)
+		if _, reset := e.ended(other); !reset {
+			t.Error("it was not reset when the machine was back")
+		}
+	}
+}
+
+// A share of connections is hit, the same ones for one seed.
+func TestShareOfConnections(t *testing.T) {
+	var seen [2][]bool
+	for run := range seen {
+		e := joined(t, Fault{Kind: Stall, Share: 0.5})
+		for range 12 {
+			near, far := e.connect()
+			e.step(1)
+			_, _ = near.Write([]byte("word"))
+			_ = far.SetReadDeadline(time.Now().Add(soon))
+			_, err := far.Read(make([]byte, 4))
+			seen[run] = append(seen[run], err != nil)
+			e.step(0)
+		}
+	}
+	hit := 0
+	for i := range seen[0] {
+		if seen[0][i] != seen[1][i] {
+			t.Fatalf("one seed, two outcomes: %v %v", seen[0], seen[1])
+		}
+		if seen[0][i] {
+			hit++
+		}
+	}
+	if hit < 2 || hit > 10 {
+		t.Fatalf("%d of 12 hit", hit)
+	}
+}
+
+func TestRefusedWhileNobodyListens(t *testing.T) {
+	n := NewNet(1)
+	defer n.Close()
+	if err := n.Join("a", "b", "127.0.0.1:9", []Fault{{Kind: Cut, From: 1, Until: 2}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.Address("b", "a", "direct"); got != "direct" {
+		t.Errorf("no link, but %s", got)
+	}
+	for _, refuses := range []bool{true, false, true} {
+		if err := n.Refuse("b", refuses); err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.DialTimeout("tcp", n.Address("a", "b", ""), enough)
+		if errors.Is(err, syscall.ECONNREFUSED) != refuses {
+			t.Fatalf("refuses %v, but %v", refuses, err)
+		}
+		if err == nil {
+			_ = c.Close()
+		}
+	}
+}
+
+func TestBadFaultsNameTheirKey(t *testing.T) {
+	for key, f := range map[string]Fault{"kind": {Kind: "melt"}, "from": {Kind: Cut, From: -1}, "until": {Kind: Cut, From: 2, Until: 2},
+		"share": {Kind: Cut, Share: 2}, "delay": {Kind: Slow}} {
+		var bad *BadFault
+		if err := f.Check(); !errors.As(err, &bad) || bad.Key != key || bad.Remedy() == "" {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
