Experiments cut links between any two parties; who is stopped is excused for answers only

Need: faults between processes must be written in an experiment and judged with no word of a limiter.

Change: targets such as link:limiter:0..4-pool:hall1 with the link's kinds; forwarders stand only where a fault names them, and discovery gives each limiter its own addresses. What the clients' link loses is no breach; what a stopped limiter could not answer is none either, but what it sends on later is. The counter's adds are recorded by limiter.

--- a/internal/lab/emulator/counter.go
+++ b/internal/lab/emulator/counter.go
@@ -163,6 +163,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.calls++
+	k.book.AddCount(limiter, now)
 	part := k.parts[limiter%len(k.parts)]
 	held, ok := part[words[1]]
 	if !ok || now >= held.until {
--- a/internal/lab/experiment/steps.go
+++ b/internal/lab/experiment/steps.go
@@ -65,6 +65,7 @@
 		why string
 	}{
 		{"factor", f.Factor != 0, "limiters take none"},
+		{"connections", f.Connections != 0, "only links take it"},
 		{"every", f.Every < 0 || f.Every > 0 && f.Share == 0, "steps need a share, and a time that is not below 0"},
 		{"delay", f.Delay < 0 || f.Delay > 0 && (f.Kind == "stop" || f.Until == 0), "nothing is started again"},
 		{"old_list", f.OldList && (f.Kind == "stop" || f.Until == 0), "nothing is started again"},
@@ -77,7 +78,7 @@
 		ProcessFaults)
 }
 
-// Drawn are the limiters of the i-th fault in the order in which the seed has them hit, Share of them a step.
+// drawn are the limiters of the i-th fault in the order in which the seed has them hit, Share of them a step.
 func (e *Experiment) drawn(i int) (order []int, size int) {
 	f := e.Faults[i]
 	order = slices.Clone(f.Limiters)
--- a/internal/lab/experiment/steps_test.go
+++ b/internal/lab/experiment/steps_test.go
@@ -53,6 +53,14 @@
 		{"kind='drain'\ntarget='pool:hall1'\nfrom=1.0\nevery=2.0", "every"},
 		{"kind='drain'\ntarget='pool:hall9'\nfrom=1.0", "target"},
 		{"kind='slow'\ntarget='counter'\nfrom=1.0", "factor"},
+		{"kind='cut'\ntarget='link:limiter:0-hall1'\nfrom=1.0", "target"},
+		{"kind='cut'\ntarget='link:limiter:0-pool:hall9'\nfrom=1.0", "target"},
+		{"kind='cut'\ntarget='link:limiter:9-counter'\nfrom=1.0", "target"},
+		{"kind='cut'\ntarget='link:client-counter'\nfrom=1.0", "target"},
+		{"kind='drop'\ntarget='link:limiter:0-counter'\nfrom=1.0", "kind"},
+		{"kind='slow'\ntarget='link:limiter:0-counter'\nfrom=1.0", "factor"},
+		{"kind='cut'\ntarget='link:limiter:0-counter'\nfrom=1.0\nconnections=2.0", "connections"},
+		{"kind='kill'\ntarget='limiter:0'\nfrom=1.0\nconnections=0.5", "connections"},
 	} {
 		_, err := with(t, "3", c.fault)
 		if bad := (*BadEntry)(nil); !errors.As(err, &bad) || bad.Key != "faults[6]."+c.key {
@@ -60,3 +68,44 @@
 		}
 	}
 }
+
+func TestLinkFaultsAreForThePairsTheyName(t *testing.T) {
+	e, err := with(t, "30", `kind="cut_from"
+target="link:limiter:0..14-counter"
+from=1.0
+share=0.34
+[[faults]]
+kind="slow"
+target="link:limiter:3-pool:hall2"
+from=2.0
+until=4.0
+factor=20.0
+[[faults]]
+kind="cut"
+target="link:client-limiter:2"
+from=1.0`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hit := 0
+	for n := range 30 {
+		if s := e.Script(n, Counting, "", ""); len(s) > 0 {
+			if hit++; n > 14 || s[0].Kind != "cut_from" || s[0].From != 1e9 {
+				t.Errorf("limiter %d: %+v", n, s)
+			}
+		}
+	}
+	if hit != 5 {
+		t.Errorf("%d of 15 limiters, not a third", hit)
+	}
+	slow := e.Script(3, Servers, "hall2", "hall2-r1")
+	if len(slow) != 1 || slow[0].Delay != 20e6 || slow[0].Until != 4e9 {
+		t.Errorf("%+v", slow)
+	}
+	for _, got := range [][]int{{len(e.Script(3, Servers, "hall1", "hall1-0")), 0}, {len(e.Script(2, Clients, "", "")), 1},
+		{len(e.Script(3, Clients, "", "")), 0}, {len(e.Script(2, Discovery, "", "")), 0}} {
+		if got[0] != got[1] {
+			t.Errorf("%d faults, want %d", got[0], got[1])
+		}
+	}
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -37,7 +37,8 @@
 	// Open tells whether it is given new connections. Where it is not, clients go on using those that they have for as
 	// long as these stay open.
 	Open(limiter int) bool
-	// Dead tells whether its process was killed or crashed, so that a broken connection is no sign of a crossing.
+	// Dead tells whether its process was killed or crashed or its link has a fault, so that a broken connection is no sign
+	// of a crossing.
 	Dead(limiter int) bool
 }
 
--- a/internal/lab/rules/told_test.go
+++ b/internal/lab/rules/told_test.go
@@ -75,3 +75,26 @@
 		t.Fatalf("%s %+v", v.Line(), v.Breaches)
 	}
 }
+
+// While the clients' link to limiter 0 has a fault its jobs' answers say nothing; limiter 1's do.
+func TestWhatTheClientsLinkLosesIsNotTheLimitersDoing(t *testing.T) {
+	lost, other, after := job("a", "lookup", 1, sec), job("b", "lookup", 1, sec), job("c", "lookup", 1, 9*sec)
+	lost.Outcome, other.Outcome, after.Outcome = record.Unanswered, record.Unanswered, record.Unanswered
+	other.Limiter = 1
+	v := judgeRun(t, &record.Run{Jobs: []record.Job{lost, other, after}, Cuts: []record.Cut{{From: sec / 2, Until: 2 * sec}},
+		Shots: []record.Shot{shot("a", "s1", "a", "lookup", 4*sec, true)}})
+	if v.Counts[1] != 2 || v.CutOff != 1 {
+		t.Fatalf("%s %+v", v.Line(), v.Breaches)
+	}
+}
+
+// A stopped limiter cannot answer; a shot that it begins after a client's cut-off once it goes on still breaks rule 1.
+func TestAStoppedLimiterIsExcusedForAnswersOnly(t *testing.T) {
+	lost, late := job("a", "lookup", 1, sec), job("b", "lookup", 1, 20*sec)
+	lost.Outcome, late.Outcome = record.Unanswered, record.Unanswered
+	v := judgeRun(t, &record.Run{Jobs: []record.Job{lost, late}, Events: []record.Event{{At: sec / 2, Kind: "stop", Target: "limiter:0"},
+		{At: 5 * sec, Kind: "continue", Target: "limiter:0"}}, Shots: []record.Shot{shot("a", "s1", "a", "lookup", 5*sec, true)}})
+	if v.Counts[1] != 2 || v.Stopped != 1 {
+		t.Fatalf("%s %+v", v.Line(), v.Breaches)
+	}
+}
