--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -69,8 +69,9 @@
 	length := experiment.Nanos(d.e.Length)
 	at := d.clock.Now()
 	shown := at
+	times := rand.New(rand.NewPCG(d.e.Seed, 0xa441)) // apart, so that retries do not change when jobs arrive
 	for {
-		at += int64(d.rng.ExpFloat64() / d.rate(at) * 1e9)
+		at += int64(times.ExpFloat64() / d.rate(at) * 1e9)
 		if at >= length {
 			break
 		}
--- a/internal/lab/rules/told_test.go
+++ b/internal/lab/rules/told_test.go
@@ -36,6 +36,7 @@
 		{"a new process with the present list", record.Run{Lives: []record.Life{{}, {Started: 15 * sec, Known: 5}}}, 150},
 		{"a new process with an old list", record.Run{Lives: []record.Life{{}, {Started: 15 * sec, Known: 4}},
 			Calls: []record.Call{wrote(95, 101, 5)}}, 210},
+		{"its successor is not asked", record.Run{Lives: []record.Life{{}, {Started: 25 * sec, Known: 5}}}, 160},
 		{"its predecessor was told", record.Run{Lives: []record.Life{{}, {Started: 15 * sec, Known: 4}},
 			Calls: []record.Call{wrote(95, 101, 5), wrote(152, 153, 5)}}, 153},
 	} {
--- a/internal/lab/sloppy/sloppy.go
+++ b/internal/lab/sloppy/sloppy.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -21,10 +23,11 @@
 const (
 	Again = "again" // no answer within a short wait: the job goes to the next server, binding or not (rule 2)
 	Drop  = "drop"  // it ends at SIGTERM at once, with all that it holds (rule 1)
-	Deaf  = "deaf"  // it never hears of a change of the list (rule 3)
+	Deaf  = "deaf"  // it has the list's changes told to it and takes none in (rule 3)
 	Cold  = "cold"  // it prefers servers that have just been started (rule 4)
 	Over  = "over"  // it takes whatever comes (rule 5)
 	Crash = "crash" // it ends by itself after two seconds
+	Stay  = "stay"  // it does not end at SIGTERM while clients hold on to it
 )
 
 // Name is how a program must be named to be this one in a mode, such as "sloppy-drop".
@@ -46,8 +49,9 @@
 		return err
 	}
 	var config struct {
-		Listen string        `json:"listen"`
-		Known  emulator.List `json:"known"`
+		Listen    string        `json:"listen"`
+		Discovery string        `json:"discovery"`
+		Known     emulator.List `json:"known"`
 	}
 	if err := json.Unmarshal(text, &config); err != nil {
 		return err
@@ -72,6 +76,9 @@
 	if mode != Drop {
 		go leave(l)
 	}
+	if mode == Deaf {
+		go hear(config.Discovery, config.Known.Generation)
+	}
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -95,6 +102,17 @@
 	os.Exit(0)
 }
 
+// hear watches the list and forgets what it is told.
+func hear(discovery string, generation int64) {
+	for {
+		answer, err := http.Get(fmt.Sprintf("http://%s/discovery/hosts?from=%d&hold_ms=1000", discovery, generation))
+		if err == nil {
+			_ = answer.Body.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // turns deals jobs round the servers.
 var turns atomic.Int64
 
