--- a/internal/lab/runner/processes_test.go
+++ b/internal/lab/runner/processes_test.go
@@ -101,13 +101,13 @@
 			woken = e.At
 		}
 	}
-	limiter := map[string]int{}
+	jobs := map[string]record.Job{}
 	for _, j := range r.Run.Jobs {
-		limiter[j.ID] = j.Limiter
+		jobs[j.ID] = j
 	}
 	known := 0
 	for _, b := range r.Verdict.Breaches {
-		if b.Rule == 1 && limiter[b.What] == 5 && strings.HasPrefix(b.Detail, "a shot began after") && b.At > woken &&
+		if b.Rule == 1 && jobs[b.What].Limiter == 5 && strings.HasPrefix(b.Detail, "a shot began after") && b.At > woken &&
 			b.At < woken+3e8 {
 			known++
 			continue
@@ -115,14 +115,23 @@
 		t.Errorf("rule %d at %.3f s: %s: %s", b.Rule, float64(b.At)/1e9, b.What, b.Detail)
 	}
 	t.Logf("%d shots of the woken limiter for clients whose time was over", known)
-	old := 0
+	old, slow, cut := 0, 0, 0
 	for _, s := range r.Run.Shots {
-		if s.Server == "hall1-0" && s.At > 43e8 && limiter[s.ID] <= 2 {
+		j := jobs[s.ID]
+		switch {
+		case s.Server == "hall1-0" && s.At > 43e8 && s.At < 105e8 && j.Limiter <= 2:
 			old++
+		case j.Limiter == 11 && strings.HasPrefix(s.Server, "hall1-") && s.At > 111e8 && s.At < 145e8 && j.Outcome == record.Done:
+			if slow++; j.Answered-j.Sent < 40e6 {
+				t.Errorf("%s took %.1f ms over a link that adds 40", j.ID, float64(j.Answered-j.Sent)/1e6)
+			}
+		case j.Limiter >= 6 && j.Limiter <= 8 && s.Server == "hall2-0" && s.At > 1105e7 && s.At < 13e9:
+			cut++
 		}
 	}
-	if old == 0 || r.Verdict.Stopped == 0 || len(r.Failures) > 0 {
-		t.Errorf("%d shots by old lists, %d jobs stopped: the faults were not there; failures %v", old, r.Verdict.Stopped, r.Failures)
+	if old == 0 || slow == 0 || cut > 0 || r.Verdict.Stopped == 0 || r.Verdict.CutOff == 0 || len(r.Failures) > 0 {
+		t.Errorf("the faults were not there: %d shots by old lists, %d over the slow link, %d over the cut one, %d jobs stopped, "+
+			"%d cut off; failures %v", old, slow, cut, r.Verdict.Stopped, r.Verdict.CutOff, r.Failures)
 	}
 }
 
