--- a/internal/lab/runner/processes_test.go
+++ b/internal/lab/runner/processes_test.go
@@ -213,7 +213,7 @@
 			t.Errorf("%s: excess %.1f past the stated %.1f", u.Customer, u.Excess, most)
 		}
 	}
-	cut := 0
+	cut, before, lost := 0, 0, 0
 	for n := range e.Limiters.Count {
 		if len(e.Script(n, experiment.Counting, "", "")) == 0 {
 			continue
@@ -222,6 +222,8 @@
 		during, later := 0, 0
 		for second, calls := range r.Run.Counts[n] {
 			switch {
+			case second >= 1 && second < 4:
+				before += calls
 			case second >= 5 && second < 8:
 				during += calls
 			case second >= 9 && second < 14:
@@ -232,9 +234,10 @@
 		if later == 0 {
 			t.Errorf("limiter %d never came back to the counter", n)
 		}
+		lost += during
 	}
-	if cut != 4 {
-		t.Errorf("%d limiters cut, not a third", cut)
+	if cut != 4 || lost > before/2 {
+		t.Errorf("%d limiters cut, not a third; %d calls before the cut and %d in it", cut, before, lost)
 	}
 }
 
