A cold server's fall counts against those told of its start; tests of the records

Change: the judge takes a fall for a breach of rule 4 only if over two thirds of what pushed the server over came from limiters told of its start, by the list's clock.

--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -181,6 +181,79 @@
 	}
 }
 
+// Each call is written down with who made it and how it ended.
+func TestDiscoveryWritesItsCallsDown(t *testing.T) {
+	book := &record.Book{}
+	d, err := NewDiscovery(record.NewClock(), book, nil, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Reach(func(limiter int, in Instance) string { return itoa(int64(limiter)) })
+	d.Set(Instance{ID: "s1", Lifecycle: "in_service"})
+	call := func(limiter int, query string) (l List) {
+		client := http.Client{Timeout: 300 * time.Millisecond}
+		answer, err := client.Get("http://" + d.Address(limiter) + "/discovery/hosts" + query)
+		if err == nil {
+			_ = json.NewDecoder(answer.Body).Decode(&l)
+			_ = answer.Body.Close()
+		}
+		return l
+	}
+	if a, b := call(0, ""), call(2, "?from=1&hold_ms=5000"); a.Instances[0].HostPort != "0" || b.Instances[0].HostPort != "2" {
+		t.Errorf("each limiter has addresses of its own: %+v %+v", a, b)
+	}
+	call(1, "?from=2&hold_ms=5000")   // nothing comes, and the caller goes
+	time.Sleep(50 * time.Millisecond) // an end is noticed a little later
+	d.Down(true)
+	call(1, "?from=1&hold_ms=50")
+	d.Down(false)
+	d.script = []Fault{{Kind: "busy", Factor: 0.001}}
+	call(0, "")
+	time.Sleep(50 * time.Millisecond)
+	calls, _, _ := book.Sides()
+	want := []record.Call{{Limiter: 0, Whole: true, End: record.Answered, Generation: 2}, {Limiter: 2, End: record.Answered, Generation: 2},
+		{Limiter: 1, End: record.Left}, {Limiter: 1, End: record.Silent}, {Limiter: 0, Whole: true, End: record.TurnedAway}}
+	if len(calls) != len(want) {
+		t.Fatalf("%+v", calls)
+	}
+	for i, c := range calls {
+		w := want[i]
+		if c.Limiter != w.Limiter || c.Whole != w.Whole || c.End != w.End || c.Generation != w.Generation || c.Done < c.At ||
+			(c.Until > c.At) == c.Whole {
+			t.Errorf("call %d: %+v, want %+v", i, c, w)
+		}
+	}
+}
+
+// A cold server that bears 2 jobs of 100 ms at once bears 20 in a second, and falls by the 37th: past 20 + 3 root(20) + 3.
+func TestColdServerFallsOnce(t *testing.T) {
+	for _, warm := range []bool{false, true} {
+		s, book := start(t, ServerSpec{Name: "s1", Work: 100 * time.Millisecond, Capacity: 8, ColdFrom: 0.25,
+			WarmWithin: time.Hour, Warm: warm, Fall: time.Second}, nil)
+		for i := range 60 {
+			bear, cold := s.bearable(s.started + 1)
+			if fall, falls := s.falls(int64(i), "j", bear, cold); falls {
+				book.AddFall(fall)
+			}
+		}
+		falls := 0
+		if _, all, _ := book.Sides(); len(all) > 0 {
+			falls = len(all[0].Got) + 100*(len(all)-1)
+		}
+		if want := map[bool]int{false: 37, true: 0}[warm]; falls != want {
+			t.Errorf("warm %v: fell by %d, want %d", warm, falls, want)
+		}
+		_, _ = exchange(t, s.Address(), []byte("*1\r\n$6\r\nCLIENT\r\n"), time.Second)
+		if _, _, shakes := book.Sides(); len(shakes["s1"]) != 1 || shakes["s1"][0] != 1 {
+			t.Errorf("handshakes %v", shakes)
+		}
+	}
+}
+
 func itoa(n int64) string { b, _ := json.Marshal(n); return string(b) }
 
 func TestCounterSplitShowsLimitersDifferentStores(t *testing.T) {
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -61,16 +62,17 @@
 	repeats *Repeats
 
 	port
-	rng      *rand.Rand
-	started  int64
-	warm     bool // started long before the run
-	inflight int
-	slots    chan struct{} // nil for any number
-	waiting  int
-	done     int
-	window   []int64 // times of the commands that count for a fall
-	fallen   bool
-	recent   float64 // fading mean of the seconds that jobs took
+	rng       *rand.Rand
+	started   int64
+	warm      bool // started long before the run
+	inflight  int
+	slots     chan struct{} // nil for any number
+	waiting   int
+	done      int
+	window    []int64 // times of the commands that count for a fall
+	windowIDs []string
+	fallen    bool
+	recent    float64 // fading mean of the seconds that jobs took
 }
 
 // NewServer makes a server that writes its shots in book; repeats may be nil where its group drops none.
@@ -106,7 +108,7 @@
 func (s *Server) Start() error {
 	s.mu.Lock()
 	s.warm, s.spec.Warm = s.spec.Warm, false // a further start is cold
-	s.started, s.window, s.fallen = s.clock.Now(), nil, false
+	s.started, s.window, s.windowIDs, s.fallen = s.clock.Now(), nil, nil, false
 	s.mu.Unlock()
 	return s.open(s.serve)
 }
@@ -118,17 +120,17 @@
 // falls notes a command at now and tells whether a cold server falls by it, the first time since its start: within
 // Fall it got more than N + 3*root of N + 3 commands, N being what it bears then. By Little's law a server that bears
 // b jobs at once, each of the mean work, bears b * Fall / work in that time.
-func (s *Server) falls(now int64, bear float64, cold bool) (record.Fall, bool) {
+func (s *Server) falls(now int64, id string, bear float64, cold bool) (record.Fall, bool) {
 	if s.spec.Fall <= 0 || s.spec.Work <= 0 || !cold || s.fallen {
 		return record.Fall{}, false
 	}
-	s.window = append(s.window, now)
+	s.window, s.windowIDs = append(s.window, now), append(s.windowIDs, id)
 	for s.window[0] <= now-int64(s.spec.Fall) {
-		s.window = s.window[1:]
+		s.window, s.windowIDs = s.window[1:], s.windowIDs[1:]
 	}
 	n := bear * float64(s.spec.Fall) / float64(s.spec.Work)
 	s.fallen = float64(len(s.window)) > n+3*math.Sqrt(n)+3
-	return record.Fall{Server: s.spec.Name, At: now, Got: len(s.window), Bears: n}, s.fallen
+	return record.Fall{Server: s.spec.Name, At: now, Got: slices.Clone(s.windowIDs), Bears: n}, s.fallen
 }
 
 // serve reads commands and begins each at once; answers go back in the order of the commands.
@@ -250,7 +252,7 @@
 	work := time.Duration(s.rng.ExpFloat64() * float64(s.spec.Work))
 	bear, cold := s.bearable(now)
 	overrun := cold && float64(s.inflight+1) > bear
-	fall, falls := s.falls(now, bear, cold)
+	fall, falls := s.falls(now, j.id, bear, cold)
 	s.mu.Unlock()
 	if falls {
 		s.book.AddFall(fall)
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -138,12 +138,12 @@
 	Until   int64  `json:"until"` // 0 for good
 }
 
-// Fall is a cold server pushed over: what it was sent within the window before At, and what it bears then.
+// Fall is a cold server pushed over: the jobs that it was sent within the window before At, and what it bears in it then.
 type Fall struct {
-	Server string  `json:"server"`
-	At     int64   `json:"at"`
-	Got    int     `json:"got"`
-	Bears  float64 `json:"bears"`
+	Server string   `json:"server"`
+	At     int64    `json:"at"`
+	Got    []string `json:"got"` // ids
+	Bears  float64  `json:"bears"`
 }
 
 // Book gathers records from many goroutines.
--- a/internal/lab/rules/told.go
+++ b/internal/lab/rules/told.go
@@ -47,6 +47,30 @@
 	}
 }
 
+// falls is rule 4 where a cold server falls: a breach if over two thirds of what pushed it over came from limiters that
+// had been told of its start. One that is cold from the run's beginning is told of by every configuration.
+func falls(v *Verdict, r *record.Run, byID map[string]*record.Job) {
+	clock := newListClock(r)
+	for _, f := range r.Falls {
+		var start record.Event
+		for _, e := range r.Events {
+			if (e.Kind == "back" || e.Kind == "new") && e.Target == f.Server && e.At <= f.At {
+				start = e
+			}
+		}
+		told := 0
+		for _, id := range f.Got {
+			if j := byID[id]; j == nil || clock.told(start, j.Limiter, f.At) <= f.At || start.Kind == "" {
+				told++
+			}
+		}
+		if 3*told > 2*len(f.Got) {
+			v.breach(Breach{Rule: 4, At: f.At, What: f.Server, Detail: fmt.Sprintf("cold, it fell: sent %d, bears %.1f; %d by "+
+				"limiters that had been told of its start", len(f.Got), f.Bears, told)})
+		}
+	}
+}
+
 // listClock tells when changes of the list count as told, limiter by limiter.
 type listClock struct {
 	lives    map[int][]record.Life
--- a/internal/lab/runner/fleet_test.go
+++ b/internal/lab/runner/fleet_test.go
@@ -1,8 +1,12 @@
 package runner
 
 import (
+	"errors"
+	"strings"
 	"testing"
+	"time"
 
+	"ospreycroft/internal/lab/ports"
 	"ospreycroft/internal/lab/record"
 )
 
@@ -48,3 +52,20 @@
 		t.Error("what does not live was killed")
 	}
 }
+
+// One on whose port nobody answers is given up by name, and its log is told.
+func TestLimiterThatIsNeverReadyFailsByName(t *testing.T) {
+	port, err := ports.Keep()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer port.Close()
+	l := &Lab{clock: record.NewClock(), book: &record.Book{}, within: 50 * time.Millisecond}
+	err = l.await(&limiter{n: 4, port: port, logPath: "n4.log"}, 0, nil, nil)
+	var never *NeverReady
+	_, _, events := l.book.Copy()
+	if !errors.As(err, &never) || never.Limiter != 4 || len(events) != 1 || events[0].Kind != "never-ready" ||
+		events[0].Target != "limiter:4" || !strings.Contains(events[0].Detail, "n4.log") {
+		t.Fatalf("%v %+v", err, events)
+	}
+}
--- a/internal/lab/runner/process.go
+++ b/internal/lab/runner/process.go
@@ -293,7 +293,7 @@
 // await waits until the limiter answers PING with +PONG, as the front does before it sends anything, and lets the front
 // in. One that ends meanwhile is not waited for: its end is told elsewhere.
 func (l *Lab) await(lim *limiter, life int, ended chan struct{}, stop chan struct{}) error {
-	end := time.Now().Add(readyWithin)
+	end := time.Now().Add(l.within)
 	pause := 20 * time.Millisecond
 	for time.Now().Before(end) {
 		if pong(lim.port.Address()) {
@@ -311,7 +311,7 @@
 			pause = min(pause*2, 100*time.Millisecond)
 		}
 	}
-	err := &NeverReady{Limiter: lim.n, Within: readyWithin, Log: lim.logPath}
+	err := &NeverReady{Limiter: lim.n, Within: l.within, Log: lim.logPath}
 	l.fail(err, "never-ready", lim, l.clock.Now())
 	return err
 }
--- a/internal/lab/runner/runner.go
+++ b/internal/lab/runner/runner.go
@@ -37,6 +37,7 @@
 	clientScripts [][]link.Fault
 	front         []atomic.Bool // which limiters the front gives new connections
 	replaced      int
+	within        time.Duration  // a limiter must be ready within it
 	tasks         sync.WaitGroup // what is still to be done about limiters
 
 	mu       sync.Mutex
@@ -56,7 +57,7 @@
 // fails is no error but fails the verdict. Where the fleet does not get up, no load is played.
 func Run(e *experiment.Experiment, dir string, log *slog.Logger, progress func(float64)) (*Result, error) {
 	lab := &Lab{e: e, dir: dir, log: log, clock: record.NewClock(), book: &record.Book{},
-		front: make([]atomic.Bool, e.Limiters.Count), net: link.NewNet(e.Seed)}
+		front: make([]atomic.Bool, e.Limiters.Count), net: link.NewNet(e.Seed), within: readyWithin}
 	for n := range e.Limiters.Count {
 		lab.clientScripts = append(lab.clientScripts, e.Script(n, experiment.Clients, "", ""))
 	}
@@ -229,7 +230,11 @@
 			return err
 		}
 	}
-	l.discovery.Set(l.instance(s, "in_service"))
+	if warm { // long before the run
+		l.discovery.Set(l.instance(s, "in_service"))
+	} else {
+		l.list(s, "in_service", "new", l.clock.Now())
+	}
 	return nil
 }
 
