A counter that is back is soon asked again; new customers are asked for; first room by chance

Lines at fault: Counted (the share of jobs asked rose by a 256th an answer from a sixteenth), Job (a customer new at a limiter was taken for one that is out), Members (first room). Ruled out by offline replays of the tries: slices' depth, their equal parts, a limiter's share of traffic (docs/incidents/count-not-asked-again.md).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,7 @@
 	calls    map[uint64][]call
 	asks     float64 // the share of jobs for which the counter is asked
 	answered float64 // the calls answered since one was not
+	bore     float64 // the share that it bore before the first of the calls unanswered in a row
 	stake    float64 // what a job beyond the quota costs, a fading mean over the plans that jobs come from
 	took     float64
 	did      float64
@@ -158,7 +159,7 @@
 		s.zone, s.cell, s.listing, s.hint = e.Zone, e.Cell, e.Listing, e.Hint
 	}
 	if l.room == 0 {
-		l.room = startJobs * l.least()
+		l.room = max(startJobs*l.least(), l.least()+swing*math.Sqrt(l.least()*l.set.MostUnits))
 	}
 	l.turnRing()
 }
@@ -225,8 +226,8 @@
 	// The counter is not asked for a customer that is known to be out of units: the store kept here fills at
 	// the whole rate, so the true one holds no more, but for what others add back. A call that brings what is
 	// still to be added back is made: the others go by a total that is too high until then.
-	out := acc.quota.fill(now) < j.charge && acc.owed >= 0
-	if l.set.CounterWait == 0 || out && acc.known || l.asks < 1 && (out || !l.asked(acc)) {
+	out := acc.known && acc.quota.fill(now) < j.charge && acc.owed >= 0
+	if l.set.CounterWait == 0 || out || l.asks < 1 && !l.asked(acc) {
 		l.bySlice(now, j)
 		return
 	}
@@ -352,7 +353,10 @@
 		// A counter that is down or crowded is asked less, so that nothing waits for it in vain and it can
 		// work off its line; it is asked more again step by step, so that its return brings no rush.
 		if outcome != Broke { // it has worked off the call, or may have, and only its answer was spoilt
-			l.asks, l.answered = max(l.asks*askLess, askLeast), 0
+			if l.asks *= askLess; l.answered > 0 {
+				l.bore = l.asks
+			}
+			l.asks, l.answered = max(l.asks, askLeast), 0
 		}
 		vain := 0.0
 		if !c.back { // what the slice sends is owed anew
@@ -369,7 +373,7 @@
 		return
 	}
 	l.answered++
-	l.asks = math.Min(1, l.asks+askMore*l.answered)
+	l.asks = math.Min(1, max(l.asks+askMore*l.answered, math.Min(2*l.asks, l.bore)))
 	l.see(now, c, name, total)
 	if c.back {
 		return
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -74,7 +74,7 @@
 		l, d := made()
 		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
 		a.plan.BeyondCosts, a.plan.Benefit = 1, 1
-		l.asks, a.quota.level, a.slice.level = 0.999, 0, -9
+		l.asks, a.quota.level, a.slice.level, a.known = 0.999, 0, -9, true
 		l.turn(0, a)
 		a.owed = owed
 		l.Job(0, arrival("j", "read", "plain"))
@@ -93,6 +93,47 @@
 	})
 }
 
+// A customer that is new here is no customer known to be out, however small its part of the burst: in a large fleet that is
+// nearly every job, and only the count knows which of them are over their quotas.
+func TestJobOfANewCustomerWhileCrowded(t *testing.T) {
+	l, d := made()
+	l.set.Plans["plain"].BeyondCosts, l.set.Plans["plain"].Benefit = 1, 1
+	l.asks = 0.999
+	a := arrival("j", "read", "plain")
+	a.Customer, a.Spread = 77, 200
+	l.Job(0, a)
+	if len(d.did) != 1 || l.jobs["j"].state != Reserving {
+		t.Fatalf("it is %d after %q", l.jobs["j"].state, d.did)
+	}
+}
+
+// TestAsksAfterAnOutage: a counter that was down is soon asked as much as it bore before, one that is crowded is not.
+func TestAsksAfterAnOutage(t *testing.T) {
+	end := func(l *Limiter, outcome Outcome, n int) {
+		for range n {
+			l.calls[1] = append(l.calls[1], call{job: &job{state: Out}, account: l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"]), back: true})
+			l.Counted(0, 1, outcome, 0)
+		}
+	}
+	l, _ := made()
+	end(l, Done, 10)
+	end(l, Unconnected, 40)
+	if l.asks != askLeast {
+		t.Fatal("while it is down it is asked", l.asks)
+	}
+	if end(l, Done, 4); l.asks != askLess {
+		t.Fatal("after four answers it is asked", l.asks)
+	}
+	l, _ = made()
+	for range 40 {
+		end(l, TimedOut, 1)
+		end(l, Done, 4)
+	}
+	if l.asks > 0.3 {
+		t.Fatal("one that leaves a fifth unanswered is asked", l.asks)
+	}
+}
+
 func TestCounted(t *testing.T) {
 	t.Run("within the allowance the job is sent", func(t *testing.T) {
 		l, d := made()
@@ -574,12 +615,30 @@
 	}
 }
 
+// The first jobs of a limiter among hundreds come together by chance as later ones do.
+func TestFirstRoom(t *testing.T) {
+	for _, c := range []struct {
+		limiters, servers int
+		least             float64
+	}{{300, 180, 14}, {3, 9, 36}} {
+		l, _ := made()
+		l.set.Limiters, l.part, l.room, l.servers, l.order = c.limiters, l.set.MostUnits/float64(c.limiters), 0, map[string]*server{}, nil
+		var entries []Entry
+		for i := range c.servers {
+			entries = append(entries, Entry{ID: fmt.Sprint(i), Hint: 1})
+		}
+		if l.Members(0, true, entries); l.room < l.least()+swing*math.Sqrt(l.least()*l.set.MostUnits) || l.room < c.least {
+			t.Fatalf("%d limiters begin with room for %v units at %d servers", c.limiters, l.room, c.servers)
+		}
+	}
+}
+
 func TestRoom(t *testing.T) {
 	t.Run("late shots at any server narrow it, down to a job a server over all limiters", func(t *testing.T) {
 		l, _ := made()
 		j := sent(l, "read")
 		l.overdue(second, j.shots[0])
-		if l.room != 12-1 {
+		if l.room != 20-1 {
 			t.Fatal("it is", l.room)
 		}
 		if l.room = 4.5; l.room < l.least() {
@@ -778,8 +837,8 @@
 		name       string
 		slow, left float64
 	}{
-		{"where answers are slow a late shot takes four times what a prompt one adds", 0.5, 11},
-		{"where answers are prompt, the others silent, it takes as much", 0, 11.75},
+		{"where answers are slow a late shot takes four times what a prompt one adds", 0.5, 19},
+		{"where answers are prompt, the others silent, it takes as much", 0, 19.75},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l, _ := made()
--- a/internal/lab/runner/processes_test.go
+++ b/internal/lab/runner/processes_test.go
@@ -90,31 +90,18 @@
 }
 
 // TestLinksCut cuts three of 12 limiters off from discovery while a server drains, stops a fourth past the drain, and
-// then cuts, stalls, slows, resets and half opens links to servers. The one breach that is known and still there: a
-// limiter that was stopped sends on, when it wakes, jobs whose clients' time is over (docs/lab.md).
+// then cuts, stalls, slows, resets and half opens links to servers. A limiter that was stopped used to send on, when it
+// woke, jobs whose clients' time was over.
 func TestLinksCut(t *testing.T) {
 	t.Parallel()
 	r, _ := played(t, example(t, "links", build(t)))
-	woken := int64(0)
-	for _, e := range r.Run.Events {
-		if e.Kind == "continue" {
-			woken = e.At
-		}
-	}
 	jobs := map[string]record.Job{}
 	for _, j := range r.Run.Jobs {
 		jobs[j.ID] = j
 	}
-	known := 0
 	for _, b := range r.Verdict.Breaches {
-		if b.Rule == 1 && jobs[b.What].Limiter == 5 && strings.HasPrefix(b.Detail, "a shot began after") && b.At > woken &&
-			b.At < woken+3e8 {
-			known++
-			continue
-		}
 		t.Errorf("rule %d at %.3f s: %s: %s", b.Rule, float64(b.At)/1e9, b.What, b.Detail)
 	}
-	t.Logf("%d shots of the woken limiter for clients whose time was over", known)
 	old, slow, cut := 0, 0, 0
 	for _, s := range r.Run.Shots {
 		j := jobs[s.ID]
