--- /dev/null
+++ b/internal/coldstart/coldstart_test.go
@@ -0,0 +1,313 @@
+package coldstart
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	second = int64(1e9)
+	epoch  = int64(1e18)
+)
+
+func settings(limiters, place int, budget float64) Settings {
+	return Settings{Limiters: limiters, Place: place, DialTimeout: second / 4, AskEvery: 10 * second, ColdFrom: 0.25,
+		WarmWithin: 15 * second, Told: 6 * second, Bound: 30 * second, Lead: second, Budget: budget}
+}
+
+type fails interface {
+	Fatal(...any)
+	Fatalf(string, ...any)
+}
+
+// fleet is all limiters before one list service.
+type fleet struct {
+	t       fails
+	set     Settings
+	all     []*Start
+	back    []int64 // when the call that is out ends
+	listed  []int64 // when the list came, 0 before
+	calls   []int64
+	turned  int
+	chance  *rand.Rand
+	down    bool
+	news    bool
+	refuses float64 // the share of calls that it turns away,
+	bears   float64 // or how many it takes a second, where above 0
+	taken   float64
+	at      int64
+}
+
+func made(t fails, set Settings) *fleet {
+	n := set.Limiters
+	f := &fleet{t: t, set: set, all: make([]*Start, n), back: make([]int64, n), listed: make([]int64, n),
+		chance: rand.New(rand.NewSource(7))}
+	for i := range n {
+		f.start(i, epoch+f.chance.Int63n(second)) // within a second
+	}
+	return f
+}
+
+func (f *fleet) start(i int, now int64) {
+	set := f.set
+	set.Place, set.Lead = i, f.chance.Int63n(40*second)
+	s, err := New(now, set)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.all[i], f.back[i], f.listed[i] = s, 0, 0
+	f.step(i, now, Event{Kind: Known, Whole: true, Servers: f.list(now)})
+}
+
+// list is one of servers of which some are cold, and some have gone.
+func (f *fleet) list(now int64) (out []Server) {
+	for i := range f.chance.Intn(4) {
+		out = append(out, Server{fmt.Sprint(i), now - f.chance.Int63n(60*second), f.chance.Intn(9) == 0})
+	}
+	return out
+}
+
+// step takes one happening to one limiter, and what holds of it alone is looked at.
+func (f *fleet) step(i int, now int64, e Event) {
+	s := f.all[i]
+	from, share, tossed := s.Phase(), s.Share(), s.Tossed
+	s.Step(now, e) // panics off the edges
+	switch age := now - s.began; {
+	case s.Phase() == Waking && from != Waking, s.Phase() == Waking && age >= s.set.Bound:
+		f.t.Fatalf("not ready after %d ns", age)
+	case s.Phase() != Waking && age < min(s.set.Lead, s.set.Bound/2):
+		f.t.Fatalf("ready after %d ns, before its parts have filled", age)
+	case s.Share() < share && s.Tossed == tossed || s.Share() <= 0 || s.Share() > 1:
+		f.t.Fatalf("share %v after %v in %v, and no list has thrown it back", s.Share(), share, s.Phase())
+	case s.Due() > now+(spreadMost+1)*s.round:
+		f.t.Fatalf("%d asks no more", i)
+	}
+	if hold, _ := s.Wait(now); hold > 0 && hold < mostHold && (now+hold-s.offset)%s.round < s.round/2 {
+		f.t.Fatalf("a call held for %d ns comes back behind its instant", hold)
+	}
+}
+
+// run plays all until a time, in steps of a millisecond.
+func (f *fleet) run(now, until int64) {
+	for ; now < until; now += 1e6 {
+		for i, s := range f.all {
+			switch {
+			case now < s.began: // not yet there
+			case f.back[i] > 0 && now >= f.back[i] && f.down:
+				f.step(i, now, Event{Kind: Broke})
+				f.back[i] = 0
+			case f.back[i] > 0 && now >= f.back[i]:
+				f.step(i, now, Event{Kind: Answered, Whole: f.chance.Intn(2) == 0, Servers: f.list(now)})
+				if f.back[i] = 0; f.listed[i] == 0 {
+					f.listed[i] = now
+				}
+			case f.back[i] == 0 && s.Overslept(now):
+				f.step(i, now, Event{Kind: Missed})
+			case f.back[i] == 0 && now >= s.Due():
+				f.step(i, now, Event{Kind: Asked})
+				f.calls = append(f.calls, now)
+				f.taken, f.at = max(0, f.taken-f.bears*float64(now-f.at)/1e9), now
+				if f.chance.Float64() < f.refuses || f.bears > 0 && f.taken > 2 {
+					f.turned++
+					f.step(i, now, Event{Kind: Turned})
+					continue
+				}
+				f.taken++
+				hold, more := s.Wait(now)
+				if f.back[i] = now + hold; f.down {
+					f.back[i] += more
+				} else if f.listed[i] == 0 || f.news { // its list is old, or there will be news
+					f.back[i] = now + f.chance.Int63n(hold+50e6)/2
+				}
+			case f.chance.Intn(500) == 0:
+				f.step(i, now, Event{})
+			}
+		}
+	}
+}
+
+// worst is the most calls in any second.
+func worst(calls []int64) (most int) {
+	slices.Sort(calls)
+	for i, j := 0, 0; j < len(calls); j++ {
+		for calls[j]-calls[i] >= second {
+			i++
+		}
+		most = max(most, j-i+1)
+	}
+	return most
+}
+
+// TestFleet: whatever is killed, turned away, moved and silent, all limiters together keep within the budget, at every size.
+func TestFleet(t *testing.T) {
+	for name, value := range map[string]string{"checks": "5", "seed": "7", "nofailfile": "true"} { // a hundred take minutes
+		if err := flag.Set("rapid."+name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, limiters := range []int{10, 100, 300, 1000} {
+		t.Run(fmt.Sprint(limiters), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				set, now := settings(limiters, 0, rapid.SampledFrom([]float64{3, 20, 55.5}).Draw(t, "budget")), epoch
+				f := made(t, set)
+				f.news = true
+				for range min(max(12000/limiters, 30), 200) {
+					f.down, f.refuses = rapid.IntRange(0, 4).Draw(t, "down") == 0, rapid.SampledFrom([]float64{0, 0, 0.5, 1}).Draw(t, "503")
+					killed := rapid.SampledFrom([]float64{0, 0, 0.1, 0.7, 1}).Draw(t, "killed")
+					moved := rapid.IntRange(0, 9).Draw(t, "moved") == 0
+					for i := range f.all {
+						if f.chance.Float64() < killed {
+							f.start(i, now+f.chance.Int63n(second))
+						} else if moved && now > f.all[i].began {
+							f.step(i, now, Event{Kind: Moved})
+							f.back[i] = 0
+						}
+					}
+					dt := second / 10 * rapid.Int64Range(1, 20).Draw(t, "dt")
+					f.run(now, now+dt)
+					if now += dt; rapid.IntRange(0, 9).Draw(t, "stopped") == 0 { // all of them, and go on
+						now += 3 * dt
+					}
+					if worst := worst(f.calls); worst > int(math.Ceil(set.Budget))+1 {
+						t.Fatalf("%d calls in a second, %v are borne", worst, set.Budget)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestCold: limiters start together, seven in ten are killed in the middle, and the list service is silent for eight
+// seconds meanwhile. What it bears is stated, or not: then it turns calls away, and yet all come to their lists.
+func TestCold(t *testing.T) {
+	for _, limiters := range []int{10, 100, 300} {
+		for _, c := range []struct{ stated, bears, most float64 }{{20, 20, 0}, {0, 30, 1.35}, {60, 60, 0}} {
+			f := made(t, settings(limiters, 0, c.stated))
+			f.bears = c.bears
+			f.run(epoch, epoch+2*second)
+			f.down = true
+			for i := range limiters * 7 / 10 {
+				f.start(i, epoch+3*second+f.chance.Int63n(second))
+			}
+			f.run(epoch+2*second, epoch+10*second)
+			f.down = false
+			f.run(epoch+10*second, epoch+60*second)
+			if slices.Contains(f.listed, 0) || float64(f.turned) > c.most*float64(limiters) {
+				t.Errorf("%d, %v: turned away %d times, or some have no list", limiters, c, f.turned)
+			}
+		}
+	}
+}
+
+func TestReady(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		kinds      []Kind
+		servers    int
+		lead, want int64
+	}{
+		{"an old list: a dial time-out", []Kind{Known}, 1, 0, second / 4},
+		{"the agent's first word", []Kind{Known, Answered}, 1, 0, 0},
+		{"but not for longer than it has", []Kind{Known, Answered}, 1, 99 * second, 20 * second},
+		{"no list: as long as it may", []Kind{Broke}, 0, 0, 20 * second},
+		{"an empty list is none", []Kind{Known}, 0, 0, 20 * second},
+	} {
+		set := settings(300, 4, 20)
+		set.Lead = c.lead
+		s, _ := New(epoch, set)
+		for _, k := range c.kinds {
+			s.Step(epoch, Event{Kind: k, Whole: true, Servers: make([]Server, c.servers)})
+		}
+		if got := s.ReadyAt() - epoch; got != c.want {
+			t.Errorf("%s: ready after %v s", c.name, float64(got)/1e9)
+		}
+	}
+}
+
+// TestShare: with all servers cold it begins with what they can do for sure, and what came back cold later throws it back.
+func TestShare(t *testing.T) {
+	set := settings(10, 0, 20)
+	set.Lead = 0
+	s, _ := New(epoch, set)
+	list := func(since ...int64) Event {
+		e := Event{Kind: Answered, Whole: true}
+		for i, at := range since {
+			e.Servers = append(e.Servers, Server{ID: fmt.Sprint(i), Since: max(0, epoch*min(at, 1)+at)})
+		}
+		return e
+	}
+	for i, c := range []struct {
+		at    int64
+		e     Event
+		share float64
+		phase Phase
+	}{
+		{0, list(1, 1), 0.25, Warming}, {second, Event{}, 0.3, Warming}, {16 * second, Event{}, 1, Steady},
+		{20 * second, list(0, 0, 0, 0, 0, 0, 0, 0, 20*second), 1, Steady}, {21 * second, list(0, 21*second), 0.625, Warming},
+		{22 * second, list(0, 0), 0.65, Warming}, // a later start is known
+		{23 * second, Event{Kind: Answered, Servers: []Server{{ID: "1", Gone: true}}}, 1, Steady},
+		{40 * second, Event{Kind: Asked}, 1, Steady}, {60 * second, Event{}, 1, Listening}, {61 * second, list(0, 0), 1, Steady},
+	} {
+		if s.Step(epoch+c.at, c.e); s.Phase() != c.phase || math.Abs(s.Share()-c.share) > 1e-6 {
+			t.Fatalf("step %d: %v, share %v", i, s.Phase(), s.Share())
+		}
+	}
+}
+
+// TestBucket: the limiters that share a server open no more connections to it in a second than it bears, and one each way.
+func TestBucket(t *testing.T) {
+	for _, c := range []struct{ limiters, servers int }{{10, 8}, {100, 40}, {300, 200}, {1000, 200}} {
+		set := settings(c.limiters, 0, 20)
+		set.Connections = 12
+		at := make([][]int64, c.servers)
+		for i := range c.limiters {
+			set.Place = i
+			_, golden := math.Modf(float64(i) * math.Phi)
+			for k := range circle(c.limiters, c.servers) {
+				server := (int(golden*float64(c.servers)) + k) % c.servers
+				b := NewBucket(0, &set, c.servers)
+				for now := int64(0); now < 10*second; now += 5e6 {
+					if b.Take(now) {
+						at[server] = append(at[server], now)
+					}
+				}
+			}
+		}
+		for server, calls := range at {
+			if worst := worst(calls); worst > int(set.Connections)+3 {
+				t.Errorf("%v: server %d got %d connections in a second", c, server, worst)
+			}
+		}
+	}
+}
+
+func TestAdvise(t *testing.T) {
+	set := settings(300, 4, 20)
+	a, err := set.Advise(200)
+	var late *Late
+	if !errors.As(err, &late) || a.All != 15*second || a.Late != 15*second+second/2-6*second ||
+		!strings.Contains(late.Remedy(), "54.55") {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	set.Budget = 0
+	if a, err = set.Advise(200); err != nil || a.All != 5*second || a.Calls != 60 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	set.Connections, set.Place = 150, -1
+	if a, err = set.Advise(200); err != nil || a.Sharer != 0.5 || a.Even {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	set.WarmWithin = 0
+	var bad *Bad
+	if _, err = set.Advise(200); !errors.As(err, &bad) || bad.Key != "warm-within" || bad.Remedy() == "" {
+		t.Fatal(err)
+	}
+}
--- a/internal/inquiry/inquiry.go
+++ b/internal/inquiry/inquiry.go
@@ -78,16 +78,22 @@
 // unanswered. A call for the whole list does not wait. To give one up that stands in discovery's queue and ask again
 // adds to the queue, so where it is asked it is held for as long as leaves room before news counts as told.
 func (p *Pace) Ask(now int64, whole bool) (hold, limit int64) {
-	told := now + toldAfter
 	switch {
-	case whole && p.told-p.room()-now >= p.dial:
-		told = min(told, p.told)
 	case whole:
 	case p.every > 0:
 		hold = p.every
 	default:
 		hold = holds * p.dial
 	}
+	return hold, p.Held(now, whole, hold)
+}
+
+// Held is the same for a call whose wait is given; it tells after how long that is given up.
+func (p *Pace) Held(now int64, whole bool, hold int64) (limit int64) {
+	told := now + toldAfter
+	if whole && p.told-p.room()-now >= p.dial {
+		told = min(told, p.told)
+	}
 	p.waits = now + hold
 	limit = max(told, p.waits+toldWait) - now - p.room()
 	if whole {
@@ -96,7 +102,7 @@
 	if p.every == 0 {
 		limit = min(limit, hold+patience*p.dial)
 	}
-	return hold, max(limit, hold+p.dial)
+	return max(limit, hold+p.dial)
 }
 
 // Answered notes a list: nothing is missed.
