--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,115 @@
+// Package operator reads the operator's file: what an installation states beside the configuration that the platform
+// writes. The variable GW_OPERATOR names it; without it all that it switches on is off. deploy/operator.toml is an example.
+package operator
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/knadh/koanf/parsers/toml/v2"
+	"github.com/knadh/koanf/providers/rawbytes"
+	"github.com/knadh/koanf/v2"
+)
+
+// Variable names the file.
+const Variable = "GW_OPERATOR"
+
+// Operator is what the file states; the zero value states nothing.
+type Operator struct {
+	ListCalls    float64 // list_calls_per_s: calls a second that the list service bears from all limiters
+	Connections  float64 // start.connections_per_s: new connections a second that one server bears from all limiters
+	Installation string  // installation: tells this fleet's snapshots from another's
+	SnapshotPath string  // snapshot.path: the directory of the limiters' snapshots, empty for none
+	Oldest       int64   // snapshot.oldest_s, in nanoseconds here
+}
+
+// Unreadable is a file that GW_OPERATOR names and that cannot be read, or is no TOML.
+type Unreadable struct {
+	Path string
+	Err  error
+}
+
+func (u *Unreadable) Error() string { return fmt.Sprintf("operator's file %s: %v", u.Path, u.Err) }
+
+// Remedy is what to do.
+func (u *Unreadable) Remedy() string {
+	return "mend " + u.Path + " (deploy/operator.toml is an example), or unset " + Variable + " to start without it"
+}
+
+func (u *Unreadable) Unwrap() error { return u.Err }
+
+// BadKey is a key that is not known, or whose value cannot work.
+type BadKey struct {
+	Path  string
+	Key   string
+	Value any
+	Want  string
+}
+
+func (b *BadKey) Error() string {
+	return fmt.Sprintf("operator's file %s: %s is %v, not %s", b.Path, b.Key, b.Value, b.Want)
+}
+
+// Remedy is what to do.
+func (b *BadKey) Remedy() string {
+	return fmt.Sprintf("set %s to %s in %s, or leave it out", b.Key, b.Want, b.Path)
+}
+
+// Read reads the file that GW_OPERATOR names; nothing is stated where it is not set. Errors: *Unreadable, *BadKey.
+func Read() (*Operator, error) {
+	path := os.Getenv(Variable)
+	if path == "" {
+		return &Operator{}, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Unreadable{path, err}
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of the file at path. Errors: *Unreadable, *BadKey.
+func Parse(path string, text []byte) (*Operator, error) {
+	k := koanf.New(".")
+	if err := k.Load(rawbytes.Provider(text), toml.Parser()); err != nil {
+		return nil, &Unreadable{path, err}
+	}
+	o := &Operator{}
+	oldest := 0.0
+	numbers := map[string]*float64{"list_calls_per_s": &o.ListCalls, "start.connections_per_s": &o.Connections, "snapshot.oldest_s": &oldest}
+	words := map[string]*string{"installation": &o.Installation, "snapshot.path": &o.SnapshotPath}
+	keys := k.Keys()
+	slices.Sort(keys)
+	for _, key := range keys {
+		value, number, word := k.Get(key), numbers[key], words[key]
+		text, is := value.(string)
+		switch {
+		case word != nil && is && strings.TrimSpace(text) != "":
+			*word = text
+		case word != nil:
+			return nil, &BadKey{path, key, value, "a text"}
+		case number == nil:
+			return nil, &BadKey{path, key, value, "a key of this file"}
+		default:
+			switch x := value.(type) {
+			case float64:
+				*number = x
+			case int64:
+				*number = float64(x)
+			}
+			if !(*number > 0 && *number <= 1e6) {
+				return nil, &BadKey{path, key, value, "a number above 0 and up to a million"}
+			}
+		}
+	}
+	o.Oldest = int64(oldest * 1e9)
+	switch {
+	case o.SnapshotPath != "" && o.Installation == "":
+		return nil, &BadKey{path, "installation", "missing", "a name, as snapshot.path is set"}
+	case o.SnapshotPath != "" && o.Oldest == 0:
+		return nil, &BadKey{path, "snapshot.oldest_s", "missing", "a number of seconds, as snapshot.path is set"}
+	}
+	return o, nil
+}
