With an operator's file a limiter starts by its budget; without one nothing changes

Need: the start's rules were written for an older clock of the list; the present one has to stay as it is where nothing is stated.

Change: a field of the limiter, nil without an operator's file. With list_calls_per_s and asked lists the limiter's own instants decide when calls go out and how long they may be held, also after a standstill; inquiry gives silent calls up and its early call is dropped.

Seen: all earlier tests of the limiter pass unchanged.

--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log"
 	"maps"
@@ -15,10 +16,14 @@
 
 	"github.com/spf13/cobra"
 
+	"ospreycroft/internal/coldstart"
 	"ospreycroft/internal/countloss"
+	"ospreycroft/internal/discovery"
 	"ospreycroft/internal/limiter"
+	"ospreycroft/internal/operator"
 	"ospreycroft/internal/remedy"
 	"ospreycroft/internal/settings"
+	"ospreycroft/internal/snapshot"
 	"ospreycroft/internal/sockets"
 )
 
@@ -47,6 +52,13 @@
 			for _, name := range slices.Sorted(maps.Keys(config.Settings.Tracks)) {
 				fmt.Printf("track name=%s worth=%v\n", name, config.Settings.Tracks[name].Benefit)
 			}
+			stated, err := operator.Read()
+			if err != nil {
+				return err
+			}
+			if err := startBounds(config, stated, func(line string) { fmt.Println(line) }); err != nil {
+				return err
+			}
 			return bounds(config, func(line string) { fmt.Println(line) })
 		}})
 	if err := root.Execute(); err != nil {
@@ -66,6 +78,54 @@
 	return nil
 }
 
+// startBounds states what a start of all limiters costs the list service, and how late news can come. A budget that is too
+// small for the list's clock is said, and is no error.
+func startBounds(config *settings.Config, o *operator.Operator, say func(string)) error {
+	set := limiter.StartSettings(config, limiter.Stated{ListCalls: o.ListCalls, Connections: o.Connections})
+	servers := 0
+	if list, err := discovery.Decode(config.Known); err == nil {
+		servers = len(list.Entries)
+	}
+	a, err := set.Advise(servers)
+	var late *coldstart.Late
+	if err != nil && !errors.As(err, &late) {
+		return err
+	}
+	if set.AskEvery > 0 {
+		say(fmt.Sprintf("event=start-bound list_calls_per_s=%.4g stated=%v even=%v all_asked_s=%.4g",
+			a.Calls, a.Stated, a.Even, float64(a.All)/1e9))
+	}
+	if a.Sharer > 0 {
+		say(fmt.Sprintf("event=start-bound connections_per_s=%.4g one_limiter=%.4g", set.Connections, a.Sharer))
+	}
+	if late != nil {
+		say("event=list-late " + remedy.Tail(late))
+	}
+	return nil
+}
+
+// snapshots reads what an earlier life of this limiter has left on a disk and begins to write there. Whatever is wrong with it
+// is logged, and the start goes on without it.
+func snapshots(config *settings.Config, o *operator.Operator, stated *limiter.Stated) (stop func()) {
+	if o.SnapshotPath == "" {
+		return func() {}
+	}
+	place := snapshot.Place{Dir: o.SnapshotPath, Installation: o.Installation, Limiter: config.Name, Oldest: o.Oldest}
+	var err error
+	if stated.Snapshot, err = place.Load(snapshot.Disk{}, time.Now().UnixNano()); err != nil {
+		log.Printf("event=snapshot-refused %s", remedy.Tail(err))
+	}
+	w := snapshot.NewWriter(snapshot.Disk{}, place, func(err error) {
+		if err == nil {
+			log.Printf("event=snapshot-written")
+			return
+		}
+		log.Printf("event=snapshot-unwritten %s", remedy.Tail(err))
+	})
+	stated.Save, stated.SaveEvery = w.Save, o.Oldest/8
+	return w.Close
+}
+
 func run() error {
 	hups := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
 	signal.Notify(hups, syscall.SIGHUP)
@@ -73,6 +133,10 @@
 	if err != nil {
 		return err
 	}
+	o, err := operator.Read()
+	if err != nil {
+		return err
+	}
 	// One thread runs Go code at a time, as there is one core: with more, each wake costs a search for idle ones.
 	// A part of the memory is left for what the runtime does not count.
 	runtime.GOMAXPROCS(1)
@@ -104,7 +168,9 @@
 	// All limiters name their counts by one clock, so it begins as the system's; from then on it only goes forward.
 	start := time.Now()
 	clock := func() int64 { return start.UnixNano() + int64(time.Since(start)) }
-	l, err := limiter.New(clock(), config, s)
+	stated := limiter.Stated{ListCalls: o.ListCalls, Connections: o.Connections}
+	defer snapshots(config, o, &stated)()
+	l, err := limiter.NewStated(clock(), config, stated, s)
 	if err != nil {
 		return err
 	}
@@ -112,6 +178,11 @@
 	if err := bounds(config, func(line string) { log.Print(line) }); err != nil {
 		return err
 	}
+	if *o != (operator.Operator{}) {
+		if err := startBounds(config, o, func(line string) { log.Print(line) }); err != nil {
+			return err
+		}
+	}
 	s.Run(clock, l, stop, renewed)
 	l.LogTolls()
 	log.Printf("event=stopped name=%s", config.Name)
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -113,6 +113,7 @@
 	counted             int64 // when seen was last logged
 	counter             counter
 	watch               watch
+	start               *start // nil where operators state nothing
 	ready               bool
 	stopping            int64 // until when clients still come once the end was asked for, 0 before
 	refused             int64 // since when no new ones are let in, 0 before
@@ -158,16 +159,26 @@
 
 // New makes a limiter from its configuration. It knows the servers that the configuration lists.
 func New(now int64, config *settings.Config, effects Effects) (*Limiter, error) {
+	return NewStated(now, config, Stated{}, effects)
+}
+
+// NewStated makes a limiter that starts by what operators state beside its configuration.
+func NewStated(now int64, config *settings.Config, stated Stated, effects Effects) (*Limiter, error) {
 	l := &Limiter{config: config, set: config.Settings, effects: effects, now: now, conns: map[ID]*conn{},
 		jobs: map[string]*job{}, pools: map[string]*pool{}}
 	l.counter.l, l.counter.heard, l.watch.l = l, now, l
 	l.keep = l.set.IdleClose / idleShare
 	l.watch.pace = inquiry.New(now, l.set.DialTimeout, max(l.set.Position, 0), l.set.AskEvery)
 	l.logic = choice.New(now, l.set.Settings, config.Seed, l)
+	if err := l.begin(stated); err != nil {
+		return nil, err
+	}
 	if err := l.watch.known(config.Known); err != nil {
 		return nil, err
 	}
-	if first := l.watch.pace.First(); first > 0 && l.watch.fetched {
+	if l.start.budgeted() {
+		l.watch.next()
+	} else if first := l.watch.pace.First(); first > 0 && l.watch.fetched {
 		l.watch.again = l.at(now+first, l.watch.dial)
 	} else {
 		l.watch.dial()
@@ -175,7 +186,9 @@
 	if l.set.CounterWait > 0 {
 		l.counter.open()
 	}
-	l.at(now+l.set.DialTimeout, l.readyNow)
+	if l.start == nil {
+		l.at(now+l.set.DialTimeout, l.readyNow)
+	}
 	l.sweep()
 	l.visit()
 	l.arm()
@@ -293,6 +306,9 @@
 		p.sweep()
 	}
 	l.counter.sweep()
+	if l.start != nil {
+		l.start.tick()
+	}
 	l.keep = min(l.keep+l.keep/keepMore, l.set.IdleClose/idleShare)
 	if l.seen != (seen{}) && l.now-l.counted >= l.set.IdleClose {
 		log.Printf("event=turned-away malformed=%d faulty=%d silent=%d unread=%d garbled=%d spoilt=%d", l.seen.malformed,
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/coldstart"
 	"ospreycroft/internal/resp"
 )
 
@@ -15,10 +16,11 @@
 	l       *Limiter
 	id      string
 	address string
-	idle    []*backend // the one used last at the end
-	held    int        // connections, idle or not
-	leaving bool       // it drains or is gone: no connection to it is kept
-	gone    bool       // it is let go of once there is none
+	idle    []*backend       // the one used last at the end
+	held    int              // connections, idle or not
+	leaving bool             // it drains or is gone: no connection to it is kept
+	gone    bool             // it is let go of once there is none
+	bucket  coldstart.Bucket // of new connections, without bound where none is stated
 }
 
 // backend is one connection to a server, with at most one command out on it: one behind another would wait for the
@@ -36,7 +38,8 @@
 
 var errUnasked = errors.New("an answer that nobody asked for")
 
-// backend takes the connection that was used last or opens one; nil if there is no descriptor for it. One that has
+// backend takes the connection that was used last or opens one; nil if there is no descriptor for it
+// or no more may be opened. One that has
 // just brought an answer rests first: what a server sends too much comes right behind, and would be taken for the
 // answer to the next command.
 func (p *pool) backend() *backend {
@@ -50,7 +53,7 @@
 			return b
 		}
 	}
-	if l.backends >= l.config.Sockets/serverShare && !l.freeBackend() {
+	if !p.bucket.Take(l.now) || l.backends >= l.config.Sockets/serverShare && !l.freeBackend() {
 		return nil
 	}
 	l.backends++
--- a/internal/limiter/wake.go
+++ b/internal/limiter/wake.go
@@ -35,7 +35,7 @@
 	log.Printf("event=woken still_ms=%d", gap/1e6)
 	l.timers.drop(w.limit)
 	w.limit = l.at(now+l.set.DialTimeout, l.trust) // what is held then must do: a list service that is down stops nothing
-	if l.set.AskEvery == 0 || gap >= countsFrom {
+	if (l.set.AskEvery == 0 || gap >= countsFrom) && !l.start.budgeted() {
 		l.watch.anew()
 	} else { // the answer of the call that is out is in the kernel, if there is one
 		l.timers.drop(w.limit)
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/coldstart"
 	"ospreycroft/internal/discovery"
 	"ospreycroft/internal/inquiry"
 	"ospreycroft/internal/remedy"
@@ -32,26 +33,64 @@
 	checks  bool        // the process stood still: what there is has to be told at once
 	half    bool        // an answer has begun
 	noted   int64       // when a failure was last logged
+	rests   bool        // no call is out on the connection: with a stated budget the next one goes out at its time
 }
 
 // known takes the list of the configuration, which may be old.
 func (w *watch) known(text []byte) error {
 	if len(text) == 0 || string(text) == "null" {
-		return nil
+		return w.hold(nil)
 	}
 	list, err := discovery.Decode(text)
 	var refused *discovery.ListRefusedError
 	if errors.As(err, &refused) && refused.Key == "instances" && refused.Server == "" {
-		return nil // no server is known yet, which ends no start: discovery is asked
+		return w.hold(nil) // no server is known yet, which ends no start: discovery is asked
 	}
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	list.Whole, w.fetched = true, true // what is newer is enough: a whole list costs discovery as much as several watches
-	w.apply(list)
+	return w.hold(list)
+}
+
+// hold begins with a list, nil for none.
+func (w *watch) hold(list *discovery.List) error {
+	counted := list != nil
+	if w.l.start != nil {
+		list, counted = w.l.start.recall(list)
+	}
+	if list != nil {
+		list.Whole, w.fetched = true, counted // what is newer is enough: a whole list costs discovery as much as several watches
+		w.apply(list, coldstart.Known)
+	}
 	return nil
 }
 
+// next makes the next call when a stated budget allows it.
+func (w *watch) next() {
+	w.l.timers.drop(w.again)
+	if at := w.l.start.rules.Due(); at > w.l.now {
+		w.again = w.l.at(at, w.turn)
+		return
+	}
+	w.turn()
+}
+
+// turn: it is time for a call, or long past it.
+func (w *watch) turn() {
+	if w.l.start.rules.Overslept(w.l.now) {
+		w.l.start.step(coldstart.Event{Kind: coldstart.Missed})
+		w.next()
+		return
+	}
+	w.l.start.step(coldstart.Event{Kind: coldstart.Asked})
+	if w.rests {
+		w.rests = false
+		w.ask()
+		return
+	}
+	w.dial()
+}
+
 func (w *watch) dial() {
 	w.told, w.last = false, inquiry.Broke
 	w.c = w.l.dial(w, w.l.config.Discovery, w.pace.Dial())
@@ -62,7 +101,17 @@
 // ask calls for the whole list first and then waits for what is newer.
 func (w *watch) ask() {
 	l := w.l
-	wait, limit := w.pace.Ask(l.now, !w.fetched)
+	var wait, limit int64
+	if !l.start.budgeted() {
+		wait, limit = w.pace.Ask(l.now, !w.fetched)
+	} else {
+		w.told, w.last = false, inquiry.Broke // each call counts for itself
+		if w.fetched {
+			wait, _ = l.start.rules.Wait(l.now)
+		}
+		limit = w.pace.Held(l.now, !w.fetched, wait)
+	}
+	l.start.asked()
 	if w.checks && wait > 0 {
 		wait, limit = 1e6, limit-wait
 	}
@@ -91,6 +140,9 @@
 }
 
 func (w *watch) read(b []byte) (int, error) {
+	if w.rests && len(b) > 0 {
+		return 0, errUnasked
+	}
 	a, n, err := discovery.Read(b)
 	if err == nil && n == 0 && len(b) > 0 && !w.half {
 		// The rest of an answer is right behind; one that stops there would hide its news for the whole wait.
@@ -122,14 +174,20 @@
 	w.pace.Answered(w.l.now)
 	// One that counts from anew behind the same address may hold what was never told here.
 	w.fetched = list.Whole || list.Version >= w.version
-	w.apply(list)
+	w.apply(list, coldstart.Answered)
 	if w.checks {
 		w.checks = false
 		w.l.trust()
 	}
-	w.l.readyNow()
+	if w.l.start == nil {
+		w.l.readyNow()
+	}
 	if a.Last {
 		w.l.over(w.c, PeerClosed)
+	} else if w.l.start.budgeted() {
+		w.l.timers.drop(w.limit)
+		w.rests = true
+		w.next()
 	} else {
 		w.ask()
 	}
@@ -139,6 +197,17 @@
 // ended renews the connection: at once where it has served, else when the pace allows it.
 func (w *watch) ended(end End, _ int64) {
 	w.l.timers.drop(w.limit)
+	if w.rests {
+		w.rests = false // its next call waits for its time already
+		return
+	}
+	if !w.told {
+		w.l.start.failed(w.last)
+	}
+	if w.l.start.budgeted() {
+		w.next()
+		return
+	}
 	if !w.told {
 		w.again = w.l.at(w.l.now+w.pace.Next(w.l.now, w.last), w.dial)
 		return
@@ -166,6 +235,13 @@
 func (w *watch) move() {
 	w.fetched = false
 	w.pace.Moved(w.l.now)
+	if w.l.start != nil {
+		w.l.start.step(coldstart.Event{Kind: coldstart.Moved})
+	}
+	if w.l.start.budgeted() {
+		w.rests = false
+		w.l.timers.drop(w.again)
+	}
 	if w.c != nil && w.l.conns[w.c.id] == w.c {
 		w.told = true
 		w.l.over(w.c, Unused)
@@ -173,11 +249,15 @@
 	}
 	// It waits for its turn at the old address. What the new one has to tell counts as told before that may be over.
 	w.l.timers.drop(w.again)
+	if w.l.start.budgeted() {
+		w.next()
+		return
+	}
 	w.dial()
 }
 
 // apply takes a list in: addresses for the pools, the rest for the module.
-func (w *watch) apply(list *discovery.List) {
+func (w *watch) apply(list *discovery.List, kind coldstart.Kind) {
 	l := w.l
 	w.version = list.Version
 	entries := make([]choice.Entry, len(list.Entries))
@@ -192,7 +272,7 @@
 		entries[i] = e.Entry
 		p := l.pools[e.ID]
 		if p == nil {
-			p = &pool{l: l, id: e.ID}
+			p = &pool{l: l, id: e.ID, bucket: l.start.bucket(max(len(list.Entries), len(l.servers)+1))}
 			l.pools[e.ID] = p
 			l.servers = append(l.servers, p)
 		}
@@ -213,6 +293,9 @@
 		p.retire()
 		p.prune()
 	}
+	if l.start != nil {
+		l.start.list(kind, list)
+	}
 }
 
 // missing are the servers that a list does not name.
