An in-memory fleet of real reducers on one virtual clock, and a first story

Need: faults among hundreds of limiters can be seen again only if chance and time are one seed's. Change: internal/lab/memfleet plays limiter.Limiter with servers, counter, list service (pushed or asked) and clients in memory, on one event queue and seeded links; internal/lab/stories plays feature files (godog) over it.

--- /dev/null
+++ b/internal/lab/memfleet/clients.go
@@ -0,0 +1,355 @@
+package memfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/limiter"
+	"ospreycroft/internal/resp"
+)
+
+// Customer is one customer's part of the load.
+type Customer struct {
+	ID     string // 16 hex digits
+	Plan   string
+	Share  float64
+	Spread int // its jobs come through so many limiters in a row,
+	First  int // from this one on
+}
+
+// Mix is one track's part of the load.
+type Mix struct {
+	Track  string
+	Share  float64
+	Units  float64
+	CutOff int64 // nanoseconds from its sending
+}
+
+// Load is what clients send, open loop: jobs come at their rate whatever becomes of the earlier ones.
+type Load struct {
+	Rate      float64 // jobs a second, all together
+	From      int64   // when the first may come
+	Until     int64   // and the last
+	Customers []Customer
+	Tracks    []Mix
+	Stay      bool    // they stay on open connections after SIGTERM; else they close them once it is noticed
+	GiveUp    float64 // so many go away after half of their time
+	Retry     float64 // so many of those rejected come again
+}
+
+// late is how long past its cut-off a client still looks for an answer.
+const late = 500e6
+
+// clients are all clients, behind the front that deals their jobs out.
+type clients struct {
+	f        *Fleet
+	host     *host
+	rng      *rand.Rand
+	rate     float64
+	gates    []*gate // one a limiter
+	next     int
+	unserved int // jobs for which no limiter of the customer's set was in
+}
+
+// gate is what the front knows of a limiter.
+type gate struct {
+	in      bool // it has answered PING since its start
+	leaving bool // its end was noticed: no new connections
+	idle    []*tie
+	starts  int
+	readyAt int64 // when it was taken in
+}
+
+// tie is a client's connection.
+type tie struct {
+	n    int
+	s    *side
+	held []byte
+	out  *visit
+	ping bool
+}
+
+// visit is a job on its way.
+type visit struct {
+	job    record.Job
+	text   []byte
+	cutOff int64
+	giveUp bool
+	resent bool
+	tie    *tie
+	over   bool
+	number int    // of its sendings
+	again  func() // brings it once more, as a new job, where its client does so after a rejection
+}
+
+func (k *clients) accept(*side) {}
+
+func (k *clients) connected(s *side) {
+	t := s.data.(*tie)
+	if t.ping {
+		s.write([]byte("*1\r\n$4\r\nPING\r\n"))
+	} else if t.out != nil {
+		k.put(t)
+	}
+}
+
+// arrive lets jobs come from now on.
+func (k *clients) arrive() {
+	o := &k.f.o.Load
+	k.f.q.at(k.f.q.now+int64(k.rng.ExpFloat64()/k.rate*1e9), func() {
+		if k.f.q.now >= o.Until {
+			return
+		}
+		c := draw(k.rng, o.Customers, func(c Customer) float64 { return c.Share })
+		m := draw(k.rng, o.Tracks, func(m Mix) float64 { return m.Share })
+		k.bring(c, m, false)
+		k.arrive()
+	})
+}
+
+func draw[T any](rng *rand.Rand, items []T, share func(T) float64) T {
+	total := 0.0
+	for _, it := range items {
+		total += share(it)
+	}
+	u := rng.Float64() * total
+	for _, it := range items {
+		if u -= share(it); u < 0 {
+			return it
+		}
+	}
+	return items[len(items)-1]
+}
+
+// bring makes a job and hands it to one of the customer's limiters that is in.
+func (k *clients) bring(c Customer, m Mix, retry bool) {
+	count := len(k.gates)
+	at := k.rng.IntN(c.Spread)
+	n := -1
+	for i := range c.Spread {
+		try := (c.First + (at+i)%c.Spread) % count
+		if g := k.gates[try]; g.in && (!g.leaving || k.f.o.Load.Stay && len(g.idle) > 0) {
+			n = try
+			break
+		}
+	}
+	if n < 0 {
+		k.unserved++
+		return
+	}
+	k.next++
+	effect := k.f.set.Tracks[m.Track].Effect
+	v := &visit{cutOff: m.CutOff, giveUp: k.rng.Float64() < k.f.o.Load.GiveUp}
+	v.job = record.Job{ID: fmt.Sprintf("%016x", k.next), Customer: c.ID, Plan: c.Plan, Track: m.Track, Units: m.Units,
+		Limiter: n, Retry: retry, Binding: effect == choice.Binding}
+	list := fmt.Sprintf("c=%s,t=%s,d=%d,units=%s,spread=%d,first=%d", m.Track, c.Plan, m.CutOff/1e6,
+		strconv.FormatFloat(m.Units, 'g', -1, 64), c.Spread, c.First)
+	if retry {
+		list += ",r=1"
+	}
+	if effect == choice.Fingerprinted {
+		list += ",k=" + v.job.ID
+	}
+	words := [][]byte{[]byte("SVC.QUERY"), []byte(c.ID), []byte(v.job.ID), []byte(list)}
+	if effect != choice.Retriable {
+		words[0] = []byte("SVC.SUBMIT")
+		words = append(words, []byte("body"))
+	}
+	v.text = resp.AppendCommand(nil, words...)
+	v.job.Answered = -1
+	if k.rng.Float64() < k.f.o.Load.Retry && !retry {
+		v.again = func() { k.bring(c, m, true) }
+	}
+	k.send(v, false)
+}
+
+// send puts a job on a connection that is idle, the one used last first, or on a new one.
+func (k *clients) send(v *visit, fresh bool) {
+	g := k.gates[v.job.Limiter]
+	v.number++
+	if last := len(g.idle) - 1; last >= 0 && !fresh {
+		t := g.idle[last]
+		g.idle = g.idle[:last]
+		t.out, v.tie = v, t
+		k.put(t)
+		return
+	}
+	t := &tie{n: v.job.Limiter, out: v}
+	v.tie = t
+	v.job.Sent, v.job.CutOff = k.f.q.now, k.f.q.now+v.cutOff
+	t.s = k.f.net.dial(k.host, k, k.f.limiters[t.n].host.name, 1e9)
+	t.s.data = t
+}
+
+// put writes a job: its time is counted from here.
+func (k *clients) put(t *tie) {
+	v, now := t.out, k.f.q.now
+	v.job.Sent, v.job.CutOff = now, now+v.cutOff
+	t.s.write(v.text)
+	number := v.number
+	look := v.job.CutOff + late
+	if v.giveUp {
+		look = now + v.cutOff/2
+	}
+	k.f.q.at(look, func() {
+		if v.over || v.number != number {
+			return
+		}
+		t.s.close()
+		if v.giveUp {
+			k.end(v, record.GaveUp, 0)
+		} else {
+			k.end(v, record.Unanswered, 0)
+		}
+	})
+}
+
+// end writes a job down.
+func (k *clients) end(v *visit, outcome record.Outcome, retryAfter int64) {
+	v.over = true
+	v.job.Answered, v.job.Outcome, v.job.RetryAfter = k.f.q.now, outcome, retryAfter
+	if v.tie != nil {
+		v.tie.out = nil
+	}
+	k.f.jobs = append(k.f.jobs, v.job)
+	if at := k.f.q.now + max(retryAfter, 50e6); v.again != nil && outcome == record.Rejected && at < k.f.o.Load.Until {
+		k.f.q.at(at, v.again)
+	}
+}
+
+func (k *clients) read(s *side, b []byte, _ int64) {
+	t := s.data.(*tie)
+	t.held = append(t.held, b...)
+	value, n, err := resp.Read(t.held)
+	if n == 0 && err == nil {
+		return
+	}
+	v := t.out
+	if t.ping {
+		s.close()
+		if string(value.Text) == "PONG" {
+			k.takeIn(t.n)
+		}
+		return
+	}
+	if v == nil || err != nil {
+		k.f.fault("answer", fmt.Sprintf("limiter:%d", t.n), "an answer that nobody asked for, or none")
+		s.close()
+		g := k.gates[t.n]
+		g.idle = slices.DeleteFunc(g.idle, func(o *tie) bool { return o == t })
+		if v != nil {
+			k.end(v, record.Broken, 0)
+		}
+		return
+	}
+	t.held = t.held[n:]
+	outcome, retryAfter := judge(value)
+	if k.f.q.now > v.job.CutOff {
+		outcome = record.Late
+	}
+	k.end(v, outcome, retryAfter)
+	g := k.gates[t.n]
+	if g.leaving && !k.f.o.Load.Stay {
+		s.close()
+		return
+	}
+	g.idle = append(g.idle, t)
+}
+
+// judge names an answer as the protocol's table does, with its retry-after in nanoseconds.
+func judge(v resp.Value) (record.Outcome, int64) {
+	switch {
+	case v.Kind == '$' && !v.Null:
+		return record.Done, 0
+	case v.Kind == '-' && len(v.Text) >= 4 && string(v.Text[:4]) == "BUSY":
+		ms, _ := strconv.ParseInt(string(v.Text[min(len(v.Text), 5):]), 10, 64)
+		return record.Rejected, ms * 1e6
+	}
+	return record.WrittenOff, 0
+}
+
+func (k *clients) ended(s *side, how limiter.End) {
+	t := s.data.(*tie)
+	g := k.gates[t.n]
+	g.idle = slices.DeleteFunc(g.idle, func(o *tie) bool { return o == t })
+	v := t.out
+	if v == nil {
+		return
+	}
+	unread := how == limiter.Refused || how == limiter.DialOver || s.far.got < s.wrote
+	switch {
+	case unread && !v.resent && how != limiter.DialOver: // the end has crossed it: it comes once more
+		v.resent = true
+		k.send(v, true)
+	case unread:
+		v.job.Answered = k.f.q.now
+		k.end(v, record.NotTaken, 0)
+	default:
+		k.end(v, record.Broken, 0)
+	}
+}
+
+// started: the front asks a limiter until it says that it is ready.
+func (k *clients) started(n int) {
+	g := k.gates[n]
+	g.in, g.leaving = false, false
+	g.starts++
+	k.ask(n, g.starts)
+}
+
+const pingEvery = 100e6
+
+func (k *clients) ask(n, start int) {
+	g := k.gates[n]
+	if g.in || g.starts != start {
+		return
+	}
+	t := &tie{n: n, ping: true}
+	t.s = k.f.net.dial(k.host, k, k.f.limiters[n].host.name, pingEvery)
+	t.s.data = t
+	k.f.q.at(k.f.q.now+pingEvery, func() {
+		t.s.close()
+		k.ask(n, start)
+	})
+}
+
+func (k *clients) takeIn(n int) {
+	g := k.gates[n]
+	if !g.in {
+		g.in, g.readyAt = true, k.f.q.now
+		k.f.event("ready", fmt.Sprintf("limiter:%d", n), "")
+	}
+}
+
+// died: the front notices some seconds later, unless the limiter has started again by then.
+func (k *clients) died(n int) {
+	g := k.gates[n]
+	start := g.starts
+	k.f.q.at(k.f.q.now+1e9+k.rng.Int64N(2e9), func() {
+		if g.starts == start {
+			g.in = false
+		}
+	})
+}
+
+// ending: after SIGTERM new connections come for a little longer.
+func (k *clients) ending(n int) {
+	g := k.gates[n]
+	start := g.starts
+	k.f.q.at(k.f.q.now+200e6+k.rng.Int64N(200e6), func() {
+		if g.starts != start {
+			return
+		}
+		g.leaving = true
+		if !k.f.o.Load.Stay {
+			for _, t := range g.idle {
+				t.s.close()
+			}
+			g.idle = nil
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/memfleet/memfleet_test.go
@@ -0,0 +1,259 @@
+package memfleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"ospreycroft/internal/limiter"
+)
+
+const second = int64(1e9)
+
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard) // hundreds of limiters would fill it
+	os.Exit(m.Run())
+}
+
+// small is a fleet to which nearly everything happens.
+func small(t *testing.T, seed uint64, mode Mode, broken ...Broken) *Result {
+	t.Helper()
+	o := Plain(seed, 6, 8)
+	o.Mode, o.Broken, o.Load.Stay = mode, broken, true
+	o.Load.Until = 16 * second
+	for i := range o.Load.Customers {
+		o.Load.Customers[i].Spread = 3
+	}
+	f, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.StartAll(0)
+	var cut *Rule
+	f.At(3*second, func() { cut = f.Link(Cut, "counter", "limiter", nil, 0, 0) })
+	f.At(14*second, func() { f.Heal(cut) })
+	f.At(4*second, func() { f.Drain("s1") })
+	f.At(5*second, func() { f.Gone("s1"); f.Add("s1", "s1-new") })
+	f.At(6*second, func() { f.Kill(2) })
+	f.At(7*second, func() { f.Start(2) })
+	f.At(8*second, func() { f.Term(3, true) })
+	f.At(9*second, func() { f.Stop(4) })
+	f.At(11*second, func() { f.Continue(4) })
+	f.At(12*second, func() { f.Quiet(func(int) bool { return true }); f.Drain("s2") })
+	f.Run(16 * second)
+	return f.Finish()
+}
+
+func TestSameSeedSameRecord(t *testing.T) {
+	for _, mode := range []Mode{Pushed, Asked} {
+		var runs [3][]byte
+		for i, seed := range []uint64{5, 5, 6} {
+			runs[i], _ = json.Marshal(small(t, seed, mode).Run)
+		}
+		if !bytes.Equal(runs[0], runs[1]) || bytes.Equal(runs[0], runs[2]) {
+			t.Fatalf("mode %d: same seed, same record: %v; another seed, the same: %v", mode,
+				bytes.Equal(runs[0], runs[1]), bytes.Equal(runs[0], runs[2]))
+		}
+		if len(runs[0]) < 1<<20 {
+			t.Fatalf("a record of %d bytes", len(runs[0]))
+		}
+	}
+}
+
+// TestBroken sees each rule broken by a limiter that is broken on purpose, and kept by the real one.
+func TestBroken(t *testing.T) {
+	if r := small(t, 5, Pushed); !r.Verdict.Pass || len(r.Faults) > 0 {
+		t.Fatalf("the real limiter: %s %v %v", r.Verdict.Line(), r.Verdict.Breaches, r.Faults)
+	}
+	for _, c := range []struct {
+		way  Broken
+		rule int
+	}{{LosesAnswers, 1}, {SendsTwice, 2}, {IgnoresDrains, 3}, {DropsRenewals, 3}, {NoCeiling, 5}} {
+		t.Run(string(c.way), func(t *testing.T) {
+			if r := small(t, 5, Pushed, c.way); r.Verdict.Pass || r.Verdict.Counts[c.rule] == 0 {
+				t.Fatal(r.Verdict.Line())
+			}
+		})
+	}
+}
+
+// TestColdFall: a fleet that overfeeds new servers pushes one over, and is to blame once it has been told.
+func TestColdFall(t *testing.T) {
+	for _, broken := range [][]Broken{nil, {Overfeeds}} {
+		o := Plain(3, 60, 4)
+		o.Load.Rate, o.Load.Until, o.Broken, o.FallMultiple, o.FallWindow = 520, 14*second, broken, 1, 1500e6
+		for i := range 16 { // with few customers their quotas would bound it
+			o.Load.Customers = append(o.Load.Customers, Customer{ID: fmt.Sprintf("%016x", 0xc0+i), Plan: "team", Share: 1, Spread: 10})
+		}
+		f, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.StartAll(0)
+		f.At(8*second, func() { f.Crash("s0") })
+		f.At(9*second, func() { f.Back("s0") })
+		f.Run(14 * second)
+		if r := f.Finish(); (r.Falls > 0) != (broken != nil) || (r.Verdict.Counts[4] > 0) != (broken != nil) {
+			t.Fatalf("%v: %d falls, %s", broken, r.Falls, r.Verdict.Line())
+		}
+	}
+}
+
+// TestBig is the size for which the fleet is made. It takes some seconds of processor time, which it logs.
+func TestBig(t *testing.T) {
+	began := time.Now()
+	f, err := New(Plain(1, 300, 20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.StartAll(0)
+	f.Run(20 * second)
+	r := f.Finish()
+	t.Logf("20 s of 300 limiters and 20 servers in %v: %d jobs, %d events", time.Since(began), r.Verdict.Jobs, r.Steps)
+	if !r.Verdict.Pass || r.Verdict.Jobs < 20000 {
+		t.Fatal(r.Verdict.Line(), r.Verdict.Breaches)
+	}
+}
+
+// ear is a party that writes down what it hears.
+type ear struct {
+	q     *queue
+	heard []string
+	last  *side
+}
+
+func (e *ear) note(what string) { e.heard = append(e.heard, fmt.Sprintf("%d %s", e.q.now/1e6, what)) }
+
+func (e *ear) accept(s *side)                  { e.last = s; e.note("accept") }
+func (e *ear) connected(s *side)               { e.last = s; e.note("connected") }
+func (e *ear) read(_ *side, b []byte, _ int64) { e.note(string(b)) }
+func (e *ear) ended(_ *side, how limiter.End)  { e.note(how.String()) }
+func (e *ear) expect(t *testing.T, want ...string) {
+	t.Helper()
+	if !slices.Equal(e.heard, want) {
+		t.Fatalf("heard %q, want %q", e.heard, want)
+	}
+}
+
+func TestLinks(t *testing.T) {
+	type pair struct {
+		q    *queue
+		n    *network
+		a, b *host
+		x, y *ear
+		link *side
+	}
+	rule := func(p pair, way Way, from, to *host, extra int64, share float64) *Rule {
+		r := &Rule{way: way, from: map[*host]bool{from: true}, to: map[*host]bool{to: true}, extra: extra, share: share}
+		p.n.add(r)
+		return r
+	}
+	const ms = int64(1e6)
+	for _, c := range []struct {
+		name string
+		run  func(p pair)
+		x, y []string
+	}{
+		{"plain", func(p pair) { p.link.write([]byte("hi")); p.q.run(101 * ms); p.link.close() },
+			[]string{"0 connected"}, []string{"0 accept", "100 hi", "101 peer-closed"}},
+		{"cut one way: the other way is open, and what was sent comes after", func(p pair) {
+			r := rule(p, Cut, p.a, p.b, 0, 0)
+			p.link.write([]byte("hi"))
+			p.y.last.write([]byte("ho"))
+			p.q.run(2000 * ms)
+			p.n.heal(r)
+		}, []string{"0 connected", "100 ho"}, []string{"0 accept", "2069 hi"}},
+		{"a dial over a link that is cut on the way back never comes up", func(p pair) {
+			rule(p, Cut, p.b, p.a, 0, 0)
+			p.n.dial(p.a, p.x, "b", 250*ms)
+		}, []string{"0 connected", "350 dial-over"}, []string{"0 accept", "100 accept"}},
+		{"a stall holds everything", func(p pair) {
+			r := rule(p, Stall, p.a, p.b, 0, 0)
+			p.link.write([]byte("hi"))
+			p.link.close()
+			p.q.run(500 * ms)
+			p.n.heal(r)
+		}, []string{"0 connected"}, []string{"0 accept", "500 hi", "500 peer-closed"}},
+		{"late: only what comes up is", func(p pair) {
+			rule(p, Late, p.a, p.b, 80*ms, 0)
+			p.n.dial(p.a, p.x, "b", 250*ms)
+			p.link.write([]byte("hi"))
+		}, []string{"0 connected", "180 connected"}, []string{"0 accept", "100 hi", "180 accept"}},
+		{"torn in the middle of a message", func(p pair) {
+			rule(p, Tear, p.a, p.b, 0, 1)
+			p.link.write([]byte("hiho"))
+		}, []string{"0 connected", "100 peer-reset"}, []string{"0 accept", "100 hi", "100 peer-reset"}},
+		{"half-open: the next bytes are answered with a reset", func(p pair) {
+			p.n.halfOpen(p.b, p.a)
+			p.q.run(500 * ms)
+			p.link.write([]byte("hi"))
+		}, []string{"0 connected", "500 peer-reset"}, []string{"0 accept"}},
+		{"a process that dies resets, and refuses", func(p pair) {
+			p.n.kill(p.b)
+			p.q.run(200 * ms)
+			p.n.dial(p.a, p.x, "b", 250*ms)
+		}, []string{"0 connected", "100 peer-reset", "200 refused"}, []string{"0 accept"}},
+		{"a machine that vanishes says nothing", func(p pair) {
+			p.n.vanish(p.b)
+			p.link.write([]byte("hi"))
+			p.n.dial(p.a, p.x, "b", 250*ms)
+		}, []string{"0 connected", "350 dial-over"}, []string{"0 accept"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := &queue{}
+			p := pair{q: q, n: newNetwork(q, 1), x: &ear{q: q}, y: &ear{q: q}}
+			p.a, p.b = p.n.host("a"), p.n.host("b")
+			p.a.party, p.b.party = p.x, p.y
+			p.link = p.n.dial(p.a, p.x, "b", second)
+			q.run(100 * ms)
+			c.run(p)
+			q.run(5 * second)
+			p.x.expect(t, c.x...)
+			p.y.expect(t, c.y...)
+		})
+	}
+}
+
+// TestTold checks the list's clock.
+func TestTold(t *testing.T) {
+	o := Plain(1, 1, 1)
+	pushed, err := New(o)
+	o.Mode = Asked
+	asked, askedErr := New(o)
+	if err != nil || askedErr != nil {
+		t.Fatal(err, askedErr)
+	}
+	for _, f := range []*Fleet{pushed, asked} {
+		f.q.now = 10 * second
+		f.lists.changes = []change{{version: firstVersion + 1, at: 10 * second}}
+	}
+	pushed.limiters[0].had = []mark{{firstVersion + 1, 11 * second}}
+	for _, c := range []struct {
+		name string
+		f    *Fleet
+		l    life
+		want int64
+	}{
+		{"pushed: from the moment the agent has it", pushed, life{}, 11 * second},
+		{"or the process is there", pushed, life{from: 12 * second}, 12 * second},
+		{"or what a silent watch misses counts", pushed, life{silences: []span{{9 * second, 15 * second}}}, 15 * second},
+		{"or it was handed over on another", pushed,
+			life{silences: []span{{9 * second, 15 * second}}, handed: []mark{{firstVersion + 1, 13 * second}}}, 13 * second},
+		{"or the process goes on", pushed, life{stops: []span{{9 * second, 14 * second}}}, 14 * second},
+		{"asked: when it is handed over", asked, life{handed: []mark{{firstVersion, 9 * second}, {firstVersion + 1, 12 * second}}}, 12 * second},
+		{"or what a silent watch misses counts", asked, life{silences: []span{{9 * second, 21 * second}}}, 21 * second},
+		{"or nothing was answered for very long", asked, life{}, 50 * second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.f.toldAt(0, &c.l, firstVersion+1); got != c.want {
+				t.Fatalf("told at %v s, want %v", float64(got)/1e9, float64(c.want)/1e9)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/memfleet/process.go
@@ -0,0 +1,182 @@
+package memfleet
+
+import (
+	"fmt"
+
+	"ospreycroft/internal/limiter"
+	"ospreycroft/internal/settings"
+)
+
+// process is one life of a limiter: the real reducer, and its effects on the network in memory.
+type process struct {
+	f       *Fleet
+	n       int
+	host    *host
+	config  *settings.Config
+	l       *limiter.Limiter
+	sides   map[limiter.ID]*side
+	last    limiter.ID
+	wake    int64 // the latest wish, by the limiter's clock
+	armed   int64 // when the queue next looks, 0 if it does not
+	bytes   []byte
+	skew    int64 // of the limiter's clock against the fleet's
+	stopped bool
+	waiting []told
+	dead    bool
+	life    *life
+}
+
+// told is a happening that waits for a process that is stopped.
+type told struct {
+	h     limiter.Happening
+	bytes []byte
+}
+
+// mostDue bounds the timers that a limiter may run at one moment: one that asks again for the same moment each time
+// would never let the clock go on.
+const mostDue = 10000
+
+func (p *process) clock() int64 { return epoch + p.f.q.now + p.skew }
+
+// step lets the reducer take one happening, and whatever has come due.
+func (p *process) step(h limiter.Happening, bytes []byte) {
+	switch {
+	case p.dead:
+	case p.stopped:
+		p.waiting = append(p.waiting, told{h, bytes})
+	default:
+		p.take(h, bytes)
+		p.due()
+	}
+}
+
+func (p *process) take(h limiter.Happening, bytes []byte) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			p.f.crash(p, fmt.Sprint(fault))
+		}
+	}()
+	p.bytes = bytes
+	p.l.Step(p.clock(), h)
+}
+
+func (p *process) due() {
+	for times := 0; !p.dead && p.wake <= p.clock(); times++ {
+		if times > mostDue {
+			p.f.crash(p, "its timers never end")
+			return
+		}
+		p.take(limiter.Happening{Kind: limiter.Due}, nil)
+	}
+	if !p.dead && p.l.Finished() {
+		p.f.exit(p)
+	}
+	p.arm()
+}
+
+// arm plans a look at the latest wish.
+func (p *process) arm() {
+	at := p.wake - epoch - p.skew
+	if p.dead || p.armed != 0 && p.armed <= at {
+		return
+	}
+	p.armed = at
+	p.f.q.at(at, func() {
+		if p.armed != at {
+			return // a nearer wish has come since
+		}
+		if p.armed = 0; !p.dead && !p.stopped {
+			p.due()
+		}
+	})
+}
+
+// resume is SIGCONT: what came meanwhile is there at once, and so is every timer. Which the process sees first is open.
+func (p *process) resume() {
+	waiting := p.waiting
+	p.stopped, p.waiting = false, nil
+	if p.f.rng.IntN(2) == 0 {
+		p.due()
+	}
+	for _, w := range waiting {
+		if p.dead {
+			return
+		}
+		p.take(w.h, w.bytes)
+	}
+	p.due()
+}
+
+// The process as the network sees it.
+
+func (p *process) accept(s *side) {
+	p.last++
+	s.id = p.last
+	p.sides[s.id] = s
+	p.step(limiter.Happening{Kind: limiter.Accepted, Conn: s.id}, nil)
+}
+
+func (p *process) connected(s *side) {
+	p.step(limiter.Happening{Kind: limiter.Connected, Conn: s.id}, nil)
+}
+
+func (p *process) read(s *side, bytes []byte, _ int64) {
+	if bytes = p.f.spoil(s, bytes); len(bytes) > 0 {
+		p.step(limiter.Happening{Kind: limiter.Readable, Conn: s.id, Size: len(bytes)}, bytes)
+	}
+}
+
+func (p *process) ended(s *side, how limiter.End) {
+	p.step(limiter.Happening{Kind: limiter.Ended, Conn: s.id, End: how}, nil)
+}
+
+// The effects.
+
+// Dial is an effect.
+func (p *process) Dial(address string, timeout int64) limiter.ID {
+	p.last++
+	id := p.last
+	s := p.f.net.dial(p.host, p, address, timeout)
+	s.id = id
+	p.sides[id] = s
+	return id
+}
+
+// Read is an effect.
+func (p *process) Read(into []byte) { copy(into, p.bytes) }
+
+// Write is an effect.
+func (p *process) Write(id limiter.ID, bytes []byte) {
+	if s := p.sides[id]; s != nil && p.f.passes(s, bytes) {
+		s.write(bytes)
+	}
+}
+
+// Alive is an effect.
+func (p *process) Alive(id limiter.ID) bool {
+	s := p.sides[id]
+	return s != nil && !s.over
+}
+
+// Written is an effect.
+func (p *process) Written(id limiter.ID) int64 {
+	s := p.sides[id]
+	if s == nil {
+		return 0
+	}
+	return s.taken()
+}
+
+// Close is an effect.
+func (p *process) Close(id limiter.ID) int64 {
+	s := p.sides[id]
+	if s == nil {
+		return 0
+	}
+	delete(p.sides, id)
+	s.close()
+	return s.taken()
+}
+
+// Wake is an effect.
+func (p *process) Wake(at int64) { p.wake = at }
--- /dev/null
+++ b/internal/lab/memfleet/queue.go
@@ -0,0 +1,59 @@
+package memfleet
+
+// event is something that happens at a time; of two at one time the one that was planned first comes first.
+type event struct {
+	at, order int64
+	run       func()
+}
+
+// queue is the one order in which everything in a fleet happens, and its clock: nanoseconds since the run began.
+type queue struct {
+	now, order int64
+	heap       []event
+	steps      int64
+}
+
+func (e event) before(o event) bool { return e.at < o.at || e.at == o.at && e.order < o.order }
+
+// at plans something; a time that is past means now.
+func (q *queue) at(at int64, run func()) {
+	q.order++
+	q.heap = append(q.heap, event{max(at, q.now), q.order, run})
+	h := q.heap
+	for i := len(h) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !h[i].before(h[up]) {
+			break
+		}
+		h[i], h[up] = h[up], h[i]
+		i = up
+	}
+}
+
+// run lets everything happen up to a time, which is the clock's afterwards.
+func (q *queue) run(until int64) {
+	for len(q.heap) > 0 && q.heap[0].at <= until {
+		h := q.heap
+		next, last := h[0], len(h)-1
+		h[0], h[last] = h[last], event{}
+		h = h[:last]
+		q.heap = h
+		for i := 0; ; {
+			least := i
+			for child := 2*i + 1; child <= 2*i+2 && child < len(h); child++ {
+				if h[child].before(h[least]) {
+					least = child
+				}
+			}
+			if least == i {
+				break
+			}
+			h[i], h[least] = h[least], h[i]
+			i = least
+		}
+		q.now = next.at
+		q.steps++
+		next.run()
+	}
+	q.now = max(q.now, until)
+}
--- /dev/null
+++ b/internal/lab/stories/steps.go
@@ -0,0 +1,266 @@
+package stories
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cucumber/godog"
+
+	"ospreycroft/internal/lab/memfleet"
+	"ospreycroft/internal/lab/record"
+)
+
+// Steps gives a scenario the words of this package, and its world.
+func Steps(s *godog.ScenarioContext) *World {
+	w := &World{}
+	s.Given(`^a fleet of (\d+) limiters and (\d+) servers, seed (\d+), whose list is pushed$`, func(limiters, servers, seed int) error {
+		w.Options = memfleet.Plain(uint64(seed), limiters, servers)
+		return nil
+	})
+	s.Given(`^a fleet of (\d+) limiters and (\d+) servers, seed (\d+), whose list is asked for at a service that answers (\d+) calls a second$`,
+		func(limiters, servers, seed, budget int) error {
+			w.Options = memfleet.Plain(uint64(seed), limiters, servers)
+			w.Options.Mode, w.Options.Budget = memfleet.Asked, float64(budget)
+			return nil
+		})
+	s.Given(`^a limiter that (.+)$`, w.limiterThat)
+	s.Given(`^clients send (\d+) jobs a second from second ([\d.]+) to second ([\d.]+)$`, func(rate int, from, until float64) error {
+		w.Options.Load.Rate, w.Options.Load.From, w.Options.Load.Until = float64(rate), seconds(from), seconds(until)
+		return nil
+	})
+	s.Given(`^clients send from second ([\d.]+) to second ([\d.]+)$`, func(from, until float64) error {
+		w.Options.Load.From, w.Options.Load.Until = seconds(from), seconds(until)
+		return nil
+	})
+	s.Given(`^clients stay on their connections while a limiter ends$`, func() error {
+		w.Options.Load.Stay = true
+		return nil
+	})
+	s.Given(`^(.+) of the servers were replaced since the limiters' lists were written$`, w.replaced)
+	w.when(s)
+	w.then(s)
+	return w
+}
+
+// limiterThat breaks all limiters of the fleet on purpose.
+func (w *World) limiterThat(how string) error {
+	ways := []memfleet.Broken{memfleet.IgnoresDrains, memfleet.DropsRenewals, memfleet.LosesAnswers, memfleet.SendsTwice,
+		memfleet.NoCeiling, memfleet.Overfeeds, memfleet.InStep}
+	if !slices.Contains(ways, memfleet.Broken(how)) {
+		return fmt.Errorf("no limiter %q: one of %q", how, ways)
+	}
+	w.Options.Broken = append(w.Options.Broken, memfleet.Broken(how))
+	return nil
+}
+
+// replaced lets some servers go and others come, cold, before any limiter starts.
+func (w *World) replaced(part string) error {
+	of, err := share(part)
+	if err != nil {
+		return err
+	}
+	for _, i := range w.some(of, len(w.Options.Servers), 1) {
+		name := w.Options.Servers[i].Name
+		if err := w.Plan(0, func(f *memfleet.Fleet) {
+			f.Add(name, name+"-new")
+			f.Gone(name)
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) when(s *godog.ScenarioContext) {
+	at := func(step func(f *memfleet.Fleet)) func(at float64) error {
+		return func(at float64) error { return w.Plan(seconds(at), step) }
+	}
+	s.When(`^all limiters start together at second ([\d.]+)$`, at(func(f *memfleet.Fleet) { f.StartAll(0) }))
+	s.When(`^all limiters start within ([\d.]+) seconds? from second ([\d.]+) on$`, func(over, from float64) error {
+		return w.Plan(seconds(from), func(f *memfleet.Fleet) { f.StartAll(seconds(over)) })
+	})
+	s.When(`^the list service is down from second ([\d.]+) to second ([\d.]+)$`, func(from, until float64) error {
+		if err := w.Plan(seconds(until), func(f *memfleet.Fleet) { f.ListDown(false) }); err != nil {
+			return err
+		}
+		return w.Plan(seconds(from), func(f *memfleet.Fleet) { f.ListDown(true) })
+	})
+	s.When(`^the list service is down from second ([\d.]+) on$`, at(func(f *memfleet.Fleet) { f.ListDown(true) }))
+	s.When(`^(.+) of the limiters are killed at second ([\d.]+) and start again ([\d.]+) seconds? later with their old list$`, w.killed)
+	s.When(`^all open watches fall silent at second ([\d.]+)$`, at(func(f *memfleet.Fleet) { f.Quiet(func(int) bool { return true }) }))
+	s.When(`^server "([^"]+)" drains at second ([\d.]+)$`, func(name string, at float64) error {
+		return w.Plan(seconds(at), func(f *memfleet.Fleet) { f.Drain(name) })
+	})
+	s.When(`^server "([^"]+)" crashes at second ([\d.]+) and is back, cold, ([\d.]+) seconds? later$`, func(name string, at, later float64) error {
+		if err := w.Plan(seconds(at), func(f *memfleet.Fleet) { f.Crash(name) }); err != nil {
+			return err
+		}
+		return w.Plan(seconds(at+later), func(f *memfleet.Fleet) { f.Back(name) })
+	})
+	s.When(`^the limiters are restarted from second ([\d.]+) on, a tenth at a time, every ([\d.]+) seconds?$`, w.restarted)
+	s.When(`^limiter (\d+) is stopped from second ([\d.]+) to second ([\d.]+)$`, func(n int, from, until float64) error {
+		if err := w.Plan(seconds(from), func(f *memfleet.Fleet) { f.Stop(n) }); err != nil {
+			return err
+		}
+		return w.Plan(seconds(until), func(f *memfleet.Fleet) { f.Continue(n) })
+	})
+	s.When(`^what (.+) of the limiters send to the counter is lost from second ([\d.]+) to second ([\d.]+)$`, func(part string, from, until float64) error {
+		return w.cut(part, "limiter", "counter", from, until)
+	})
+	s.When(`^what the counter answers (.+) of the limiters is lost from second ([\d.]+) to second ([\d.]+)$`, func(part string, from, until float64) error {
+		return w.cut(part, "counter", "limiter", from, until)
+	})
+	s.When(`^SIGHUP moves all limiters to list service (\d+) and counter (\d+) at second ([\d.]+)$`, func(list, counter int, at float64) error {
+		return w.Plan(seconds(at), func(f *memfleet.Fleet) {
+			for n := range w.Options.Limiters {
+				f.Hup(n, list, counter)
+			}
+		})
+	})
+}
+
+func (w *World) killed(part string, at, later float64) error {
+	of, err := share(part)
+	if err != nil {
+		return err
+	}
+	hit := w.some(of, w.Options.Limiters, 2)
+	if err := w.Plan(seconds(at), func(f *memfleet.Fleet) {
+		for _, n := range hit {
+			f.Kill(n)
+		}
+	}); err != nil {
+		return err
+	}
+	return w.Plan(seconds(at+later), func(f *memfleet.Fleet) {
+		for _, n := range hit {
+			f.Start(n)
+		}
+	})
+}
+
+func (w *World) restarted(from, every float64) error {
+	for step := range 10 {
+		if err := w.Plan(seconds(from+every*float64(step)), func(f *memfleet.Fleet) {
+			for n := step; n < w.Options.Limiters; n += 10 {
+				f.Term(n, true)
+			}
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) cut(part, from, to string, since, until float64) error {
+	of, err := share(part)
+	if err != nil {
+		return err
+	}
+	hit := w.some(of, w.Options.Limiters, 3)
+	var rule *memfleet.Rule
+	if err := w.Plan(seconds(since), func(f *memfleet.Fleet) {
+		rule = f.Link(memfleet.Cut, from, to, func(n int) bool { return slices.Contains(hit, n) }, 0, 0)
+	}); err != nil {
+		return err
+	}
+	return w.Plan(seconds(until), func(f *memfleet.Fleet) { f.Heal(rule) })
+}
+
+func (w *World) then(s *godog.ScenarioContext) {
+	check := func(look func(r *memfleet.Result) error) func() error {
+		return func() error {
+			r, err := w.Result()
+			if err != nil {
+				return err
+			}
+			return look(r)
+		}
+	}
+	s.Then(`^no rule is broken$`, check(broken))
+	s.Then(`^rule (\d) is broken$`, func(rule int) error {
+		r, err := w.Result()
+		if err == nil && r.Verdict.Counts[rule] == 0 {
+			err = fmt.Errorf("rule %d was kept: %s", rule, r.Verdict.Line())
+		}
+		return err
+	})
+	s.Then(`^no cold server falls$`, check(func(r *memfleet.Result) error {
+		if r.Falls > 0 {
+			return fmt.Errorf("%d fell", r.Falls)
+		}
+		return nil
+	}))
+	s.Then(`^a cold server falls$`, check(func(r *memfleet.Result) error {
+		if r.Falls == 0 {
+			return fmt.Errorf("none fell")
+		}
+		return nil
+	}))
+	s.Then(`^no server takes more than (\d+) new connections in a second$`, func(most int) error {
+		r, err := w.Result()
+		if err == nil && r.Handshakes > int64(most) {
+			err = fmt.Errorf("one took %d", r.Handshakes)
+		}
+		return err
+	})
+	s.Then(`^the list service gets at most (\d+) calls in any second$`, func(most int) error {
+		r, err := w.Result()
+		if err == nil && slices.Max(append([]int{0}, r.ListCalls...)) > most {
+			err = fmt.Errorf("calls by second: %v", r.ListCalls)
+		}
+		return err
+	})
+	s.Then(`^the list service turns away at most (\d+) calls$`, func(most int) error {
+		r, err := w.Result()
+		sum := 0
+		for _, n := range r.Turned {
+			sum += n
+		}
+		if err == nil && sum > most {
+			err = fmt.Errorf("%d, by second: %v of %v", sum, r.Turned, r.ListCalls)
+		}
+		return err
+	})
+	s.Then(`^at least (\d+) in 100 of the jobs sent from second ([\d.]+) to second ([\d.]+) are done$`, w.served)
+	s.Then(`^each limiter has the drain before it counts as told$`, check(func(r *memfleet.Result) error {
+		if len(r.Missed) == 0 {
+			return fmt.Errorf("no watch had fallen silent")
+		}
+		for _, m := range r.Missed {
+			if m.Handed >= m.Told {
+				return fmt.Errorf("limiter %d: the drain of %s counted as told at %.3f s, and was handed over at %.3f s",
+					m.Limiter, m.Server, float64(m.Told)/1e9, float64(m.Handed)/1e9)
+			}
+		}
+		return nil
+	}))
+	s.Then(`^no limiter is killed for being late to end$`, check(func(r *memfleet.Result) error {
+		for _, e := range r.Run.Events {
+			if e.Kind == "overdue" {
+				return fmt.Errorf("%s had not ended at %.3f s", e.Target, float64(e.At)/1e9)
+			}
+		}
+		return nil
+	}))
+}
+
+// served looks at what became of the jobs of a time, by the clients' records.
+func (w *World) served(least int, from, until float64) error {
+	r, err := w.Result()
+	if err != nil {
+		return err
+	}
+	all, done := 0, 0
+	for _, j := range r.Run.Jobs {
+		if j.Sent >= seconds(from) && j.Sent < seconds(until) {
+			if all++; j.Outcome == record.Done {
+				done++
+			}
+		}
+	}
+	if all == 0 || done*100 < least*all {
+		return fmt.Errorf("%d of %d: %s", done, all, r.Verdict.Line())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/stories/world.go
@@ -0,0 +1,112 @@
+// Package stories tells what operators do and what may happen to them, given, when, then, and plays it on a fleet in
+// memory (package memfleet). The feature files are in features; docs/stories.md holds their words.
+//
+// A step of "given" says what the fleet is, one of "when" plans what happens at which second, and the first "then" plays
+// the whole story. So later tasks add steps of their own beside these: they take the World from their constructor.
+package stories
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"ospreycroft/internal/lab/memfleet"
+)
+
+const second = int64(1e9)
+
+func seconds(s float64) int64 { return int64(s * 1e9) }
+
+// World is one scenario's fleet.
+type World struct {
+	Options memfleet.Options
+	plans   []plan
+	old     bool // limiters' lists were written before some servers were replaced
+	changed []string
+	fleet   *memfleet.Fleet
+	result  *memfleet.Result
+	last    int64 // when the last planned thing happens
+}
+
+type plan struct {
+	at   int64
+	step func(f *memfleet.Fleet)
+}
+
+// errNoFleet is for a scenario that says what happens before it says to whom.
+var errNoFleet = errors.New("no fleet yet: begin with \"given a fleet of ...\"")
+
+// Plan plans what happens at a time of the fleet's clock, nanoseconds. What is planned first happens first.
+func (w *World) Plan(at int64, step func(f *memfleet.Fleet)) error {
+	if w.Options.Limiters == 0 {
+		return errNoFleet
+	}
+	w.last = max(w.last, at)
+	w.plans = append(w.plans, plan{at, step})
+	return nil
+}
+
+// Fleet is the fleet that the plans are played on; it is made at its first use.
+func (w *World) Fleet() (*memfleet.Fleet, error) {
+	if w.Options.Limiters == 0 {
+		return nil, errNoFleet
+	}
+	if w.fleet == nil {
+		f, err := memfleet.New(w.Options)
+		if err != nil {
+			return nil, err
+		}
+		w.fleet = f
+		for _, p := range w.plans {
+			f.At(p.at, func() { p.step(f) })
+		}
+	}
+	return w.fleet, nil
+}
+
+// Result plays the story to its end, once.
+func (w *World) Result() (*memfleet.Result, error) {
+	f, err := w.Fleet()
+	if err == nil && w.result == nil {
+		f.Run(max(w.last, w.Options.Load.Until))
+		w.result = f.Finish()
+	}
+	return w.result, err
+}
+
+// some draws so many of count, the same ones for the same story.
+func (w *World) some(share float64, count int, salt uint64) []int {
+	all := rand.New(rand.NewPCG(w.Options.Seed, salt)).Perm(count)
+	return all[:int(share*float64(count)+0.5)]
+}
+
+// shares are the parts that stories speak of.
+var shares = map[string]float64{"all": 1, "nine in ten": 0.9, "seven in ten": 0.7, "half": 0.5, "a third": 1.0 / 3, "a quarter": 0.25,
+	"a fifth": 0.2, "a tenth": 0.1}
+
+func share(words string) (float64, error) {
+	if s, known := shares[words]; known {
+		return s, nil
+	}
+	return 0, fmt.Errorf("%q is no share: one of all, nine in ten, seven in ten, half, a third, a quarter, a fifth, a tenth", words)
+}
+
+// broken lists the rules that a run broke, in words.
+func broken(r *memfleet.Result) error {
+	if r.Verdict.Pass && len(r.Faults) == 0 {
+		return nil
+	}
+	var lines []string
+	for i, b := range r.Verdict.Breaches {
+		if i == 8 {
+			lines = append(lines, "...")
+			break
+		}
+		lines = append(lines, fmt.Sprintf("%.3f s: rule %d: %s: %s", float64(b.At)/1e9, b.Rule, b.What, b.Detail))
+	}
+	for _, e := range r.Faults {
+		lines = append(lines, fmt.Sprintf("%.3f s: %s: %s: %s", float64(e.At)/1e9, e.Kind, e.Target, e.Detail))
+	}
+	return fmt.Errorf("%s\n%s", r.Verdict.Line(), strings.Join(lines, "\n"))
+}
