--- a/internal/lab/memfleet/process.go
+++ b/internal/lab/memfleet/process.go
@@ -139,6 +139,10 @@
 func (p *process) Dial(address string, timeout int64) limiter.ID {
 	p.last++
 	id := p.last
+	if p.f.is(Trusting) && address == p.f.limiters[p.n].list && len(p.life.silences) > 0 {
+		address = "nowhere"
+		p.f.net.host(address).vanished = true
+	}
 	s := p.f.net.dial(p.host, p, address, timeout)
 	s.id = id
 	p.sides[id] = s
@@ -158,7 +162,7 @@
 // Alive is an effect.
 func (p *process) Alive(id limiter.ID) bool {
 	s := p.sides[id]
-	return s != nil && !s.over
+	return s != nil && !s.over && !p.f.is(Reconnects)
 }
 
 // Written is an effect.
