--- a/internal/lab/stories/stories_test.go
+++ b/internal/lab/stories/stories_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"os"
+	"strconv"
 	"testing"
 
 	"github.com/cucumber/godog"
@@ -21,7 +22,8 @@
 	return "~@open"
 }
 
-// STORIES_BREAK names a way (memfleet.Ways) in which the limiters of all scenarios are broken, to see which stories fail.
+// STORIES_BREAK names a way (memfleet.Ways) in which the limiters of all scenarios are broken, to see which stories fail;
+// STORIES_SHIFT is added to the seed of each, to look for days on which one fails.
 
 // TestMain makes the random walks the same ones every time, and few; -rapid.checks and -rapid.seed ask for others.
 func TestMain(m *testing.M) {
@@ -42,6 +44,7 @@
 			if way := os.Getenv("STORIES_BREAK"); way != "" {
 				w.Break = []memfleet.Broken{memfleet.Broken(way)}
 			}
+			w.Shift, _ = strconv.ParseUint(os.Getenv("STORIES_SHIFT"), 10, 64)
 		},
 		Options: &godog.Options{Format: "pretty", Paths: []string{"features"}, Tags: tags(), Strict: true, TestingT: t, NoColors: true},
 	}
