A stopping limiter leaves its listener open and closes connections whole: no job lost

Followed: in the logs each loss is a limiter that stood still (event=woken still_ms=831 to 1611) from 0.6 s after SIGTERM on, where Sockets.Refuse closed the listener on the reducer's goroutine; 59 of 60 never came to event=stopped. Ruled out: the half-close alone (taken out, 5 lost all the same). Change: the listener closes with the process, connections are closed whole.

--- a/internal/lab/memfleet/fleet.go
+++ b/internal/lab/memfleet/fleet.go
@@ -304,7 +304,7 @@
 	if f.lists.down {
 		p.life.others = append(p.life.others, span{f.q.now, never})
 	}
-	m.host.party, m.host.vanished, m.host.shut = p, false, false
+	m.host.party, m.host.vanished = p, false
 	f.event("start", m.host.name, "")
 	l, err := limiter.New(p.clock(), p.config, p)
 	if err != nil {
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -149,18 +149,14 @@
 
 // leave closes the connection as soon as that loses nothing. Its client may send on until it finds the end, and what comes
 // on a connection that is closed brings a reset, which would destroy answers on their way. In a process that goes on these are
-// few and the descriptor is needed; at its end every connection is closed so, and only the sending first, until the
-// client's machine has it all.
+// few and the descriptor is needed; at its end every connection is closed so, once the client's machine has all answers.
+// It is closed whole: a job that were read on a connection of which only the sending has ended would be taken and lost.
 func (cl *client) leave() {
 	l := cl.l
 	cl.closing = true
 	if len(cl.answers) > 0 || cl.parting {
 		return
 	}
-	if cl.idle() && l.stopping != 0 && !cl.deaf {
-		cl.deaf = true // a job that crosses with the end is sent once more by its client, elsewhere
-		l.effects.Part(cl.c.id)
-	}
 	if cl.idle() && (l.stopping == 0 || l.now-cl.wrote > l.set.DialTimeout || l.effects.Heard(cl.c.id)) {
 		l.over(cl.c, Unused)
 		return
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -57,12 +57,10 @@
 	// Close ends the connection, if it has not ended yet; no happening follows. It tells how many bytes the
 	// kernel had taken, which will not become more.
 	Close(id ID) int64
-	// Part ends what is sent on the connection; the other side finds its end behind all that was written.
-	Part(id ID)
 	// Heard tells whether the other side's machine has all that was written; true where that cannot be known.
 	Heard(id ID) bool
-	// Refuse ends listening for clients and tells whether it has: not while some wait in the kernel to be let in.
-	Refuse() bool
+	// Queued tells whether some clients wait in the kernel to be let in.
+	Queued() bool
 	// Wake asks for Due at a time; only the latest wish counts.
 	Wake(at int64)
 }
@@ -116,7 +114,6 @@
 	start               *start // nil where operators state nothing
 	ready               bool
 	stopping            int64 // until when clients still come once the end was asked for, 0 before
-	refused             int64 // since when no new ones are let in, 0 before
 	wake                wake
 	quiet               int64 // the latest time at which an answer was written
 	scratch             []byte
@@ -146,7 +143,7 @@
 	mayClose     = 2e9 // a client's connection without an open job may be closed from then on
 	idleShare    = 2   // an idle connection is closed after this part of that time
 	lingers      = 500e6
-	lastLook     = 100e6 // then no new connections are let in, and so long after that no byte of a client is on its way to us
+	lastLook     = 200e6 // so long after that no byte of a client is on its way to us
 	lateFrom     = 700e6 // what comes later than this after the word to stop is lost where SIGKILL finds it unanswered,
 	killFrom     = 3e9   // which may be so long after that,
 	killSpare    = 200e6 // less what it takes to answer
@@ -418,16 +415,7 @@
 			}
 		}
 	})
-	l.at(l.stopping+lastLook, l.refuse)
-}
-
-// refuse lets no new clients in any more; those that wait for a place are let in first, or they were broken off.
-func (l *Limiter) refuse() {
-	if !l.effects.Refuse() {
-		l.at(l.now+l.set.Granularity, l.refuse)
-		return
-	}
-	l.refused = l.now
+	l.at(l.stopping+lastLook, func() {}) // a wake, to see whether it has finished
 }
 
 // leaves: what the process takes now it may not be able to answer. A job that came late is lost if the process is
@@ -439,7 +427,7 @@
 
 // Finished tells whether nothing is left to do after Stopping.
 func (l *Limiter) Finished() bool {
-	if l.stopping == 0 || l.refused == 0 || l.now < l.refused+lastLook {
+	if l.stopping == 0 || l.now < l.stopping+lastLook || l.effects.Queued() {
 		return false
 	}
 	for _, j := range l.jobs {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -252,7 +252,7 @@
 	c.SetSession(l)
 	l.conn.Store(c)
 	if _, err = s.engine.AddConn(c); err == nil && l.unasked.Load() {
-		shut(c, syscall.SHUT_RDWR)
+		shut(c)
 	}
 	return err
 }
@@ -294,18 +294,11 @@
 		l.cancel()
 	}
 	if c := l.conn.Load(); c != nil {
-		shut(c, syscall.SHUT_RDWR)
+		shut(c)
 	}
 	return l.written.Load()
 }
 
-// Part is an effect.
-func (s *Sockets) Part(id limiter.ID) {
-	if l := s.links[id]; l != nil {
-		shut(l.conn.Load(), syscall.SHUT_WR)
-	}
-}
-
 // Heard is an effect. The kernel counts what the other side's machine has not acknowledged.
 func (s *Sockets) Heard(id limiter.ID) bool {
 	l := s.links[id]
@@ -323,25 +316,17 @@
 	return failed != 0 || waiting <= 0
 }
 
-// Refuse is an effect.
-func (s *Sockets) Refuse() bool {
-	if s.gate.full.Load() {
-		return false
-	}
-	logging.SetLevel(logging.LevelNone) // the acceptor ends with an error, as it should
-	if err := s.gate.Close(); err != nil {
-		log.Printf("event=listener error=%q", err)
-	}
-	return true
-}
+// Queued is an effect. The listener stays open until the process ends: on the fleet's bench the goroutine that closed it stood still for a
+// second and more, and with it the reducer.
+func (s *Sockets) Queued() bool { return s.gate.full.Load() }
 
-// shut ends one direction or both and leaves closing the descriptor to the poller, which sees the end next. Were it
+// shut ends both directions and leaves closing the descriptor to the poller, which sees the end next. Were it
 // closed here, what the poller still has to tell of it could hit a new connection with the same number.
-func shut(c *nbio.Conn, how int) {
+func shut(c *nbio.Conn) {
 	c.Lock()
 	defer c.Unlock()
 	if closed, _ := c.IsClosed(); !closed {
-		if err := syscall.Shutdown(c.Hash(), how); err != nil && err != syscall.ENOTCONN {
+		if err := syscall.Shutdown(c.Hash(), syscall.SHUT_RDWR); err != nil && err != syscall.ENOTCONN {
 			log.Printf("event=shutdown error=%q", err)
 		}
 	}
