--- a/choice/choice.go
+++ b/choice/choice.go
@@ -470,8 +470,9 @@
 	if !j.reserved && a.quota.rate > 0 {
 		a.owed += j.charge * l.turn(now, a)
 	}
-	a.ceiling.fill(now)
-	a.ceiling.level -= j.units
+	if a.ceiling.fill(now); a.plan.CeilingRate > 0 { // one that never fills would never be forgotten
+		a.ceiling.level -= j.units
+	}
 	l.spare = math.Min(l.spare+1.0/spareMost, float64(len(l.order)))
 	l.move(j, Out)
 	l.send(now, j, s)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -348,6 +348,18 @@
 			t.Fatal("a new one holds", a.ceiling.level)
 		}
 	})
+	t.Run("lets go of a customer that was sent for, whether its plan has a ceiling or not", func(t *testing.T) {
+		for _, plan := range []string{"plain", "hard"} {
+			l, _ := made()
+			l.accounts = map[uint64]*account{}
+			l.Job(3*second, arrival("j", "read", plan))
+			l.Counted(3*second, l.jobs["j"].name, Done, 2)
+			l.Answer(4*second, Reply{Job: "j", Outcome: Done, Took: second, Final: true})
+			if l.forget(200 * second); len(l.accounts) > 0 {
+				t.Fatalf("%s: %d kept", plan, len(l.accounts))
+			}
+		}
+	})
 }
 
 func TestAgain(t *testing.T) {
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -106,7 +106,8 @@
 // hosts tells the list; nothing ever changes, so a watch ends when its time is over.
 func hosts(w http.ResponseWriter, r *http.Request, list []string) {
 	entries := []byte{}
-	if hold, err := strconv.Atoi(r.URL.Query().Get("hold_ms")); err == nil {
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	if hold, err := strconv.Atoi(r.URL.Query().Get("hold_ms")); err == nil && from > 0 { // its one list has the number 1
 		select {
 		case <-time.After(time.Duration(hold) * time.Millisecond):
 		case <-r.Context().Done():
