Customers of plans without a rate are forgotten too

Such a customer has nothing to remember but its part of a ceiling. TestForget has the case and fails without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -911,8 +911,8 @@
 // a new one, which fills from the start on, would be full too.
 func (l *Limiter) forget(now int64) {
 	for id, a := range l.accounts {
-		full := a.quota.fill(now) >= a.quota.depth
-		if a.quota.rate > 0 && a.ceiling.fill(now) >= a.ceiling.depth && full && now-a.used > l.span(a) {
+		full := a.quota.rate <= 0 || a.quota.fill(now) >= a.quota.depth && now-a.used > l.span(a)
+		if full && a.ceiling.fill(now) >= a.ceiling.depth {
 			delete(l.accounts, id)
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -349,9 +349,9 @@
 		}
 	})
 	t.Run("lets go of a customer that was sent for, whether its plan has a ceiling or not", func(t *testing.T) {
-		for _, plan := range []string{"plain", "hard"} {
+		for _, plan := range []string{"plain", "hard", "free"} {
 			l, _ := made()
-			l.accounts = map[uint64]*account{}
+			l.set.Plans["free"], l.accounts = &Plan{}, map[uint64]*account{}
 			l.Job(3*second, arrival("j", "read", plan))
 			l.Counted(3*second, l.jobs["j"].name, Done, 2)
 			l.Answer(4*second, Reply{Job: "j", Outcome: Done, Took: second, Final: true})
