--- a/internal/lab/stories/features/restart.feature
+++ b/internal/lab/stories/features/restart.feature
@@ -89,3 +89,13 @@
     When all limiters start together at second 0
     And what all of the limiters send to the counter is lost from second 3 to second 14
     Then rule 5 is broken
+
+  Scenario: limiters that die again and again while the counter is lost
+    Given a fleet of 60 limiters and 12 servers, seed 7, whose list is pushed
+    And clients send 1700 jobs a second from second 3 to second 16
+    When all limiters start together at second 0
+    And what all of the limiters send to the counter is lost from second 3 to second 16
+    And half of the limiters are killed at second 6 and start again 0.5 seconds later with their old list
+    And half of the limiters are killed at second 9 and start again 0.5 seconds later with their old list
+    And half of the limiters are killed at second 12 and start again 0.5 seconds later with their old list
+    Then no rule is broken
