--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -49,7 +49,10 @@
 	Memory  int    `toml:"memory_mb"`
 	Sockets int    `toml:"sockets"`
 	Start   string `toml:"start"` // "together": all within a second; else one after the other
-	Moved   int    `toml:"moved"` // so many of them, the last ones, have the settings of the table moved
+	// ListCalls is what an operator's file states of discovery, where one is given to each limiter: calls a second that
+	// it bears from all of them.
+	ListCalls float64 `toml:"list_calls_per_s"`
+	Moved     int     `toml:"moved"` // so many of them, the last ones, have the settings of the table moved
 }
 
 // Pool is a set of alike servers in one zone.
@@ -171,6 +174,8 @@
 		return fmt.Errorf("length: %v seconds", e.Length)
 	case e.Limiters.Count < 1:
 		return fmt.Errorf("limiters.count: %d", e.Limiters.Count)
+	case e.Limiters.ListCalls < 0:
+		return fmt.Errorf("limiters.list_calls_per_s: %v", e.Limiters.ListCalls)
 	case e.Load.Rate <= 0:
 		return fmt.Errorf("load.rate: %v", e.Load.Rate)
 	case len(e.Servers) == 0:
--- a/internal/lab/runner/process.go
+++ b/internal/lab/runner/process.go
@@ -249,6 +249,13 @@
 	cmd := exec.Command(l.e.Limiters.Program)
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+lim.config, "GW_NAME="+lim.name, "GW_LISTEN="+lim.port.Address(),
 		"GW_DISCOVERY="+l.discoveryOf(lim.n))
+	if calls := l.e.Limiters.ListCalls; calls > 0 {
+		stated := lim.config + ".operator"
+		if err := os.WriteFile(stated, fmt.Appendf(nil, "list_calls_per_s = %g\n", calls), 0o644); err != nil {
+			return err
+		}
+		cmd.Env = append(cmd.Env, "GW_OPERATOR="+stated)
+	}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		_ = out.Close()
--- a/internal/lab/runner/processes_test.go
+++ b/internal/lab/runner/processes_test.go
@@ -130,8 +130,8 @@
 }
 
 // coldstart is a cold start of 30 limiters of which seven in ten are killed in the middle.
-func coldstart(t *testing.T, program string, length float64) *experiment.Experiment {
-	e := example(t, "coldstart", program, "rate = 300.0", "rate = 500.0", "[settings]\n", `[[faults]]
+func coldstart(t *testing.T, program string, length float64, replace ...string) *experiment.Experiment {
+	e := example(t, "coldstart", program, append(replace, "rate = 300.0", "rate = 500.0", "[settings]\n", `[[faults]]
 kind = "kill"
 target = "limiter:0..29"
 from = 1.5
@@ -146,7 +146,7 @@
 from = 1.9
 
 [settings]
-`)
+`)...)
 	return smaller(t, e, 30, length)
 }
 
@@ -172,6 +172,24 @@
 	}
 }
 
+// TestColdStartInTurn starts 30 limiters at once before a list service that has to be asked and bears 8 calls a second, and
+// kills seven in ten of them. With that stated in their operator's file they ask in turn, killed or not; without it many
+// are turned away. A call may reach the service in the second next to its own.
+func TestColdStartInTurn(t *testing.T) {
+	t.Parallel()
+	for _, stated := range []float64{0, 7} {
+		e := coldstart(t, build(t), 8, "granularity = 0.004", "granularity = 0.004\nregistry-mode = \"on_request\"",
+			"[settings.contract]", "[settings.contract]\nask-every = 10.0", "factor = 20.0", "factor = 8.0")
+		e.Limiters.ListCalls = stated
+		r, _ := play(t, e)
+		f := FleetOf(r.Run)
+		t.Logf("stated %v: %+v", stated, f)
+		if stated > 0 && (f.CallsPeak > 10 || f.TurnedAway > 2 || f.Calls < 30) || stated == 0 && f.TurnedAway < 10 {
+			t.Errorf("stated %v: %d calls, %d in the worst second, %d turned away", stated, f.Calls, f.CallsPeak, f.TurnedAway)
+		}
+	}
+}
+
 func TestLimiterThatOverrunsColdServersIsCaught(t *testing.T) {
 	t.Parallel()
 	r, _ := played(t, coldstart(t, broken(t, sloppy.Cold), 3))
