--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/choice"
 	"ospreycroft/internal/limiter"
 	"ospreycroft/internal/resp"
@@ -151,7 +153,8 @@
 	expect(t, s, limiter.Ended, h.Conn) // the poller has closed the descriptor
 }
 
-// Connections past the limit wait in the kernel: taken in and closed, their jobs would be lost.
+// Connections past the limit wait in the kernel: taken in and closed, their jobs would be lost. A process does not end
+// while some wait: ended with it, they would be broken off.
 func TestAccept(t *testing.T) {
 	s, address := listening(t, 1)
 	first, err := net.Dial("tcp", address)
@@ -166,6 +169,7 @@
 	if _, err := second.Write([]byte("early")); err != nil {
 		t.Fatal(err)
 	}
+	require.Eventually(t, s.Queued, patience, time.Millisecond, "nobody waits")
 	time.Sleep(50 * time.Millisecond)
 	s.take()
 	if len(s.now.happenings) > 0 {
@@ -177,6 +181,9 @@
 	if got, text := next(t, s); h.Kind != limiter.Accepted || got.Conn != h.Conn || text != "early" {
 		t.Fatalf("happenings %+v, %+v with %q", h, got, text)
 	}
+	s.Close(h.Conn)
+	expect(t, s, limiter.Ended, h.Conn)
+	require.Eventually(t, func() bool { return !s.Queued() }, patience, time.Millisecond, "nobody waits any more")
 }
 
 // TestRun plays one job through a whole limiter, which is told to stop while the server works on it.
@@ -238,64 +245,18 @@
 	}
 }
 
-// Those that wait in the kernel are let in before the process ends: ended with it, they would be broken off.
-func TestQueued(t *testing.T) {
-	s, address := listening(t, 1)
-	first, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	h, _ := next(t, s)
-	second, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := second.Write([]byte("early")); err != nil {
-		t.Fatal(err)
-	}
-	for begun := time.Now(); !s.Queued(); time.Sleep(time.Millisecond) {
-		if time.Since(begun) > patience {
-			t.Fatal("nobody waits")
-		}
-	}
-	_ = first.Close()
-	expect(t, s, limiter.Ended, h.Conn)
-	h, _ = next(t, s)
-	if _, text := next(t, s); h.Kind != limiter.Accepted || text != "early" {
-		t.Fatalf("happening %+v, then %q", h, text)
-	}
-	s.Close(h.Conn)
-	expect(t, s, limiter.Ended, h.Conn)
-	for begun := time.Now(); s.Queued(); time.Sleep(time.Millisecond) {
-		if time.Since(begun) > patience {
-			t.Fatal("nobody waits any more")
-		}
-	}
-}
-
 // A connection tells when the other machine has all that was written.
 func TestHeard(t *testing.T) {
 	s, address := listening(t, 1)
 	far, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	h, _ := next(t, s)
 	_ = far.(*net.TCPConn).SetReadBuffer(1 << 12)
 	// More than its machine takes before it reads, and less than ours does.
 	s.Write(h.Conn, []byte(strings.Repeat("x", 1<<16)))
-	if s.Written(h.Conn) < 1<<16 {
-		t.Fatalf("written %d", s.Written(h.Conn))
-	}
-	if s.Heard(h.Conn) {
-		t.Fatal("it cannot have all")
-	}
-	if got, err := io.ReadFull(far, make([]byte, 1<<16)); err != nil {
-		t.Fatalf("%d bytes, error %v", got, err)
-	}
-	for begun := time.Now(); !s.Heard(h.Conn); time.Sleep(time.Millisecond) {
-		if time.Since(begun) > patience {
-			t.Fatal("it has all")
-		}
-	}
+	require.True(t, s.Written(h.Conn) >= 1<<16, "written %d", s.Written(h.Conn))
+	require.False(t, s.Heard(h.Conn), "it cannot have all")
+	_, err = io.ReadFull(far, make([]byte, 1<<16))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Heard(h.Conn) }, patience, time.Millisecond, "it has all")
 }
