--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/internal/lab/record"
 	"ospreycroft/internal/resp"
 )
@@ -158,9 +160,7 @@
 func TestDiscoveryWatch(t *testing.T) {
 	book := &record.Book{}
 	d, err := NewDiscovery(record.NewClock(), book, []Fault{{Kind: "chunked"}}, 2)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	if err := d.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -185,12 +185,8 @@
 func TestDiscoveryWritesItsCallsDown(t *testing.T) {
 	book := &record.Book{}
 	d, err := NewDiscovery(record.NewClock(), book, nil, 3)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := d.Start(); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
+	require.NoError(t, d.Start())
 	defer d.Close()
 	d.Reach(func(limiter int, in Instance) string { return itoa(int64(limiter)) })
 	d.Set(Instance{ID: "s1", Lifecycle: "in_service"})
@@ -217,9 +213,7 @@
 	calls, _, _ := book.Sides()
 	want := []record.Call{{Limiter: 0, Whole: true, End: record.Answered, Generation: 2}, {Limiter: 2, End: record.Answered, Generation: 2},
 		{Limiter: 1, End: record.Left}, {Limiter: 1, End: record.Silent}, {Limiter: 0, Whole: true, End: record.TurnedAway}}
-	if len(calls) != len(want) {
-		t.Fatalf("%+v", calls)
-	}
+	require.True(t, len(calls) == len(want), "%+v", calls)
 	for i, c := range calls {
 		w := want[i]
 		if c.Limiter != w.Limiter || c.Whole != w.Whole || c.End != w.End || c.Generation != w.Generation || c.Done < c.At ||
--- a/internal/lab/experiment/steps_test.go
+++ b/internal/lab/experiment/steps_test.go
@@ -4,6 +4,9 @@
 	"errors"
 	"strings"
 	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // with is the default experiment with so many limiters and one more fault.
@@ -14,9 +17,7 @@
 
 func TestStepsTakeATenthAtATime(t *testing.T) {
 	e, err := with(t, "30", "kind='term'\ntarget='limiter:*'\nfrom=2.0\nuntil=3.0\nshare=0.1\nevery=1.5\ndelay=0.5")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	steps := e.Steps(len(e.Faults) - 1)
 	seen := map[int]bool{}
 	for k, s := range steps {
@@ -27,13 +28,9 @@
 			seen[n] = true
 		}
 	}
-	if len(steps) != 10 || len(seen) != 30 {
-		t.Fatalf("%d steps, %d limiters", len(steps), len(seen))
-	}
+	require.True(t, len(steps) == 10 && len(seen) == 30, "%d steps, %d limiters", len(steps), len(seen))
 	once, err := with(t, "30", "kind='kill'\ntarget='limiter:10..19'\nfrom=2.0\nshare=0.7")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	if got := once.Steps(len(once.Faults) - 1); len(got) != 1 || len(got[0].Limiters) != 7 || got[0].Until != 0 ||
 		got[0].Limiters[0] < 10 || got[0].Limiters[6] > 19 {
 		t.Fatalf("%+v", got)
@@ -88,29 +85,20 @@
 kind="cut"
 target="link:client-limiter:2"
 from=1.0`)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	hit := 0
 	for n := range 30 {
 		if s := e.Script(n, Counting, "", ""); len(s) > 0 {
-			if hit++; n > 14 || s[0].Kind != "cut_from" || s[0].From != 1e9 {
-				t.Errorf("limiter %d: %+v", n, s)
-			}
+			hit++
+			assert.True(t, n <= 14 && s[0].Kind == "cut_from" && s[0].From == 1e9, "limiter %d: %+v", n, s)
 		}
 	}
-	if hit != 5 {
-		t.Errorf("%d of 15 limiters, not a third", hit)
-	}
+	assert.True(t, hit == 5, "%d of 15 limiters, not a third", hit)
 	slow := e.Script(3, Servers, "hall2", "hall2-r1")
-	if len(slow) != 1 || slow[0].Delay != 20e6 || slow[0].Until != 4e9 {
-		t.Errorf("%+v", slow)
-	}
+	assert.True(t, len(slow) == 1 && slow[0].Delay == 20e6 && slow[0].Until == 4e9, "%+v", slow)
 	for _, got := range [][]int{{len(e.Script(3, Servers, "hall1", "hall1-0")), 1},
 		{len(e.Script(3, Servers, "hall1", "hall1-1")), 0}, {len(e.Script(2, Clients, "", "")), 1},
 		{len(e.Script(3, Clients, "", "")), 0}, {len(e.Script(2, Discovery, "", "")), 0}} {
-		if got[0] != got[1] {
-			t.Errorf("%d faults, want %d", got[0], got[1])
-		}
+		assert.True(t, got[0] == got[1], "%d faults, want %d", got[0], got[1])
 	}
 }
--- a/internal/lab/rules/told_test.go
+++ b/internal/lab/rules/told_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/internal/lab/record"
 )
 
@@ -62,9 +64,7 @@
 		Events: []record.Event{{At: 10 * sec, Kind: "drain", Target: "s1", Generation: 5}, {At: 20 * sec, Kind: "back", Target: "s1"}},
 		Calls:  []record.Call{{Limiter: 0, At: 9 * sec, Done: 10 * sec, End: record.Answered, Generation: 5}}}
 	v := judgeRun(t, run)
-	if v.Counts[3] != 1 || v.Breaches[0].At != 11*sec {
-		t.Fatalf("%s %+v", v.Line(), v.Breaches)
-	}
+	require.True(t, v.Counts[3] == 1 && v.Breaches[0].At == 11*sec, "%s %+v", v.Line(), v.Breaches)
 }
 
 // A crash, a fall and a job that was let go after it had been sent on each fail a run.
@@ -73,9 +73,7 @@
 	let.Crossed = true
 	v := judgeRun(t, &record.Run{Jobs: []record.Job{let}, Shots: []record.Shot{shot("a", "s1", "a", "lookup", sec-1e6, true)},
 		Events: []record.Event{{Kind: "crash", Target: "limiter:1"}}, Falls: []record.Fall{{Server: "s2", Got: []string{"a"}}}})
-	if v.Pass || v.Counts != [6]int{1, 1, 0, 0, 1, 0} {
-		t.Fatalf("%s %+v", v.Line(), v.Breaches)
-	}
+	require.True(t, !v.Pass && v.Counts == [6]int{1, 1, 0, 0, 1, 0}, "%s %+v", v.Line(), v.Breaches)
 }
 
 // While the clients' link to limiter 0 has a fault its jobs' answers say nothing; limiter 1's do.
@@ -85,9 +83,7 @@
 	other.Limiter = 1
 	v := judgeRun(t, &record.Run{Jobs: []record.Job{lost, other, after}, Cuts: []record.Cut{{From: sec / 2, Until: 2 * sec}},
 		Shots: []record.Shot{shot("a", "s1", "a", "lookup", 4*sec, true)}})
-	if v.Counts[1] != 2 || v.CutOff != 1 {
-		t.Fatalf("%s %+v", v.Line(), v.Breaches)
-	}
+	require.True(t, v.Counts[1] == 2 && v.CutOff == 1, "%s %+v", v.Line(), v.Breaches)
 }
 
 // A stopped limiter cannot answer; a shot that it begins after a client's cut-off once it goes on still breaks rule 1.
@@ -96,9 +92,7 @@
 	lost.Outcome, late.Outcome = record.Unanswered, record.Unanswered
 	v := judgeRun(t, &record.Run{Jobs: []record.Job{lost, late}, Events: []record.Event{{At: sec / 2, Kind: "stop", Target: "limiter:0"},
 		{At: 5 * sec, Kind: "continue", Target: "limiter:0"}}, Shots: []record.Shot{shot("a", "s1", "a", "lookup", 5*sec, true)}})
-	if v.Counts[1] != 2 || v.Stopped != 1 {
-		t.Fatalf("%s %+v", v.Line(), v.Breaches)
-	}
+	require.True(t, v.Counts[1] == 2 && v.Stopped == 1, "%s %+v", v.Line(), v.Breaches)
 }
 
 // A server that is back at 10 s falls at 11 s: by limiter 0, which was told, it is a breach, by limiter 1 it is none.
