--- a/cmd/ospreycroft/stop_test.go
+++ b/cmd/ospreycroft/stop_test.go
@@ -119,7 +119,8 @@
 }
 
 // start starts the program and waits until it listens.
-func start(t *testing.T, discovery string, servers ...emulator.Instance) (address string, program *exec.Cmd, ended chan error, log *strings.Builder) {
+func start(t *testing.T, discovery string, servers ...emulator.Instance) (address string, program *exec.Cmd, ended chan error,
+	log *strings.Builder) {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -149,9 +151,7 @@
 // TestFleet: whatever is killed, turned away, moved and silent, all limiters together keep within the budget, at every size.
 func TestFleet(t *testing.T) {
 	for name, value := range map[string]string{"checks": "5", "seed": "7", "nofailfile": "true"} { // a hundred take minutes
-		if err := flag.Set("rapid."+name, value); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, flag.Set("rapid."+name, value))
 	}
 	for _, limiters := range []int{10, 100, 300, 1000} {
 		t.Run(fmt.Sprint(limiters), func(t *testing.T) {
@@ -200,9 +200,8 @@
 			f.run(epoch+2*second, epoch+10*second)
 			f.down = false
 			f.run(epoch+10*second, epoch+60*second)
-			if slices.Contains(f.listed, 0) || float64(f.turned) > c.most*float64(limiters) {
-				t.Errorf("%d, %v: turned away %d times, or some have no list", limiters, c, f.turned)
-			}
+			assert.True(t, !slices.Contains(f.listed, 0) && float64(f.turned) <= c.most*float64(limiters),
+				"%d, %v: turned away %d times, or some have no list", limiters, c, f.turned)
 		}
 	}
 }
@@ -298,16 +297,13 @@
 		t.Fatalf("%+v, %v", a, err)
 	}
 	set.Budget = 0
-	if a, err = set.Advise(200); err != nil || a.All != 5*second || a.Calls != 60 {
-		t.Fatalf("%+v, %v", a, err)
-	}
+	a, err = set.Advise(200)
+	require.True(t, err == nil && a.All == 5*second && a.Calls == 60, "%+v, %v", a, err)
 	set.Connections, set.Place = 150, -1
-	if a, err = set.Advise(200); err != nil || a.Sharer != 0.5 || a.Even {
-		t.Fatalf("%+v, %v", a, err)
-	}
+	a, err = set.Advise(200)
+	require.True(t, err == nil && a.Sharer == 0.5 && !a.Even, "%+v, %v", a, err)
 	set.WarmWithin = 0
 	var bad *Bad
-	if _, err = set.Advise(200); !errors.As(err, &bad) || bad.Key != "warm-within" || bad.Remedy() == "" {
-		t.Fatal(err)
-	}
+	_, err = set.Advise(200)
+	require.True(t, errors.As(err, &bad) && bad.Key == "warm-within" && bad.Remedy() != "", "%v", err)
 }
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -8,6 +8,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -27,14 +30,10 @@
 func joined(t *testing.T, script ...Fault) *ends {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	for i := range script {
 		script[i].From, script[i].Until = 1, 2
-		if err := script[i].Check(); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, script[i].Check())
 	}
 	e := &ends{t: t, far: make(chan net.Conn, 64)}
 	go func() {
@@ -46,9 +45,8 @@
 			e.far <- c
 		}
 	}()
-	if e.link, err = New("a", "b", l.Addr().String(), script, 7); err != nil {
-		t.Fatal(err)
-	}
+	e.link, err = New("a", "b", l.Addr().String(), script, 7)
+	require.NoError(t, err)
 	t.Cleanup(func() { e.link.Close(); _ = l.Close() })
 	e.near, e.out = e.connect()
 	e.sends(e.near, e.out)
@@ -59,9 +57,7 @@
 func (e *ends) connect() (near, far net.Conn) {
 	e.t.Helper()
 	near, err := net.DialTimeout("tcp", e.link.Address(), enough)
-	if err != nil {
-		e.t.Fatal(err)
-	}
+	require.NoError(e.t, err)
 	select {
 	case far = <-e.far:
 	case <-time.After(enough):
@@ -72,9 +68,7 @@
 
 func (e *ends) step(now int64) {
 	e.t.Helper()
-	if err := e.link.Step(now); err != nil {
-		e.t.Fatal(err)
-	}
+	require.NoError(e.t, e.link.Step(now))
 }
 
 // sends sends a word one way, which must come.
@@ -107,9 +101,7 @@
 	e.t.Helper()
 	_ = c.SetReadDeadline(time.Now().Add(enough))
 	got, err := io.ReadAll(c)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		e.t.Fatal("it did not end")
-	}
+	require.False(e.t, errors.Is(err, os.ErrDeadlineExceeded), "it did not end")
 	return len(got), errors.Is(err, syscall.ECONNRESET)
 }
 
@@ -194,9 +186,8 @@
 		buf := make([]byte, 3)
 		_ = far.SetReadDeadline(time.Now().Add(enough))
 		if n, err := io.ReadFull(far, buf); err != nil { // a reset may overtake what came before it
-			if there++; n >= 3 {
-				t.Errorf("a whole message came before the reset: %v", err)
-			}
+			there++
+			assert.True(t, n < 3, "a whole message came before the reset: %v", err)
 		} else {
 			back++
 			_, _ = far.Write([]byte("answer"))
@@ -205,9 +196,7 @@
 			t.Errorf("near: %d bytes, reset %v", n, reset)
 		}
 	}
-	if there == 0 || back == 0 {
-		t.Errorf("%d resets there, %d back", there, back)
-	}
+	assert.True(t, there != 0 && back != 0, "%d resets there, %d back", there, back)
 }
 
 func TestHalfOpenNeverTellsTheOtherSide(t *testing.T) {
@@ -248,35 +237,25 @@
 	}
 	hit := 0
 	for i := range seen[0] {
-		if seen[0][i] != seen[1][i] {
-			t.Fatalf("one seed, two outcomes: %v %v", seen[0], seen[1])
-		}
+		require.True(t, seen[0][i] == seen[1][i], "one seed, two outcomes: %v %v", seen[0], seen[1])
 		if seen[0][i] {
 			hit++
 		}
 	}
-	if hit < 2 || hit > 10 {
-		t.Fatalf("%d of 12 hit", hit)
-	}
+	require.True(t, hit >= 2 && hit <= 10, "%d of 12 hit", hit)
 }
 
 func TestRefusedWhileNobodyListens(t *testing.T) {
 	n := NewNet(1)
 	defer n.Close()
-	if err := n.Join("a", "b", "127.0.0.1:9", []Fault{{Kind: Cut, From: 1, Until: 2}}); err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, n.Join("a", "b", "127.0.0.1:9", []Fault{{Kind: Cut, From: 1, Until: 2}}))
 	if got := n.Address("b", "a", "direct"); got != "direct" {
 		t.Errorf("no link, but %s", got)
 	}
 	for _, refuses := range []bool{true, false, true} {
-		if err := n.Refuse("b", refuses); err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, n.Refuse("b", refuses))
 		c, err := net.DialTimeout("tcp", n.Address("a", "b", ""), enough)
-		if errors.Is(err, syscall.ECONNREFUSED) != refuses {
-			t.Fatalf("refuses %v, but %v", refuses, err)
-		}
+		require.True(t, errors.Is(err, syscall.ECONNREFUSED) == refuses, "refuses %v, but %v", refuses, err)
 		if err == nil {
 			_ = c.Close()
 		}
--- a/internal/lab/memfleet/memfleet_test.go
+++ b/internal/lab/memfleet/memfleet_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/internal/limiter"
 )
 
@@ -31,9 +33,7 @@
 		o.Load.Customers[i].Spread = 3
 	}
 	f, err := New(o)
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	f.StartAll(0)
 	var cut *Rule
 	f.At(3*second, func() { cut = f.Link(Cut, "counter", "limiter", nil, 0, 0) })
@@ -60,9 +60,7 @@
 			t.Fatalf("mode %d: same seed, same record: %v; another seed, the same: %v", mode,
 				bytes.Equal(runs[0], runs[1]), bytes.Equal(runs[0], runs[2]))
 		}
-		if len(runs[0]) < 1<<20 {
-			t.Fatalf("a record of %d bytes", len(runs[0]))
-		}
+		require.True(t, len(runs[0]) >= 1<<20, "a record of %d bytes", len(runs[0]))
 	}
 }
 
@@ -95,9 +93,7 @@
 			o.Load.Customers = append(o.Load.Customers, Customer{ID: fmt.Sprintf("%016x", 0xc0+i), Plan: "team", Share: 1, Spread: 10})
 		}
 		f, err := New(o)
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		f.StartAll(0)
 		f.At(8*second, func() { f.Crash("s0") })
 		f.At(9*second, func() { f.Back("s0") })
@@ -112,16 +108,12 @@
 func TestBig(t *testing.T) {
 	began := time.Now()
 	f, err := New(Plain(1, 300, 20))
-	if err != nil {
-		t.Fatal(err)
-	}
+	require.NoError(t, err)
 	f.StartAll(0)
 	f.Run(20 * second)
 	r := f.Finish()
 	t.Logf("20 s of 300 limiters and 20 servers in %v: %d jobs, %d events", time.Since(began), r.Verdict.Jobs, r.Steps)
-	if !r.Verdict.Pass || r.Verdict.Jobs < 20000 {
-		t.Fatal(r.Verdict.Line(), r.Verdict.Breaches)
-	}
+	require.True(t, r.Verdict.Pass && r.Verdict.Jobs >= 20000, "%v %v", r.Verdict.Line(), r.Verdict.Breaches)
 }
 
 // ear is a party that writes down what it hears.
@@ -139,9 +131,7 @@
 func (e *ear) ended(_ *side, how limiter.End)  { e.note(how.String()) }
 func (e *ear) expect(t *testing.T, want ...string) {
 	t.Helper()
-	if !slices.Equal(e.heard, want) {
-		t.Fatalf("heard %q, want %q", e.heard, want)
-	}
+	require.True(t, slices.Equal(e.heard, want), "heard %q, want %q", e.heard, want)
 }
 
 func TestLinks(t *testing.T) {
@@ -229,9 +219,7 @@
 	pushed, err := New(o)
 	o.Mode = Asked
 	asked, askedErr := New(o)
-	if err != nil || askedErr != nil {
-		t.Fatal(err, askedErr)
-	}
+	require.True(t, err == nil && askedErr == nil, "%v %v", err, askedErr)
 	for _, f := range []*Fleet{pushed, asked} {
 		f.q.now = 10 * second
 		f.lists.changes = []change{{version: firstVersion + 1, at: 10 * second}}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/choice"
 	"ospreycroft/internal/buffer"
 	"ospreycroft/internal/resp"
@@ -996,19 +998,14 @@
 	}
 	delete(w.kernel, visitor)
 	w.say(l, lingers, id, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
-	if !slices.Contains(w.closed, visitor) || l.Finished() {
-		t.Fatalf("closed %v, finished %v while one may come", w.closed, l.Finished())
-	}
+	require.True(t, slices.Contains(w.closed, visitor) && !l.Finished(),
+		"closed %v, finished %v while one may come", w.closed, l.Finished())
 	w.full = true
 	w.pass(l, second)
-	if l.Finished() {
-		t.Fatal("clients wait to be let in")
-	}
+	require.False(t, l.Finished(), "clients wait to be let in")
 	w.full = false
 	w.pass(l, 6*second/5)
-	if !l.Finished() {
-		t.Fatal("nothing is left to do")
-	}
+	require.True(t, l.Finished(), "nothing is left to do")
 }
 
 // Clients go on on each connection that stays open, up to SIGKILL: 3.7 s after the word to stop at the earliest.
@@ -1026,14 +1023,11 @@
 		w.pass(l, lingers)
 		counted := w.wrote[counting]
 		w.say(l, lingers, visitor, command("k", "read", "480"))
-		if w.wrote[visitor] != "" || len(l.jobs) != 1 || w.wrote[counting] != counted {
-			t.Fatalf("wrote %q, %d jobs", w.wrote[visitor], len(l.jobs))
-		}
+		require.True(t, w.wrote[visitor] == "" && len(l.jobs) == 1 && w.wrote[counting] == counted,
+			"wrote %q, %d jobs", w.wrote[visitor], len(l.jobs))
 		w.say(l, lingers, id, answer)
 		expect(t, w.wrote[visitor], "$1\r\nv\r\n"+busy)
-		if !slices.Contains(w.closed, visitor) {
-			t.Fatalf("closed %v", w.closed)
-		}
+		require.True(t, slices.Contains(w.closed, visitor), "closed %v", w.closed)
 	})
 	t.Run("one that comes late is served and left", func(t *testing.T) {
 		l, w, id := stopped()
@@ -1045,9 +1039,7 @@
 		l.Step(lingers+1, Happening{Kind: Connected, Conn: w.last})
 		w.say(l, lingers+1, w.last, answer)
 		expect(t, w.wrote[visitor+1], "$1\r\nv\r\n")
-		if !slices.Contains(w.closed, visitor+1) {
-			t.Fatalf("closed %v", w.closed)
-		}
+		require.True(t, slices.Contains(w.closed, visitor+1), "closed %v", w.closed)
 	})
 	for _, c := range []struct {
 		name, left string
@@ -1065,9 +1057,8 @@
 			l.Step(lingers+1, Happening{Kind: Accepted, Conn: visitor + 1})
 			w.pass(l, c.at)
 			w.say(l, c.at, visitor+1, command("k", "read", c.left))
-			if len(l.jobs) == 1 != c.taken || (w.wrote[visitor+1] == busy) == c.taken {
-				t.Fatalf("%d jobs, wrote %q", len(l.jobs), w.wrote[visitor+1])
-			}
+			require.True(t, len(l.jobs) == 1 == c.taken && (w.wrote[visitor+1] == busy) != c.taken,
+				"%d jobs, wrote %q", len(l.jobs), w.wrote[visitor+1])
 		})
 	}
 	t.Run("answers are with the client's machine before its connection is closed", func(t *testing.T) {
@@ -1075,29 +1066,22 @@
 		w.unheard = map[ID]bool{visitor: true}
 		w.say(l, lingers-1, id, answer)
 		w.pass(l, lingers+second/10)
-		if slices.Contains(w.closed, visitor) {
-			t.Fatal("a reset may destroy the answer")
-		}
+		require.False(t, slices.Contains(w.closed, visitor), "a reset may destroy the answer")
 		w.say(l, lingers+second/10, visitor, command("k", "read", "480")) // what is read is taken, and has its answer
 		expect(t, w.wrote[visitor], "$1\r\nv\r\n"+busy)
 		delete(w.unheard, visitor)
 		w.pass(l, lingers+second/8)
-		if !slices.Contains(w.closed, visitor) {
-			t.Fatal("it has the answer")
-		}
+		require.True(t, slices.Contains(w.closed, visitor), "it has the answer")
 	})
 	t.Run("what is added back is waited for", func(t *testing.T) {
 		l, w, id := stopped()
 		w.say(l, lingers-1, id, answer)
 		w.pass(l, second-1)
 		l.Count(1, -2, second)
-		if l.now = second; l.Finished() {
-			t.Fatal("the counter has not answered")
-		}
+		l.now = second
+		require.False(t, l.Finished(), "the counter has not answered")
 		w.say(l, second, counting, "ok 0\r\n")
-		if !l.Finished() {
-			t.Fatal("it has")
-		}
+		require.True(t, l.Finished(), "it has")
 	})
 }
 
@@ -1125,9 +1109,7 @@
 	hear := func(l *Limiter, w *wire, text string) {
 		id := l.watch.c.id
 		l.Step(woken+1, Happening{Kind: Connected, Conn: id})
-		if !strings.Contains(w.wrote[id], "from=7&hold_ms=1 ") {
-			t.Fatalf("wrote %q", w.wrote[id])
-		}
+		require.True(t, strings.Contains(w.wrote[id], "from=7&hold_ms=1 "), "wrote %q", w.wrote[id])
 		w.say(l, woken+1, id, text)
 	}
 	t.Run("a job whose client has waited for longer is not sent", func(t *testing.T) {
@@ -1136,12 +1118,10 @@
 	})
 	t.Run("others have what is left, and nothing is sent before the list is heard", func(t *testing.T) {
 		l, w := asked(t, "10480")
-		if servers(w) != 0 || l.jobs["k"].cutOff != woken+480*second/1000 {
-			t.Fatalf("%d dials, cut-off %d", servers(w), l.jobs["k"].cutOff)
-		}
-		if hear(l, w, nothing); servers(w) != 1 {
-			t.Fatalf("%d dials", servers(w))
-		}
+		require.True(t, servers(w) == 0 && l.jobs["k"].cutOff == woken+480*second/1000,
+			"%d dials, cut-off %d", servers(w), l.jobs["k"].cutOff)
+		hear(l, w, nothing)
+		require.True(t, servers(w) == 1, "%d dials", servers(w))
 	})
 	t.Run("nor at all where its server drains", func(t *testing.T) {
 		l, w := asked(t, "10480")
@@ -1151,9 +1131,8 @@
 	})
 	t.Run("a list service that is down stops nothing", func(t *testing.T) {
 		l, w := asked(t, "10480")
-		if w.pass(l, woken+l.set.DialTimeout); servers(w) != 1 {
-			t.Fatalf("%d dials", servers(w))
-		}
+		w.pass(l, woken+l.set.DialTimeout)
+		require.True(t, servers(w) == 1, "%d dials", servers(w))
 	})
 	t.Run("one that is asked is asked anew after 2 s only", func(t *testing.T) {
 		for _, c := range []struct {
@@ -1163,13 +1142,10 @@
 			l, w := madeTo(t, 10*second, 0)
 			w.say(l, 0, watching, nothing)
 			l.Step(c.slept, Happening{Kind: Due})
-			if slices.Contains(w.closed, watching) != c.anew || l.wake.doubts != true {
-				t.Fatalf("closed %v after %d", w.closed, c.slept)
-			}
+			require.True(t, slices.Contains(w.closed, watching) == c.anew && l.wake.doubts == true,
+				"closed %v after %d", w.closed, c.slept)
 			w.pass(l, c.slept+l.set.DialTimeout)
-			if l.wake.doubts {
-				t.Fatal("it never trusts the list again")
-			}
+			require.False(t, l.wake.doubts, "it never trusts the list again")
 		}
 	})
 	t.Run("what came meanwhile is read before timers run", func(t *testing.T) {
@@ -1194,8 +1170,7 @@
 	t.Run("a cancelled shot that waits for the list has ended", func(t *testing.T) {
 		l, w := asked(t, "10480")
 		l.Cancel("k", 0)
-		if hear(l, w, nothing); servers(w) > 1 || l.jobs["k"] != nil && l.jobs["k"].shots[0].open {
-			t.Fatalf("%d dials", servers(w))
-		}
+		hear(l, w, nothing)
+		require.True(t, servers(w) <= 1 && (l.jobs["k"] == nil || !l.jobs["k"].shots[0].open), "%d dials", servers(w))
 	})
 }
--- a/internal/limiter/start_test.go
+++ b/internal/limiter/start_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/internal/coldstart"
 	"ospreycroft/internal/discovery"
 	"ospreycroft/internal/settings"
@@ -20,21 +22,20 @@
 	return n
 }
 
+// stated is a limiter with what an operator states, the last by place of so many that discovery tells when they ask.
+func stated(t *testing.T, limiters int, s Stated) (*Limiter, *wire) {
+	t.Helper()
+	made, w := madeTo(t, 10*second, limiters-1)
+	made.set.Limiters = limiters
+	*w = wire{dialed: map[ID]string{}, wrote: map[ID]string{}, kernel: map[ID]int64{}}
+	l, err := NewStated(0, made.config, s, w)
+	require.NoError(t, err)
+	return l, w
+}
+
 // TestAsked: where calls are work for discovery a limiter makes one in each of its instants, whatever becomes of them.
 func TestAsked(t *testing.T) {
 	const at = 9 * second / 2 // the fourth of four limiters by place, in rounds of 6 s
-	stated := func(t *testing.T) (*Limiter, *wire) {
-		made, w := made(t)
-		config, set := *made.config, *made.config.Settings
-		inner := *set.Settings
-		inner.Limiters, inner.Position, set.AskEvery, set.Settings, config.Settings = 4, 3, 10*second, &inner, &set
-		*w = wire{dialed: map[ID]string{}, wrote: map[ID]string{}, kernel: map[ID]int64{}}
-		l, err := NewStated(0, &config, Stated{ListCalls: 4.0 / 6}, w)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return l, w
-	}
 	// through takes it to a time, with each call to discovery coming up at once, and tells how many were made.
 	through := func(l *Limiter, w *wire, until int64) int {
 		for now := l.now; now <= until; now += second / 20 {
@@ -45,62 +46,48 @@
 		}
 		return asks(w)
 	}
-	l, w := stated(t)
-	if l.Step(at+second*2, Happening{Kind: Due}); through(l, w, at+6*second-second/20) != 0 || through(l, w, at+6*second) != 1 {
-		t.Fatalf("%d calls behind an instant that was slept through", asks(w))
+	asked := Stated{ListCalls: 4.0 / 6}
+	l, w := stated(t, 4, asked)
+	l.Step(at+second*2, Happening{Kind: Due})
+	require.Equal(t, 0, through(l, w, at+6*second-second/20), "calls behind an instant that was slept through")
+	require.Equal(t, 1, through(l, w, at+6*second), "calls at the next one")
+	says := func(text string) func(l *Limiter, w *wire, id ID) {
+		return func(l *Limiter, w *wire, id ID) { w.say(l, l.now, id, text) }
+	}
+	ends := func(l *Limiter, _ *wire, id ID) { l.Step(l.now, Happening{Kind: Ended, Conn: id, End: PeerReset}) }
+	moves := func(l *Limiter, _ *wire, _ ID) {
+		config := *l.config
+		config.Discovery = "disco 2"
+		l.Step(l.now, Happening{Kind: Renewed, Config: &config})
 	}
 	for _, c := range []struct {
 		name string
-		then func(l *Limiter, w *wire, id ID)
+		then []func(l *Limiter, w *wire, id ID)
+		late int // calls that may come at a later one of its instants
 	}{
-		{"an answer", func(l *Limiter, w *wire, id ID) { w.say(l, l.now, id, httpAnswer(known)) }},
-		{"an answer behind which the connection ends", func(l *Limiter, w *wire, id ID) {
-			w.say(l, l.now, id, httpAnswer(known))
-			l.Step(l.now, Happening{Kind: Ended, Conn: id, End: PeerClosed})
-		}},
-		{"an answer and another that nobody asked for", func(l *Limiter, w *wire, id ID) {
-			w.say(l, l.now, id, httpAnswer(known)+httpAnswer(known))
-		}},
-		{"a call that is turned away", func(l *Limiter, w *wire, id ID) {
-			w.say(l, l.now, id, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-		}},
-		{"a reset", func(l *Limiter, w *wire, id ID) { l.Step(l.now, Happening{Kind: Ended, Conn: id, End: PeerReset}) }},
-		{"a move", func(l *Limiter, w *wire, id ID) {
-			config := *l.config
-			config.Discovery = "disco 2"
-			l.Step(l.now, Happening{Kind: Renewed, Config: &config})
-		}},
-		{"a reset and then a move", func(l *Limiter, w *wire, id ID) {
-			l.Step(l.now, Happening{Kind: Ended, Conn: id, End: PeerReset})
-			config := *l.config
-			config.Discovery = "disco 3"
-			l.Step(l.now, Happening{Kind: Renewed, Config: &config})
-		}},
+		{"an answer", []func(l *Limiter, w *wire, id ID){says(httpAnswer(known))}, 0},
+		{"an answer behind which the connection ends", []func(l *Limiter, w *wire, id ID){says(httpAnswer(known)), ends}, 0},
+		{"an answer and another that nobody asked for", []func(l *Limiter, w *wire, id ID){says(httpAnswer(known) + httpAnswer(known))}, 0},
+		{"a call that is turned away", []func(l *Limiter, w *wire, id ID){
+			says("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")}, 1},
+		{"a reset", []func(l *Limiter, w *wire, id ID){ends}, 0},
+		{"a move", []func(l *Limiter, w *wire, id ID){moves}, 0},
+		{"a reset and then a move", []func(l *Limiter, w *wire, id ID){ends, moves}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l, w := stated(t)
-			if n := through(l, w, at-second/20); n != 0 || !l.ready {
-				t.Fatalf("%d calls before its instant, ready %v", n, l.ready)
-			}
-			if n := through(l, w, at); n != 1 {
-				t.Fatalf("%d calls at its instant", n)
-			}
-			watching := w.last
-			c.then(l, w, watching)
-			if n := through(l, w, at+6*second-second/20); n != 1 {
-				t.Fatalf("%d calls before its second instant", n)
-			}
-			late := c.name == "a call that is turned away" // the next one is at one of several instants
-			if n := through(l, w, at+6*second); n != 2 && !late {
-				t.Fatalf("%d calls at its second instant", n)
+			l, w := stated(t, 4, asked)
+			require.Equal(t, 0, through(l, w, at-second/20), "calls before its instant")
+			require.True(t, l.ready)
+			require.Equal(t, 1, through(l, w, at), "calls at its instant")
+			id := w.last
+			for _, then := range c.then {
+				then(l, w, id)
 			}
+			require.Equal(t, 1, through(l, w, at+6*second-second/20), "calls before its second instant")
+			require.InDelta(t, 2, through(l, w, at+6*second), float64(c.late), "calls at its second instant")
 			l.Step(l.now, Happening{Kind: Ended, Conn: w.last, End: PeerReset})
-			if n := through(l, w, at+12*second-second/20); n != 2 && !late {
-				t.Fatalf("%d calls before its third instant", n)
-			}
-			if n := through(l, w, at+12*second); n != 3 && !late || n < 2 {
-				t.Fatalf("%d calls at its third instant", n)
-			}
+			require.InDelta(t, 2, through(l, w, at+12*second-second/20), float64(c.late), "calls before its third instant")
+			require.InDelta(t, 3, through(l, w, at+12*second), float64(c.late), "calls at its third instant")
 		})
 	}
 }
@@ -112,40 +99,33 @@
 	config.Known, config.Settings, set.AskEvery, w.last = nil, &set, 10*second, 0
 	l, _ := NewStated(0, &config, Stated{ListCalls: 1}, w)
 	for now := int64(0); now <= 20*second; now += second / 10 {
-		if l.Step(now, Happening{Kind: Due}); l.ready != (now >= 20*second) {
-			t.Fatalf("ready %v after %d ns", l.ready, now)
-		}
+		l.Step(now, Happening{Kind: Due})
+		require.True(t, l.ready == (now >= 20*second), "ready %v after %d ns", l.ready, now)
 	}
 	for l.conns[l.watch.c.id] == nil || l.conns[l.watch.c.id].open {
 		l.Step(l.now+second/10, Happening{Kind: Due})
 	}
 	l.Step(l.now, Happening{Kind: Connected, Conn: l.watch.c.id})
 	w.say(l, l.now, l.watch.c.id, httpAnswer(strings.Replace(known, `"weight"`, `"startedAtMs":16000,"weight"`, 1)))
-	if l.start.phase != coldstart.Warming {
-		t.Fatal(l.start.phase)
-	}
+	require.True(t, l.start.phase == coldstart.Warming, "%v", l.start.phase)
 	for now := l.now; now < 27*second; now += second / 10 {
 		l.Step(now, Happening{Kind: Due})
 	}
-	if l.start.phase != coldstart.Steady {
-		t.Fatal(l.start.phase)
-	}
+	require.True(t, l.start.phase == coldstart.Steady, "%v", l.start.phase)
 }
 
 // TestSnapshot: what one life has saved the next one begins with, where it is newer than the configuration's list.
 func TestSnapshot(t *testing.T) {
 	made, w := made(t)
-	config, set, inner := *made.config, *made.config.Settings, *made.config.Settings.Settings
-	inner.DialTimeout, set.Settings, config.Settings = 6*second, &inner, &set // nothing told for 10 s is no standing still
+	config := *made.config
+	made.set.DialTimeout = 6 * second // nothing told for 10 s is no standing still
 	var saved []*snapshot.Snapshot
 	life := func(old *snapshot.Snapshot, known string) *Limiter {
 		t.Helper()
 		config.Known, w.last = []byte(known), 0
 		l, err := NewStated(second, &config, Stated{Snapshot: old, Save: func(s *snapshot.Snapshot) { saved = append(saved, s) },
 			SaveEvery: 10 * second}, w)
-		if err != nil {
-			t.Fatal(err)
-		}
+		require.NoError(t, err)
 		l.Step(second, Happening{Kind: Connected, Conn: watching})
 		return l
 	}
@@ -155,9 +135,7 @@
 		`"lifecycle":"in_service","weight":2,"startedAtMs":900}]}`)
 	tell(l, 2*second, `{"generation":9,"instances":[{"instanceId":"t","lifecycle":"terminating","startedAtMs":0}]}`)
 	tell(l, 3*second, `{"generation":9,"instances":[]}`)
-	if len(saved) != 2 {
-		t.Fatalf("saved %d times", len(saved))
-	}
+	require.True(t, len(saved) == 2, "saved %d times", len(saved))
 	tell(l, 13*second, `{"generation":9,"instances":[]}`)
 	tell(l, 14*second, `{"generation":9,"instances":[]}`)
 	last := saved[len(saved)-1]
@@ -193,41 +171,30 @@
 	}
 	old := *last
 	old.Generation, old.Servers = 1, []snapshot.Server{{ID: "s", WarmFrom: second / 2}}
-	if l = life(&old, known); l.start.rules.Share() != 1 {
-		t.Fatal("a share before it is ready")
-	}
-	if l.Step(7*second, Happening{Kind: Due}); l.start.rules.Share() == 1 {
-		t.Fatal("a start that was known is forgotten")
-	}
+	l = life(&old, known)
+	require.True(t, l.start.rules.Share() == 1, "a share before it is ready")
+	l.Step(7*second, Happening{Kind: Due})
+	require.True(t, l.start.rules.Share() != 1, "a start that was known is forgotten")
 }
 
 // TestBucket: a limiter opens no more connections to a server than its part of what is stated.
 func TestBucket(t *testing.T) {
-	made, w := made(t)
-	l, err := NewStated(0, made.config, Stated{Connections: 2}, w)
-	if err != nil {
-		t.Fatal(err)
-	}
+	l, w := stated(t, 1, Stated{Connections: 2})
 	opened := 0
 	for now := int64(0); now < 7*second; now += second / 100 {
 		if l.now = now; l.pools["s"].backend() != nil {
 			opened++
 		}
 	}
-	if opened < 12 || opened > 15 {
-		t.Fatalf("%d connections in 7 s, 2 a second are stated", opened)
-	}
-	if l, _ = New(0, made.config, w); l.pools["s"].backend() == nil || l.pools["s"].backend() == nil {
-		t.Fatal("held back where nothing is stated")
-	}
+	require.True(t, opened >= 12 && opened <= 15, "%d connections in 7 s, 2 a second are stated", opened)
+	l, _ = New(0, l.config, w)
+	require.True(t, l.pools["s"].backend() != nil && l.pools["s"].backend() != nil, "held back where nothing is stated")
 }
 
 func TestStartSettings(t *testing.T) {
 	l, _ := made(t)
-	config := &settings.Config{Seed: -1, Settings: &settings.Settings{Settings: l.set.Settings}}
-	if set := StartSettings(config, Stated{}); set.Check() != nil || set.Chance < 0.99 {
-		t.Fatalf("%+v: %v", set, set.Check())
-	}
+	set := StartSettings(&settings.Config{Seed: -1, Settings: &settings.Settings{Settings: l.set.Settings}}, Stated{})
+	require.True(t, set.Check() == nil && set.Chance >= 0.99, "%+v: %v", set, set.Check())
 }
 
 // TestNothingStated: without an operator's file a limiter has no start of its own: inquiry's pace calls, at its own hold, an
@@ -235,9 +202,7 @@
 func TestNothingStated(t *testing.T) {
 	for _, every := range []int64{0, 10 * second} {
 		l, w := madeTo(t, every, 0)
-		if l.start != nil || l.pools["s"].bucket != (coldstart.Bucket{}) {
-			t.Fatal("a start, or a bound of connections")
-		}
+		require.True(t, l.start == nil && l.pools["s"].bucket == (coldstart.Bucket{}), "a start, or a bound of connections")
 		hold, limit := l.watch.pace.Ask(0, false)
 		if w.say(l, 0, watching, httpAnswer(known)); asks(w) != 2 || !l.ready || l.watch.limit.at != limit {
 			t.Fatalf("%d calls, ready %v, given up at %d", asks(w), l.ready, l.watch.limit.at)
@@ -249,11 +214,7 @@
 // TestStatedUnbudgeted: an operator's file that states no budget leaves the calls to inquiry's pace.
 func TestStatedUnbudgeted(t *testing.T) {
 	plain, w := madeTo(t, 10*second, 0)
-	v := &wire{dialed: map[ID]string{}, wrote: map[ID]string{}, kernel: map[ID]int64{}}
-	stated, err := NewStated(0, plain.config, Stated{Connections: 2}, v)
-	if err != nil {
-		t.Fatal(err)
-	}
+	stated, v := stated(t, 1, Stated{Connections: 2})
 	for now := int64(0); now < 30*second; now += second / 20 {
 		for l, w := range map[*Limiter]*wire{plain: w, stated: v} {
 			l.Step(now, Happening{Kind: Due})
@@ -267,30 +228,19 @@
 				w.say(l, now, c.id, httpAnswer(known))
 			}
 		}
-		if asks(w) != asks(v) {
-			t.Fatalf("%d calls after %d ns, %d where connections are stated", asks(w), now, asks(v))
-		}
-	}
-	if asks(w) < 5 {
-		t.Fatalf("%d calls", asks(w))
+		require.True(t, asks(w) == asks(v), "%d calls after %d ns, %d where connections are stated", asks(w), now, asks(v))
 	}
+	require.True(t, asks(w) >= 5, "%d calls", asks(w))
 }
 
 // TestStoodStill: a limiter that stood still and goes on with all others makes no call out of its turn.
 func TestStoodStill(t *testing.T) {
-	made, _ := madeTo(t, 10*second, 0)
-	w := &wire{dialed: map[ID]string{}, wrote: map[ID]string{}, kernel: map[ID]int64{}}
-	l, err := NewStated(0, made.config, Stated{ListCalls: 1. / 30}, w)
-	if err != nil {
-		t.Fatal(err)
-	}
+	l, w := stated(t, 1, Stated{ListCalls: 1. / 30})
 	id := l.watch.c.id
 	l.Step(0, Happening{Kind: Connected, Conn: id})
-	if w.pass(l, second); asks(w) != 1 || l.watch.limit.at < 29*second {
-		t.Fatalf("%d calls, given up at %d", asks(w), l.watch.limit.at)
-	}
+	w.pass(l, second)
+	require.True(t, asks(w) == 1 && l.watch.limit.at >= 29*second, "%d calls, given up at %d", asks(w), l.watch.limit.at)
 	l.Step(9*second, Happening{Kind: Due})
-	if w.pass(l, 10*second); asks(w) != 1 || l.wake.doubts || l.conns[id] == nil {
-		t.Fatalf("%d calls, in doubt %v", asks(w), l.wake.doubts)
-	}
+	w.pass(l, 10*second)
+	require.True(t, asks(w) == 1 && !l.wake.doubts && l.conns[id] != nil, "%d calls, in doubt %v", asks(w), l.wake.doubts)
 }
