--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -176,9 +176,7 @@
 					if now += dt; rapid.IntRange(0, 9).Draw(t, "stopped") == 0 { // all of them, and go on
 						now += 3 * dt
 					}
-					if worst := worst(f.calls); worst > int(math.Ceil(set.Budget))+1 {
-						t.Fatalf("%d calls in a second, %v are borne", worst, set.Budget)
-					}
+					require.LessOrEqual(t, worst(f.calls), int(math.Ceil(set.Budget))+1, "calls in a second")
 				}
 			})
 		})
@@ -225,9 +223,7 @@
 		for _, k := range c.kinds {
 			s.Step(epoch, Event{Kind: k, Whole: true, Servers: make([]Server, c.servers)})
 		}
-		if got := s.ReadyAt() - epoch; got != c.want {
-			t.Errorf("%s: ready after %v s", c.name, float64(got)/1e9)
-		}
+		assert.Equal(t, c.want, s.ReadyAt()-epoch, c.name)
 	}
 }
 
@@ -255,9 +251,9 @@
 		{23 * second, Event{Kind: Answered, Servers: []Server{{ID: "1", Gone: true}}}, 1, Steady},
 		{40 * second, Event{Kind: Asked}, 1, Steady}, {60 * second, Event{}, 1, Listening}, {61 * second, list(0, 0), 1, Steady},
 	} {
-		if s.Step(epoch+c.at, c.e); s.Phase() != c.phase || math.Abs(s.Share()-c.share) > 1e-6 {
-			t.Fatalf("step %d: %v, share %v", i, s.Phase(), s.Share())
-		}
+		s.Step(epoch+c.at, c.e)
+		require.Equal(t, c.phase, s.Phase(), "step %d", i)
+		require.InDelta(t, c.share, s.Share(), 1e-6, "step %d", i)
 	}
 }
 
@@ -281,9 +277,7 @@
 			}
 		}
 		for server, calls := range at {
-			if worst := worst(calls); worst > int(set.Connections)+3 {
-				t.Errorf("%v: server %d got %d connections in a second", c, server, worst)
-			}
+			assert.LessOrEqual(t, worst(calls), int(set.Connections)+3, "%v: connections to server %d in a second", c, server)
 		}
 	}
 }
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -82,37 +82,34 @@
 	e.t.Helper()
 	buf := make([]byte, 4)
 	_ = to.SetReadDeadline(time.Now().Add(enough))
-	if _, err := io.ReadFull(to, buf); err != nil || string(buf) != "word" {
-		e.t.Fatalf("got %q, %v", buf, err)
-	}
+	_, err := io.ReadFull(to, buf)
+	require.NoError(e.t, err)
+	require.Equal(e.t, "word", string(buf))
 }
 
 // silent: nothing comes, not even an end.
 func (e *ends) silent(c net.Conn) {
 	e.t.Helper()
 	_ = c.SetReadDeadline(time.Now().Add(soon))
-	if n, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
-		e.t.Fatalf("%d bytes, error %v", n, err)
-	}
+	n, err := c.Read(make([]byte, 1))
+	require.ErrorIs(e.t, err, os.ErrDeadlineExceeded, "%d bytes", n)
 }
 
-// ended reads until the end and tells how many bytes came before, and whether it was a reset.
-func (e *ends) ended(c net.Conn) (int, bool) {
+// ended reads until the end, before which so many bytes come at most; those of an end without a reset come all.
+func (e *ends) ended(c net.Conn, most int, reset bool) {
 	e.t.Helper()
 	_ = c.SetReadDeadline(time.Now().Add(enough))
 	got, err := io.ReadAll(c)
 	require.False(e.t, errors.Is(err, os.ErrDeadlineExceeded), "it did not end")
-	return len(got), errors.Is(err, syscall.ECONNRESET)
+	require.Equal(e.t, reset, errors.Is(err, syscall.ECONNRESET), "a reset: %v", err)
+	require.True(e.t, len(got) == most || reset && len(got) < most, "%d bytes", len(got))
 }
 
 func (e *ends) neverUp() {
 	e.t.Helper()
-	if c, err := net.DialTimeout("tcp", e.link.Address(), soon); err == nil {
-		_ = c.Close()
-		e.t.Fatal("a new connection came up")
-	} else if errors.Is(err, syscall.ECONNREFUSED) {
-		e.t.Fatal("a new connection was refused")
-	}
+	_, err := net.DialTimeout("tcp", e.link.Address(), soon)
+	require.Error(e.t, err, "a new connection came up")
+	require.NotErrorIs(e.t, err, syscall.ECONNREFUSED)
 }
 
 func TestCutIsSilentAndResetsWhenItHeals(t *testing.T) {
@@ -124,12 +121,8 @@
 	e.silent(e.out)
 	e.neverUp()
 	e.step(2)
-	if n, reset := e.ended(e.near); n != 0 || !reset {
-		t.Errorf("near: %d bytes, reset %v", n, reset)
-	}
-	if n, reset := e.ended(e.out); n != 0 || !reset {
-		t.Errorf("far: %d bytes, reset %v", n, reset)
-	}
+	e.ended(e.near, 0, true)
+	e.ended(e.out, 0, true)
 	near, far := e.connect()
 	e.sends(near, far)
 }
@@ -158,9 +151,7 @@
 	_ = e.near.Close()
 	e.silent(e.out)
 	e.step(2)
-	if n, reset := e.ended(e.out); n != 4 || reset {
-		t.Fatalf("%d bytes, reset %v", n, reset)
-	}
+	e.ended(e.out, 4, false)
 }
 
 func TestSlowDelaysEachWay(t *testing.T) {
@@ -192,9 +183,7 @@
 			back++
 			_, _ = far.Write([]byte("answer"))
 		}
-		if n, reset := e.ended(near); n >= 6 || !reset {
-			t.Errorf("near: %d bytes, reset %v", n, reset)
-		}
+		e.ended(near, 5, true)
 	}
 	assert.True(t, there != 0 && back != 0, "%d resets there, %d back", there, back)
 }
@@ -214,9 +203,7 @@
 			e.silent(other)
 		}
 		e.step(2)
-		if _, reset := e.ended(other); !reset {
-			t.Error("it was not reset when the machine was back")
-		}
+		e.ended(other, 0, true) // when the machine was back
 	}
 }
 
@@ -235,10 +222,10 @@
 			e.step(0)
 		}
 	}
+	require.Equal(t, seen[0], seen[1], "one seed, two outcomes")
 	hit := 0
-	for i := range seen[0] {
-		require.True(t, seen[0][i] == seen[1][i], "one seed, two outcomes: %v %v", seen[0], seen[1])
-		if seen[0][i] {
+	for _, is := range seen[0] {
+		if is {
 			hit++
 		}
 	}
--- /dev/null
+++ b/internal/lab/memdisk/memdisk.go
@@ -0,0 +1,69 @@
+// Package memdisk is a disk in memory on which each step may fail, for what keeps files: see snapshot.Files.
+package memdisk
+
+import (
+	"io/fs"
+	"slices"
+	"syscall"
+)
+
+// Disk holds files by path. Its methods are those of the files that it stands in for; each notes itself in Log as read,
+// write, rename, remove or sync. It is for one goroutine at a time.
+type Disk struct {
+	Held map[string][]byte
+	Log  []string
+	Fail string    // the step that fails, as on a disk that is full: a *fs.PathError over syscall.ENOSPC,
+	Keep int       // and where that is a write, after so many bytes
+	Gate chan bool // a write waits for a word on it; nil for none
+}
+
+// New makes an empty disk on which nothing fails.
+func New() *Disk { return &Disk{Held: map[string][]byte{}} }
+
+func (d *Disk) step(what, path string) error {
+	if d.Log = append(d.Log, what); what == d.Fail {
+		return &fs.PathError{Op: what, Path: path, Err: syscall.ENOSPC}
+	}
+	return nil
+}
+
+// Read gives a file's bytes, or fs.ErrNotExist.
+func (d *Disk) Read(path string) ([]byte, error) {
+	if err := d.step("read", path); err != nil {
+		return nil, err
+	}
+	text, is := d.Held[path]
+	if !is {
+		return nil, fs.ErrNotExist
+	}
+	return text, nil
+}
+
+// Write puts the bytes in a file, or the first Keep of them where it fails.
+func (d *Disk) Write(path string, text []byte) error {
+	if d.Gate != nil {
+		<-d.Gate
+	}
+	err := d.step("write", path)
+	if err != nil {
+		text = text[:d.Keep]
+	}
+	d.Held[path] = slices.Clone(text)
+	return err
+}
+
+// Rename puts one file in another's place.
+func (d *Disk) Rename(from, to string) error {
+	if err := d.step("rename", to); err != nil {
+		return err
+	}
+	d.Held[to] = d.Held[from]
+	delete(d.Held, from)
+	return nil
+}
+
+// Remove takes a file away, also where it then fails.
+func (d *Disk) Remove(path string) error { delete(d.Held, path); return d.step("remove", path) }
+
+// Sync makes what was renamed in a directory last.
+func (d *Disk) Sync(dir string) error { return d.step("sync", dir) }
--- a/internal/lab/memfleet/memfleet_test.go
+++ b/internal/lab/memfleet/memfleet_test.go
@@ -7,10 +7,10 @@
 	"io"
 	"log"
 	"os"
-	"slices"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"ospreycroft/internal/limiter"
@@ -129,10 +129,6 @@
 func (e *ear) connected(s *side)               { e.last = s; e.note("connected") }
 func (e *ear) read(_ *side, b []byte, _ int64) { e.note(string(b)) }
 func (e *ear) ended(_ *side, how limiter.End)  { e.note(how.String()) }
-func (e *ear) expect(t *testing.T, want ...string) {
-	t.Helper()
-	require.True(t, slices.Equal(e.heard, want), "heard %q, want %q", e.heard, want)
-}
 
 func TestLinks(t *testing.T) {
 	type pair struct {
@@ -207,8 +203,8 @@
 			q.run(100 * ms)
 			c.run(p)
 			q.run(5 * second)
-			p.x.expect(t, c.x...)
-			p.y.expect(t, c.y...)
+			require.Equal(t, c.x, p.x.heard)
+			require.Equal(t, c.y, p.y.heard)
 		})
 	}
 }
@@ -242,10 +238,6 @@
 		{"or what a silent watch misses counts", asked, life{silences: []span{{9 * second, 21 * second}}}, 21 * second},
 		{"or nothing was answered for very long", asked, life{}, 50 * second},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			if got := c.f.toldAt(0, &c.l, firstVersion+1); got != c.want {
-				t.Fatalf("told at %v s, want %v", float64(got)/1e9, float64(c.want)/1e9)
-			}
-		})
+		assert.Equal(t, c.want, c.f.toldAt(0, &c.l, firstVersion+1), c.name)
 	}
 }
--- a/internal/lab/rules/told_test.go
+++ b/internal/lab/rules/told_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"ospreycroft/internal/lab/record"
@@ -46,9 +47,7 @@
 		if len(c.run.Lives) == 0 {
 			c.run.Lives = []record.Life{{}}
 		}
-		if got := newListClock(&c.run).told(change, 0, 20*sec); got != c.want*sec/10 {
-			t.Errorf("%s: told at %.1f s, want %.1f s", c.name, float64(got)/1e9, float64(c.want)/10)
-		}
+		assert.Equal(t, c.want*sec/10, newListClock(&c.run).told(change, 0, 20*sec), c.name)
 	}
 }
 
