--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/choice"
 )
 
@@ -83,9 +85,8 @@
 	}
 	var indented bytes.Buffer
 	_ = json.Indent(&indented, []byte(good), "\r\n  ", "\t")
-	if again, err := Decode(append(indented.Bytes(), "\n"...)); err != nil || !reflect.DeepEqual(again, list) {
-		t.Fatalf("indented: list %+v, error %v", again, err)
-	}
+	again, err := Decode(append(indented.Bytes(), "\n"...))
+	require.True(t, err == nil && reflect.DeepEqual(again, list), "indented: list %+v, error %v", again, err)
 	malformed, refused := is[*ListMalformedError], is[*ListRefusedError]
 	for _, c := range []struct {
 		name, old, new, want string
@@ -111,9 +112,8 @@
 			}
 		})
 	}
-	if list, err := Decode([]byte(`{"generation":5,"reset":false,"instances":null}`)); err != nil || len(list.Entries) > 0 {
-		t.Fatalf("changes that are none: list %+v, error %v", list, err)
-	}
+	list, err = Decode([]byte(`{"generation":5,"reset":false,"instances":null}`))
+	require.True(t, err == nil && len(list.Entries) == 0, "changes that are none: list %+v, error %v", list, err)
 }
 
 func FuzzRead(f *testing.F) {
--- a/internal/inquiry/inquiry_test.go
+++ b/internal/inquiry/inquiry_test.go
@@ -1,6 +1,10 @@
 package inquiry
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
 
 const (
 	unit  = int64(250e6)
@@ -75,23 +79,20 @@
 			hold, limit := p.Ask(0, c.whole)
 			now := limit + p.Dial() // a dial is not answered
 			now += p.Next(now, Broke) + 2*p.Dial()
-			if now > c.told || limit < hold+c.least {
-				t.Fatalf("held for %d behind %d, heard at %d", limit-hold, hold, now)
-			}
+			require.LessOrEqual(t, now, c.told, "when it hears")
+			require.GreaterOrEqual(t, limit, hold+c.least, "when it gives up")
 		})
 	}
 	t.Run("a dial that takes for ever leaves room for one try", func(t *testing.T) {
 		p := New(0, 60e9, 3, every)
-		if _, limit := p.Ask(0, false); limit+2*p.Dial() > 12e9 {
-			t.Fatal(limit)
-		}
+		_, limit := p.Ask(0, false)
+		require.LessOrEqual(t, limit+2*p.Dial(), int64(12e9))
 	})
 	t.Run("the whole list at a new address", func(t *testing.T) {
 		p := New(0, unit, 3, every)
 		p.Moved(60e9)
-		if _, limit := p.Ask(60e9, true); limit > 4e9-3*unit || limit < 2e9 {
-			t.Fatal(limit)
-		}
+		_, limit := p.Ask(60e9, true)
+		require.True(t, limit <= 4e9-3*unit && limit >= 2e9, "%d", limit)
 	})
 }
 
@@ -120,15 +121,11 @@
 			tenths[last/6e8]++
 		}
 		for _, n := range tenths {
-			if end == Turned && n > 150 {
-				t.Fatalf("last calls in tenths of the time: %v", tenths)
-			}
+			require.True(t, end != Turned || n <= 150, "last calls in tenths of the time: %v", tenths)
 		}
 		p := New(0, unit, 3, 0)
 		for range 40 {
-			if pause := p.Next(0, end); pause > 80e6 || pause < 12e6 {
-				t.Fatal(pause)
-			}
+			require.InDelta(t, 46e6, p.Next(0, end), 34e6)
 		}
 	}
 }
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -157,14 +157,19 @@
 	}
 }
 
-func TestDiscoveryWatch(t *testing.T) {
+// listing is a list service for so many limiters.
+func listing(t *testing.T, limiters int, script ...Fault) (*Discovery, *record.Book) {
+	t.Helper()
 	book := &record.Book{}
-	d, err := NewDiscovery(record.NewClock(), book, []Fault{{Kind: "chunked"}}, 2)
+	d, err := NewDiscovery(record.NewClock(), book, script, limiters)
 	require.NoError(t, err)
-	if err := d.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer d.Close()
+	require.NoError(t, d.Start())
+	t.Cleanup(d.Close)
+	return d, book
+}
+
+func TestDiscoveryWatch(t *testing.T) {
+	d, _ := listing(t, 2, Fault{Kind: "chunked"})
 	d.Set(Instance{ID: "s1", HostPort: "127.0.0.1:1", Lifecycle: "in_service"})
 	from := d.Whole(1).Generation
 	go func() { time.Sleep(100 * time.Millisecond); d.Set(Instance{ID: "s1", Lifecycle: "terminating"}) }()
@@ -183,11 +188,7 @@
 
 // Each call is written down with who made it and how it ended.
 func TestDiscoveryWritesItsCallsDown(t *testing.T) {
-	book := &record.Book{}
-	d, err := NewDiscovery(record.NewClock(), book, nil, 3)
-	require.NoError(t, err)
-	require.NoError(t, d.Start())
-	defer d.Close()
+	d, book := listing(t, 3)
 	d.Reach(func(limiter int, in Instance) string { return itoa(int64(limiter)) })
 	d.Set(Instance{ID: "s1", Lifecycle: "in_service"})
 	call := func(limiter int, query string) (l List) {
@@ -238,13 +239,10 @@
 		if _, all, _ := book.Sides(); len(all) > 0 {
 			falls = len(all[0].Got) + 100*(len(all)-1)
 		}
-		if want := map[bool]int{false: 37, true: 0}[warm]; falls != want {
-			t.Errorf("warm %v: fell by %d, want %d", warm, falls, want)
-		}
+		require.Equal(t, map[bool]int{false: 37, true: 0}[warm], falls, "warm %v: fell by so many", warm)
 		_, _ = exchange(t, s.Address(), []byte("*1\r\n$6\r\nCLIENT\r\n"), time.Second)
-		if _, _, shakes := book.Sides(); len(shakes["s1"]) != 1 || shakes["s1"][0] != 1 {
-			t.Errorf("handshakes %v", shakes)
-		}
+		_, _, shakes := book.Sides()
+		require.True(t, len(shakes["s1"]) == 1 && shakes["s1"][0] == 1, "handshakes %v", shakes)
 	}
 }
 
--- a/internal/limiter/silence_test.go
+++ b/internal/limiter/silence_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"ospreycroft/internal/inquiry"
 )
 
@@ -168,15 +170,8 @@
 				l, w := madeTo(t, mode.every, 0)
 				l.watch.pace = inquiry.New(0, l.set.DialTimeout, position, mode.every)
 				d := c.d
-				if d.change == 0 {
-					d.change = 1
-				}
-				at := d.play(l, w, never)
-				if at > mode.by {
-					t.Errorf("%s: asked every %d s, limiter %d acts %v s after, not %v", c.name, mode.every/second,
-						position, float64(at)/1e9, float64(mode.by)/1e9)
-					break
-				}
+				d.change = max(d.change, 1)
+				require.LessOrEqual(t, d.play(l, w, never), mode.by, "%s: asked every %d s, limiter %d", c.name, mode.every/second, position)
 			}
 		}
 	}
@@ -201,10 +196,9 @@
 				} else if fault == "no dial" {
 					d.noDial = func(dial int) bool { return dial == moves+1 }
 				}
-				if at := d.play(l, w, 9*second); at > 4*second || l.watch.version != 8 {
-					t.Errorf("%d moves, %q, asked every %d s: acted on after %v s, version %d", moves, fault, every/second,
-						float64(at)/1e9, l.watch.version)
-				}
+				at := d.play(l, w, 9*second)
+				require.True(t, at <= 4*second && l.watch.version == 8, "%d moves, %q, asked every %d s: acted on after %d ns, version %d",
+					moves, fault, every/second, at, l.watch.version)
 			}
 		}
 	}
@@ -214,7 +208,5 @@
 func TestCountsAnew(t *testing.T) {
 	l, w := made(t)
 	w.say(l, 0, watching, httpAnswer(`{"generation":3,"reset":false,"instances":[]}`))
-	if !strings.HasSuffix(w.wrote[watching], "GET /discovery/hosts HTTP/1.1\r\nHost: disco\r\n\r\n") {
-		t.Fatalf("wrote %q", w.wrote[watching])
-	}
+	require.Regexp(t, "GET /discovery/hosts HTTP/1.1\r\nHost: disco\r\n\r\n$", w.wrote[watching])
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -4,26 +4,27 @@
 	"errors"
 	"io/fs"
 	"testing"
+
+	"github.com/stretchr/testify/require"
 )
 
 func TestRead(t *testing.T) {
 	t.Setenv(Variable, "")
-	if o, err := Read(); err != nil || *o != (Operator{}) {
-		t.Fatalf("with nothing set: %+v, %v", o, err)
-	}
+	o, err := Read()
+	require.NoError(t, err)
+	require.Zero(t, *o, "with nothing set")
 	t.Setenv(Variable, "../../deploy/operator.toml")
 	want := Operator{ListCalls: 20, Connections: 40, Installation: "east", SnapshotPath: "/var/lib/ospreycroft", Oldest: 3600e9}
-	if o, err := Read(); err != nil || *o != want {
-		t.Fatalf("the example: %+v, %v", o, err)
-	}
+	o, err = Read()
+	require.NoError(t, err)
+	require.Equal(t, want, *o, "the example")
 	t.Setenv(Variable, "/none")
 	var unreadable *Unreadable
 	if _, err := Read(); !errors.As(err, &unreadable) || !errors.Is(err, fs.ErrNotExist) || unreadable.Remedy() == "" {
 		t.Fatal(err)
 	}
-	if _, err := Parse("x", []byte("list_calls_per_s = ")); !errors.As(err, &unreadable) {
-		t.Fatal(err)
-	}
+	_, err = Parse("x", []byte("list_calls_per_s = "))
+	require.ErrorAs(t, err, &unreadable)
 	for text, key := range map[string]string{
 		"list_calls_per_s = 0": "list_calls_per_s", "list_calls_per_s = -2.5": "list_calls_per_s", "list_calls_per_s = nan": "list_calls_per_s",
 		"list_calls_per_s = '20'": "list_calls_per_s", "list_calls_per_s = [20]": "list_calls_per_s", "list_calls = 20": "list_calls",
