--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -25,14 +25,9 @@
 		WarmWithin: 15 * second, Told: 6 * second, Bound: 30 * second, Lead: second, Budget: budget}
 }
 
-type fails interface {
-	Fatal(...any)
-	Fatalf(string, ...any)
-}
-
 // fleet is all limiters before one list service.
 type fleet struct {
-	t       fails
+	t       require.TestingT
 	set     Settings
 	all     []*Start
 	back    []int64 // when the call that is out ends
@@ -48,7 +43,7 @@
 	at      int64
 }
 
-func made(t fails, set Settings) *fleet {
+func made(t require.TestingT, set Settings) *fleet {
 	n := set.Limiters
 	f := &fleet{t: t, set: set, all: make([]*Start, n), back: make([]int64, n), listed: make([]int64, n),
 		chance: rand.New(rand.NewSource(7))}
@@ -62,9 +57,7 @@
 	set := f.set
 	set.Place, set.Lead = i, f.chance.Int63n(40*second)
 	s, err := New(now, set)
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	require.NoError(f.t, err)
 	f.all[i], f.back[i], f.listed[i] = s, 0, 0
 	f.step(i, now, Event{Kind: Known, Whole: true, Servers: f.list(now)})
 }
@@ -84,16 +77,16 @@
 	s.Step(now, e) // panics off the edges
 	switch age := now - s.began; {
 	case s.Phase() == Waking && from != Waking, s.Phase() == Waking && age >= s.set.Bound:
-		f.t.Fatalf("not ready after %d ns", age)
+		require.FailNow(f.t, "not ready", "after %d ns", age)
 	case s.Phase() != Waking && age < min(s.set.Lead, s.set.Bound/2):
-		f.t.Fatalf("ready after %d ns, before its parts have filled", age)
+		require.FailNow(f.t, "ready before its parts have filled", "after %d ns", age)
 	case s.Share() < share && s.Tossed == tossed || s.Share() <= 0 || s.Share() > 1:
-		f.t.Fatalf("share %v after %v in %v, and no list has thrown it back", s.Share(), share, s.Phase())
+		require.FailNow(f.t, "no list has thrown it back", "share %v after %v in %v", s.Share(), share, s.Phase())
 	case s.Due() > now+(spreadMost+1)*s.round:
-		f.t.Fatalf("%d asks no more", i)
+		require.FailNow(f.t, "it asks no more", "limiter %d", i)
 	}
 	if hold, _ := s.Wait(now); hold > 0 && hold < mostHold && (now+hold-s.offset)%s.round < s.round/2 {
-		f.t.Fatalf("a call held for %d ns comes back behind its instant", hold)
+		require.FailNow(f.t, "a call comes back behind its instant", "held for %d ns", hold)
 	}
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/lab/emulator"
 )
 
 const whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
@@ -143,12 +144,12 @@
 
 // list is discovery's answer with so many servers.
 func list(servers int) []byte {
-	body := []byte(`{"generation":41,"reset":true,"instances":[`)
+	l := emulator.List{Generation: 41, Reset: true}
 	for i := range servers {
-		body = fmt.Appendf(body, `{"instanceId":"s-%08x","hostPort":"10.1.%d.%d:6379","zone":"a","machineType":"m2","cell":%d,`+
-			`"lifecycle":"in_service","weight":1.0,"startedAtMs":0},`, i*2654435761%1<<32, i/250, i%250, i%8)
+		l.Instances = append(l.Instances, emulator.Instance{ID: fmt.Sprintf("s-%08x", i*2654435761%(1<<32)), Zone: "a", Machine: "m2",
+			HostPort: fmt.Sprintf("10.1.%d.%d:6379", i/250, i%250), Cell: i % 8, Lifecycle: "in_service", Weight: 1})
 	}
-	body = append(body[:len(body)-1], "]}"...)
+	body, _ := json.Marshal(l)
 	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nDate: Wed, 02 Dec 2026 00:00:00 GMT\r\n"+
 		"Content-Length: %d\r\n\r\n%s", len(body), body)
 }
--- a/internal/limiter/start_test.go
+++ b/internal/limiter/start_test.go
@@ -51,7 +51,8 @@
 	l.Step(at+second*2, Happening{Kind: Due})
 	require.Equal(t, 0, through(l, w, at+6*second-second/20), "calls behind an instant that was slept through")
 	require.Equal(t, 1, through(l, w, at+6*second), "calls at the next one")
-	says := func(text string) func(l *Limiter, w *wire, id ID) {
+	type act = func(l *Limiter, w *wire, id ID)
+	says := func(text string) act {
 		return func(l *Limiter, w *wire, id ID) { w.say(l, l.now, id, text) }
 	}
 	ends := func(l *Limiter, _ *wire, id ID) { l.Step(l.now, Happening{Kind: Ended, Conn: id, End: PeerReset}) }
@@ -62,17 +63,16 @@
 	}
 	for _, c := range []struct {
 		name string
-		then []func(l *Limiter, w *wire, id ID)
+		then []act
 		late int // calls that may come at a later one of its instants
 	}{
-		{"an answer", []func(l *Limiter, w *wire, id ID){says(httpAnswer(known))}, 0},
-		{"an answer behind which the connection ends", []func(l *Limiter, w *wire, id ID){says(httpAnswer(known)), ends}, 0},
-		{"an answer and another that nobody asked for", []func(l *Limiter, w *wire, id ID){says(httpAnswer(known) + httpAnswer(known))}, 0},
-		{"a call that is turned away", []func(l *Limiter, w *wire, id ID){
-			says("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")}, 1},
-		{"a reset", []func(l *Limiter, w *wire, id ID){ends}, 0},
-		{"a move", []func(l *Limiter, w *wire, id ID){moves}, 0},
-		{"a reset and then a move", []func(l *Limiter, w *wire, id ID){ends, moves}, 0},
+		{"an answer", []act{says(httpAnswer(known))}, 0},
+		{"an answer behind which the connection ends", []act{says(httpAnswer(known)), ends}, 0},
+		{"an answer and another that nobody asked for", []act{says(httpAnswer(known) + httpAnswer(known))}, 0},
+		{"a call that is turned away", []act{says("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")}, 1},
+		{"a reset", []act{ends}, 0},
+		{"a move", []act{moves}, 0},
+		{"a reset and then a move", []act{ends, moves}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l, w := stated(t, 4, asked)
@@ -148,9 +148,8 @@
 	n := len(saved[len(saved)-1].Servers)
 	require.True(t, n == 1, "%d servers after one has gone", n)
 	tell(l, 15*second, strings.Replace(known, `"s"`, `"u"`, 1))
-	if servers := saved[len(saved)-1].Servers; len(servers) != 1 || servers[0].ID != "u" {
-		t.Fatalf("%v in place of a whole list", servers)
-	}
+	servers := saved[len(saved)-1].Servers
+	require.True(t, len(servers) == 1 && servers[0].ID == "u", "%v in place of a whole list", servers)
 	for _, c := range []struct {
 		name, known, disco, from string
 		servers                  int
@@ -164,9 +163,8 @@
 		old := *last
 		old.Discovery = c.disco
 		w.wrote = map[ID]string{}
-		if l := life(&old, c.known); len(l.servers) != c.servers || !strings.Contains(w.wrote[watching], c.from) {
-			t.Fatalf("%s: %d servers, wrote %q", c.name, len(l.servers), w.wrote[watching])
-		}
+		require.Len(t, life(&old, c.known).servers, c.servers, c.name)
+		require.Contains(t, w.wrote[watching], c.from, c.name)
 	}
 	old := *last
 	old.Generation, old.Servers = 1, []snapshot.Server{{ID: "s", WarmFrom: second / 2}}
