--- a/choice/choice.go
+++ b/choice/choice.go
@@ -226,8 +226,8 @@
 	// The counter is not asked for a customer that is known to be out of units: the store kept here fills at
 	// the whole rate, so the true one holds no more, but for what others add back. A call that brings what is
 	// still to be added back is made: the others go by a total that is too high until then.
-	out := acc.known && acc.quota.fill(now) < j.charge && acc.owed >= 0
-	if l.set.CounterWait == 0 || out || l.asks < 1 && !l.asked(acc) {
+	out := acc.quota.fill(now) < j.charge && acc.owed >= 0
+	if l.set.CounterWait == 0 || out && acc.known || l.asks < 1 && (out || !l.asked(acc)) {
 		l.bySlice(now, j)
 		return
 	}
