--- a/cmd/ospreycroft/end_test.go
+++ b/cmd/ospreycroft/end_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ospreycroft/internal/lab/emulator"
-	"ospreycroft/internal/lab/rig"
+	"ospreycroft/internal/lab/testbed"
 )
 
 // ending is a program with a counter, of which the test holds the other ends.
@@ -24,8 +24,8 @@
 	config         string // its file
 	program        *exec.Cmd
 	ended          chan error
-	client         *rig.Conn
-	counter, moved *rig.Peer // where the counter is, and where the next configuration puts it
+	client         *testbed.Conn
+	counter, moved *testbed.Peer // where the counter is, and where the next configuration puts it
 }
 
 // configure writes the configuration.
@@ -49,8 +49,8 @@
 	require.NoError(t, err)
 	listen := free.Addr().String()
 	_ = free.Close()
-	e := &ending{t: t, config: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1), counter: rig.Listen(t),
-		moved: rig.Listen(t)}
+	e := &ending{t: t, config: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1), counter: testbed.Listen(t),
+		moved: testbed.Listen(t)}
 	e.configure(listen, e.counter.Address, server)
 	e.program = exec.Command(os.Args[0])
 	e.program.Env = append(os.Environ(), "OSPREYCROFT_IS_THE_PROGRAM=1", "GW_CONFIG="+e.config)
@@ -64,8 +64,8 @@
 			_ = c.Close()
 		}
 		return err == nil
-	}, rig.Patience, 20*time.Millisecond)
-	e.client = (&rig.Rig{Address: listen}).Dial(t)
+	}, testbed.Patience, 20*time.Millisecond)
+	e.client = (&testbed.Rig{Address: listen}).Dial(t)
 	e.configure(listen, e.moved.Address, server) // what SIGHUP brings
 	return e
 }
@@ -87,9 +87,9 @@
 	for _, state := range []string{"reserving", "dialling", "sent"} {
 		t.Run(state, func(t *testing.T) {
 			t.Parallel()
-			server := rig.Listen(t)
+			server := testbed.Listen(t)
 			if state == "dialling" {
-				server = rig.Full(t)
+				server = testbed.Full(t)
 			}
 			log, err := os.Create(filepath.Join(t.TempDir(), "log"))
 			require.NoError(t, err)
@@ -100,12 +100,12 @@
 				require.Eventually(t, func() bool {
 					all, err := os.ReadFile(log.Name())
 					return err == nil && strings.Count(string(all), text) == times
-				}, rig.Patience, time.Millisecond, text)
+				}, testbed.Patience, time.Millisecond, text)
 			}
 			line := e.counter.Accept(t)
-			e.client.Say(t, rig.Request("id", "read", 3000))
+			e.client.Say(t, testbed.Request("id", "read", 3000))
 			require.Contains(t, line.Line(t), "tally ")
-			var c *rig.Conn
+			var c *testbed.Conn
 			if state != "reserving" {
 				line.Say(t, "ok 1\r\n")
 			}
@@ -148,13 +148,13 @@
 
 // TestLogBreaksOff: who reads the log may end first, where both are told to end together. What was taken is answered all the same.
 func TestLogBreaksOff(t *testing.T) {
-	server := rig.Listen(t)
+	server := testbed.Listen(t)
 	read, write, err := os.Pipe()
 	require.NoError(t, err)
 	e := begin(t, server.Address, write)
 	require.NoError(t, write.Close())
 	line := e.counter.Accept(t)
-	e.client.Say(t, rig.Request("id", "read", 3000))
+	e.client.Say(t, testbed.Request("id", "read", 3000))
 	line.Line(t)
 	line.Say(t, "ok 1\r\n")
 	c := server.Accept(t)
@@ -164,5 +164,5 @@
 	time.Sleep(100 * time.Millisecond)
 	c.Serve(t, "value")
 	require.Equal(t, "$value", e.client.Answer(t))
-	e.ends(rig.Patience)
+	e.ends(testbed.Patience)
 }
--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -19,9 +19,9 @@
 	"ospreycroft/internal/coldstart"
 	"ospreycroft/internal/countloss"
 	"ospreycroft/internal/discovery"
+	"ospreycroft/internal/hint"
 	"ospreycroft/internal/limiter"
 	"ospreycroft/internal/operator"
-	"ospreycroft/internal/remedy"
 	"ospreycroft/internal/settings"
 	"ospreycroft/internal/snapshot"
 	"ospreycroft/internal/sockets"
@@ -62,7 +62,7 @@
 			return bounds(config, func(line string) { fmt.Println(line) })
 		}})
 	if err := root.Execute(); err != nil {
-		log.Fatalf("event=failed %s", remedy.Tail(err))
+		log.Fatalf("event=failed %s", hint.Tail(err))
 	}
 }
 
@@ -99,7 +99,7 @@
 		say(fmt.Sprintf("event=start-bound connections_per_s=%.4g one_limiter=%.4g", set.Connections, a.Sharer))
 	}
 	if late != nil {
-		say("event=list-late " + remedy.Tail(late))
+		say("event=list-late " + hint.Tail(late))
 	}
 	return nil
 }
@@ -113,14 +113,14 @@
 	place := snapshot.Place{Dir: o.SnapshotPath, Installation: o.Installation, Limiter: config.Name, Oldest: o.Oldest}
 	var err error
 	if stated.Snapshot, err = place.Load(snapshot.Disk{}, time.Now().UnixNano()); err != nil {
-		log.Printf("event=snapshot-refused %s", remedy.Tail(err))
+		log.Printf("event=snapshot-refused %s", hint.Tail(err))
 	}
 	w := snapshot.NewWriter(snapshot.Disk{}, place, func(err error) {
 		if err == nil {
 			log.Printf("event=snapshot-written")
 			return
 		}
-		log.Printf("event=snapshot-unwritten %s", remedy.Tail(err))
+		log.Printf("event=snapshot-unwritten %s", hint.Tail(err))
 	})
 	stated.Save, stated.SaveEvery = w.Save, o.Oldest/8
 	return w.Close
@@ -155,12 +155,12 @@
 			if config, err := read(); err == nil {
 				renewed <- config
 			} else { // the one that is held stays
-				log.Printf("event=config-refused %s", remedy.Tail(err))
+				log.Printf("event=config-refused %s", hint.Tail(err))
 			}
 		}
 	}()
 	if err := sockets.Descriptors(config.Sockets); err != nil { // it serves as far as they go
-		log.Printf("event=descriptors-short %s", remedy.Tail(err))
+		log.Printf("event=descriptors-short %s", hint.Tail(err))
 	}
 	s, err := sockets.Listen(config.Listen, limiter.MostClients(config), config.Sockets)
 	if err != nil {
--- a/cmd/ospreycroft/renew_test.go
+++ b/cmd/ospreycroft/renew_test.go
@@ -9,13 +9,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ospreycroft/internal/lab/rig"
+	"ospreycroft/internal/lab/testbed"
 )
 
 // TestRefusedRenewal sends SIGHUP for files that cannot work: each is turned down whole, with its key in the log, and nothing
 // moves. A good one behind them moves the list service.
 func TestRefusedRenewal(t *testing.T) {
-	first, second := rig.Listen(t), rig.Listen(t)
+	first, second := testbed.Listen(t), testbed.Listen(t)
 	_, program, ended, log := start(t, first.Address)
 	_ = first.Accept(t)
 	var path string
--- a/internal/ci/knownred/knownred.go
+++ b/internal/ci/knownred/knownred.go
@@ -66,7 +66,7 @@
 	words := strings.Fields(found[0][1])
 	last := len(words) - 1
 	if words[last] != "./..." {
-		return nil, fmt.Errorf("README's test command %q does not end in ./...", found[0][1])
+		return nil, fmt.Errorf("./... is wanted at the end of README's test command %q", found[0][1])
 	}
 	for _, w := range words {
 		if !plainWord.MatchString(w) || chooses.MatchString(w) {
--- a/internal/coldstart/advice.go
+++ b/internal/coldstart/advice.go
@@ -11,8 +11,8 @@
 
 func (b *Bad) Error() string { return fmt.Sprintf("%s is %v", b.Key, b.Value) }
 
-// Remedy is what to do.
-func (b *Bad) Remedy() string { return b.Key + " has to be " + b.Want }
+// Hint is what to do.
+func (b *Bad) Hint() string { return b.Key + " has to be " + b.Want }
 
 // Check tells whether a start can be computed from the settings. Errors: *Bad.
 func (s *Settings) Check() error {
@@ -61,8 +61,8 @@
 		"later than it counts as told", l.Calls, float64(l.All)/1e9, float64(l.Late)/1e9)
 }
 
-// Remedy is what to do.
-func (l *Late) Remedy() string {
+// Hint is what to do.
+func (l *Late) Hint() string {
 	return fmt.Sprintf("let the list service bear %.4g calls a second and state that, run fewer limiters, or have lists pushed",
 		l.Enough)
 }
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -280,7 +280,7 @@
 	a, err := set.Advise(200)
 	var late *Late
 	if !errors.As(err, &late) || a.All != 15*second || a.Late != 15*second+second/2-6*second ||
-		!strings.Contains(late.Remedy(), "54.55") {
+		!strings.Contains(late.Hint(), "54.55") {
 		t.Fatalf("%+v, %v", a, err)
 	}
 	set.Budget = 0
@@ -292,5 +292,5 @@
 	set.WarmWithin = 0
 	var bad *Bad
 	_, err = set.Advise(200)
-	require.True(t, errors.As(err, &bad) && bad.Key == "warm-within" && bad.Remedy() != "", "%v", err)
+	require.True(t, errors.As(err, &bad) && bad.Key == "warm-within" && bad.Hint() != "", "%v", err)
 }
--- a/internal/counterwire/errors.go
+++ b/internal/counterwire/errors.go
@@ -10,7 +10,7 @@
 func (e *SpoiltError) Error() string {
 	return fmt.Sprintf("the counter wrote %q, which is no answer", e.Line)
 }
-func (e *SpoiltError) Remedy() string {
+func (e *SpoiltError) Hint() string {
 	return "many of them: check that the counter, and nothing else, listens at the configuration's counter address"
 }
 
@@ -30,7 +30,7 @@
 	}
 	return "the counter answered a call with a ping's answer"
 }
-func (e *CrossedError) Remedy() string {
+func (e *CrossedError) Hint() string {
 	return "check what listens at the configuration's counter address; it must answer in the order of the calls"
 }
 
@@ -43,6 +43,6 @@
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("the counter knows no such call: name %d, amount %v", e.Name, e.Amount)
 }
-func (e *RefusedError) Remedy() string {
+func (e *RefusedError) Hint() string {
 	return "report it, with this line; if each call is refused, check that the counter has this protocol"
 }
--- a/internal/discovery/errors.go
+++ b/internal/discovery/errors.go
@@ -15,7 +15,7 @@
 	return "discovery's answer is malformed" + behind(e.Why, e.Cause)
 }
 func (e *MalformedError) Unwrap() error { return e.Cause }
-func (e *MalformedError) Remedy() string {
+func (e *MalformedError) Hint() string {
 	return "check that the list service, and nothing else, answers at the configuration's discovery address"
 }
 
@@ -28,7 +28,7 @@
 func (e *TooLongError) Error() string {
 	return fmt.Sprintf("discovery's answer is too long: its %s passes %d bytes", e.Part, e.Most)
 }
-func (e *TooLongError) Remedy() string {
+func (e *TooLongError) Hint() string {
 	return "check what the list service sends; a fleet whose list is really so long needs smaller tiers"
 }
 
@@ -38,7 +38,7 @@
 func (e *TurnedAwayError) Error() string {
 	return fmt.Sprintf("discovery turned the call away with status %d", e.Status)
 }
-func (e *TurnedAwayError) Remedy() string {
+func (e *TurnedAwayError) Hint() string {
 	return "nothing if it is rare, the call comes again later and later; at many limiters, give discovery more room"
 }
 
@@ -48,7 +48,7 @@
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("discovery answered with status %d %s", e.Status, http.StatusText(e.Status))
 }
-func (e *StatusError) Remedy() string {
+func (e *StatusError) Hint() string {
 	return "look at the list service, and check that it has this protocol"
 }
 
@@ -57,7 +57,7 @@
 
 func (e *ListMalformedError) Error() string { return "the list is malformed" + behind("", e.Cause) }
 func (e *ListMalformedError) Unwrap() error { return e.Cause }
-func (e *ListMalformedError) Remedy() string {
+func (e *ListMalformedError) Hint() string {
 	return "look at who writes the list: its JSON does not have the form of discovery's lists"
 }
 
@@ -77,7 +77,7 @@
 	return "the list cannot be used: " + where + behind(e.Why, e.Cause)
 }
 func (e *ListRefusedError) Unwrap() error { return e.Cause }
-func (e *ListRefusedError) Remedy() string {
+func (e *ListRefusedError) Hint() string {
 	if e.Server == "" {
 		return fmt.Sprintf("have the list say %s", e.Key)
 	}
--- a/internal/remedy/remedy.go
+++ b/internal/hint/hint.go
@@ -1,27 +1,27 @@
-// Package remedy names what all errors have in common that an operator can act on, and writes them into log lines. The
+// Package hint names what all errors have in common that an operator can act on, and writes them into log lines. The
 // types themselves stand where the errors arise; docs/on-call.md lists them.
-package remedy
+package hint
 
 import (
 	"errors"
 	"fmt"
 )
 
-// Error is an error that an operator can act on: Error tells what happened, Remedy what to do about it, in one line of
+// Error is an error that an operator can act on: Error tells what happened, Hint what to do about it, in one line of
 // plain words each. Where it has a cause, Unwrap gives it.
 type Error interface {
 	error
-	Remedy() string
+	Hint() string
 }
 
-// Unknown is the remedy of an error that has none of its own.
+// Unknown is the hint of an error that has none of its own.
 const Unknown = "report it, with this line"
 
-// Of is the remedy of the outermost error in the chain that has one, else Unknown.
+// Of is the hint of the outermost error in the chain that has one, else Unknown.
 func Of(err error) string {
 	var e Error
 	if errors.As(err, &e) {
-		return e.Remedy()
+		return e.Hint()
 	}
 	return Unknown
 }
@@ -29,9 +29,9 @@
 // longest is how many bytes of each text a log line holds: errors quote what others have sent, a list of 4 MiB perhaps.
 const longest = 400
 
-// Tail is the end of a log line: error="..." remedy="...".
+// Tail is the end of a log line: error="..." hint="...".
 func Tail(err error) string {
-	return fmt.Sprintf("error=%q remedy=%q", short(err.Error()), short(Of(err)))
+	return fmt.Sprintf("error=%q hint=%q", short(err.Error()), short(Of(err)))
 }
 
 func short(text string) string {
--- a/internal/remedy/remedy_test.go
+++ b/internal/hint/hint_test.go
@@ -1,4 +1,4 @@
-package remedy_test
+package hint_test
 
 import (
 	"errors"
@@ -16,7 +16,7 @@
 
 	"ospreycroft/internal/counterwire"
 	"ospreycroft/internal/discovery"
-	"ospreycroft/internal/remedy"
+	"ospreycroft/internal/hint"
 	"ospreycroft/internal/settings"
 	"ospreycroft/internal/sockets"
 )
@@ -27,9 +27,9 @@
 	"snapshot.Old", "snapshot.Unwritten"}
 
 // match tells whether an error is one of a type or has one underneath, and names the type.
-func match[E remedy.Error](err error) (string, bool) {
+func match[E hint.Error](err error) (string, bool) {
 	var e E
-	return strings.TrimPrefix(reflect.TypeFor[E]().String(), "*"), errors.As(err, &e) && e.Remedy() != "" && e.Error() != ""
+	return strings.TrimPrefix(reflect.TypeFor[E]().String(), "*"), errors.As(err, &e) && e.Hint() != "" && e.Error() != ""
 }
 
 func answer(text string) error {
@@ -98,13 +98,13 @@
 		listed = append(listed, string(row[1]))
 	}
 	types := types(t)
-	require.ElementsMatch(t, types, listed, "types with a Remedy (first) and rows of docs/on-call.md (second)")
+	require.ElementsMatch(t, types, listed, "types with a Hint (first) and rows of docs/on-call.md (second)")
 	for _, name := range types {
 		require.True(t, provoked[name] != slices.Contains(elsewhere, name), "%s: provoked %v", name, provoked[name])
 	}
 }
 
-// types are all types of the limiter's program with a method Remedy, by package and name; the lab's are on its own page.
+// types are all types of the limiter's program with a method Hint, by package and name; the lab's are on its own page.
 func types(t *testing.T) (names []string) {
 	err := filepath.WalkDir("../..", func(path string, at os.DirEntry, err error) error {
 		if err == nil && at.IsDir() && at.Name() == "lab" {
@@ -114,7 +114,7 @@
 			return err
 		}
 		text, err := os.ReadFile(path)
-		for _, of := range regexp.MustCompile(`(?m)^func \((?:\w+ )?\*?(\w+)\) Remedy\(`).FindAllSubmatch(text, -1) {
+		for _, of := range regexp.MustCompile(`(?m)^func \((?:\w+ )?\*?(\w+)\) Hint\(`).FindAllSubmatch(text, -1) {
 			names = append(names, string(regexp.MustCompile(`(?m)^package (\w+)`).FindSubmatch(text)[1])+"."+string(of[1]))
 		}
 		return err
@@ -131,13 +131,13 @@
 		want string
 	}{
 		{"of the outermost that has one", &settings.KeyError{Key: "known", Cause: inner},
-			fmt.Sprintf("error=%q remedy=%q", "known: "+inner.Error(), (&settings.KeyError{Key: "known"}).Remedy())},
+			fmt.Sprintf("error=%q hint=%q", "known: "+inner.Error(), (&settings.KeyError{Key: "known"}).Hint())},
 		{"under another error", fmt.Errorf("a \"b\": %w", inner),
-			fmt.Sprintf("error=%q remedy=%q", "a \"b\": "+inner.Error(), inner.Remedy())},
+			fmt.Sprintf("error=%q hint=%q", "a \"b\": "+inner.Error(), inner.Hint())},
 		{"a long one", errors.New(strings.Repeat("x", 401)),
-			`error="` + strings.Repeat("x", 400) + `..." remedy="report it, with this line"`},
-		{"none", errors.New("x"), `error="x" remedy="report it, with this line"`},
+			`error="` + strings.Repeat("x", 400) + `..." hint="report it, with this line"`},
+		{"none", errors.New("x"), `error="x" hint="report it, with this line"`},
 	} {
-		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, remedy.Tail(c.err)) })
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, hint.Tail(c.err)) })
 	}
 }
--- a/internal/lab/emulator/fault.go
+++ b/internal/lab/emulator/fault.go
@@ -52,8 +52,8 @@
 
 func (e *BadFault) Error() string { return e.Key + ": " + e.Why }
 
-// Remedy says what to do about it.
-func (e *BadFault) Remedy() string {
+// Hint says what to do about it.
+func (e *BadFault) Hint() string {
 	return "correct " + e.Key + " of this entry; docs/lab.md lists what each kind takes"
 }
 
--- a/internal/lab/experiment/steps.go
+++ b/internal/lab/experiment/steps.go
@@ -16,8 +16,8 @@
 
 func (e *BadEntry) Error() string { return e.Key + ": " + e.Why }
 
-// Remedy says what to do about it.
-func (e *BadEntry) Remedy() string {
+// Hint says what to do about it.
+func (e *BadEntry) Hint() string {
 	return "correct " + e.Key + " in the experiment file; docs/lab.md tells its form"
 }
 
--- a/internal/lab/link/fault.go
+++ b/internal/lab/link/fault.go
@@ -45,8 +45,8 @@
 
 func (e *BadFault) Error() string { return "link fault: " + e.Key + ": " + e.Why }
 
-// Remedy says what to do about it.
-func (e *BadFault) Remedy() string {
+// Hint says what to do about it.
+func (e *BadFault) Hint() string {
 	return "correct " + e.Key + "; docs/lab.md lists the kinds of a link"
 }
 
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -5,9 +5,10 @@
 	"math/rand/v2"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"ospreycroft/internal/lab/ports"
 )
 
@@ -21,8 +22,8 @@
 	return fmt.Sprintf("the link from %s to %s: %v", e.Near, e.Far, e.Cause)
 }
 
-// Remedy says what to do about it.
-func (e *ListenError) Remedy() string {
+// Hint says what to do about it.
+func (e *ListenError) Hint() string {
 	return "let the lab open more files (ulimit -n); a link needs plain TCP on Linux, which lets a socket filter drop what comes"
 }
 
@@ -114,9 +115,11 @@
 	}
 	_ = raw.Control(func(fd uintptr) {
 		if on {
-			err = syscall.AttachLsf(int(fd), []syscall.SockFilter{{Code: syscall.BPF_RET | syscall.BPF_K}}) // keep 0 bytes
+			keepNothing := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+			program := &unix.SockFprog{Len: 1, Filter: &keepNothing}
+			err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, program)
 		} else {
-			err = syscall.DetachLsf(int(fd))
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
 		}
 	})
 	return err
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -252,6 +252,6 @@
 		"share": {Kind: Cut, Share: 2}, "delay": {Kind: Slow}} {
 		var bad *BadFault
 		err := f.Check()
-		assert.True(t, errors.As(err, &bad) && bad.Key == key && bad.Remedy() != "", "%s: %v", key, err)
+		assert.True(t, errors.As(err, &bad) && bad.Key == key && bad.Hint() != "", "%s: %v", key, err)
 	}
 }
--- a/internal/lab/memdisk/memdisk.go
+++ b/internal/lab/memfs/memfs.go
@@ -1,5 +1,5 @@
-// Package memdisk is a disk in memory on which each step may fail, for what keeps files: see snapshot.Files.
-package memdisk
+// Package memfs is a disk in memory on which each step may fail, for what keeps files: see snapshot.Files.
+package memfs
 
 import (
 	"io/fs"
--- a/internal/lab/sloppy/sloppy.go
+++ b/internal/lab/mutants/mutants.go
@@ -1,6 +1,6 @@
-// Package sloppy is a deliberately broken limiter for the lab's own tests: what it does wrong is its mode. It forwards
+// Package mutants is a deliberately broken limiter for the lab's own tests: what it does wrong is its mode. It forwards
 // every job to a server, and it is never part of the real program. The lab must find each of its faults.
-package sloppy
+package mutants
 
 import (
 	"encoding/json"
@@ -30,8 +30,8 @@
 	Stay  = "stay"  // it does not end at SIGTERM while clients hold on to it
 )
 
-// Name is how a program must be named to be this one in a mode, such as "sloppy-drop".
-const Name = "sloppy-"
+// Name is how a program must be named to be this one in a mode, such as "mutant-drop".
+const Name = "mutant-"
 
 // Mode is the mode that a program's path names, "" where it is another program.
 func Mode(path string) string {
--- a/internal/lab/ports/ports.go
+++ b/internal/lab/ports/ports.go
@@ -29,8 +29,8 @@
 	return fmt.Sprintf("no loopback port could be kept: %s: %v", e.Step, e.Cause)
 }
 
-// Remedy says what to do about it.
-func (e *KeepError) Remedy() string {
+// Hint says what to do about it.
+func (e *KeepError) Hint() string {
 	return "let the lab open more files (ulimit -n), or free ports of net.ipv4.ip_local_port_range"
 }
 
--- a/internal/lab/runner/process.go
+++ b/internal/lab/runner/process.go
@@ -37,8 +37,8 @@
 	return fmt.Sprintf("limiter %d: %s could not be started: %v", e.Limiter, e.Program, e.Cause)
 }
 
-// Remedy says what to do about it.
-func (e *NeverStarted) Remedy() string {
+// Hint says what to do about it.
+func (e *NeverStarted) Hint() string {
 	return "build the program that limiters.program names (go build -o bin/ ./cmd/...), then see " + e.Log
 }
 func (e *NeverStarted) Unwrap() error { return e.Cause }
@@ -54,8 +54,8 @@
 	return fmt.Sprintf("limiter %d was not ready within %v", e.Limiter, e.Within)
 }
 
-// Remedy says what to do about it.
-func (e *NeverReady) Remedy() string { return "see what it waited for in " + e.Log }
+// Hint says what to do about it.
+func (e *NeverReady) Hint() string { return "see what it waited for in " + e.Log }
 
 // Crashed is a limiter whose process ended though nobody had asked it to.
 type Crashed struct {
@@ -69,9 +69,9 @@
 	return fmt.Sprintf("limiter %d ended by itself at %.3f s: %v", e.Limiter, float64(e.At)/1e9, e.Cause)
 }
 
-// Remedy says what to do about it.
-func (e *Crashed) Remedy() string { return "its last lines in " + e.Log + " tell why" }
-func (e *Crashed) Unwrap() error  { return e.Cause }
+// Hint says what to do about it.
+func (e *Crashed) Hint() string  { return "its last lines in " + e.Log + " tell why" }
+func (e *Crashed) Unwrap() error { return e.Cause }
 
 // NotTogether is a fleet whose processes were not all started within the time that "together" means.
 type NotTogether struct{ Took time.Duration }
@@ -80,8 +80,8 @@
 	return fmt.Sprintf("starting all limiters took %v, more than %v", e.Took, together)
 }
 
-// Remedy says what to do about it.
-func (e *NotTogether) Remedy() string {
+// Hint says what to do about it.
+func (e *NotTogether) Hint() string {
 	return "run fewer limiters, or with nothing else on the machine"
 }
 
--- a/internal/lab/runner/processes_test.go
+++ b/internal/lab/runner/processes_test.go
@@ -9,9 +9,9 @@
 
 	"ospreycroft/internal/countloss"
 	"ospreycroft/internal/lab/experiment"
+	"ospreycroft/internal/lab/mutants"
 	"ospreycroft/internal/lab/record"
 	"ospreycroft/internal/lab/rules"
-	"ospreycroft/internal/lab/sloppy"
 )
 
 // example reads an experiment of examples/lab for a program, with some of its text replaced.
@@ -85,7 +85,7 @@
 
 func TestRollingRestartThatDropsJobsIsCaught(t *testing.T) {
 	t.Parallel()
-	r, _ := played(t, smaller(t, example(t, "rolling", broken(t, sloppy.Drop)), 10, 5))
+	r, _ := played(t, smaller(t, example(t, "rolling", broken(t, mutants.Drop)), 10, 5))
 	wants(t, r, 1)
 }
 
@@ -124,7 +124,7 @@
 
 func TestLimiterDeafToTheListIsCaught(t *testing.T) {
 	t.Parallel()
-	r, _ := played(t, smaller(t, example(t, "links", broken(t, sloppy.Deaf), "from = 3.5\nuntil = 7.5", "from = 1.0\nuntil = 1.2",
+	r, _ := played(t, smaller(t, example(t, "links", broken(t, mutants.Deaf), "from = 3.5\nuntil = 7.5", "from = 1.0\nuntil = 1.2",
 		"from = 4.0", "from = 1.5"), 12, 4))
 	wants(t, r, 3)
 }
@@ -192,7 +192,7 @@
 
 func TestLimiterThatOverrunsColdServersIsCaught(t *testing.T) {
 	t.Parallel()
-	r, _ := played(t, coldstart(t, broken(t, sloppy.Cold), 3))
+	r, _ := played(t, coldstart(t, broken(t, mutants.Cold), 3))
 	wants(t, r, 4)
 }
 
@@ -248,14 +248,14 @@
 
 func TestLimiterPastTheCeilingIsCaught(t *testing.T) {
 	t.Parallel()
-	r, _ := played(t, smaller(t, example(t, "countcut", broken(t, sloppy.Over)), 12, 5))
+	r, _ := played(t, smaller(t, example(t, "countcut", broken(t, mutants.Over)), 12, 5))
 	wants(t, r, 5)
 }
 
 // A limiter that does not end at SIGTERM is killed once all clients' time is over, and restarted only then.
 func TestLimiterThatStaysIsKilled(t *testing.T) {
 	t.Parallel()
-	r, _ := played(t, smaller(t, example(t, "rolling", broken(t, sloppy.Stay), "from = 2.0\nuntil = 3.0", "from = 0.5\nuntil = 1.0",
+	r, _ := played(t, smaller(t, example(t, "rolling", broken(t, mutants.Stay), "from = 2.0\nuntil = 3.0", "from = 0.5\nuntil = 1.0",
 		"every = 1.2", "every = 9.0", "cut_off = 2.5", "cut_off = 1.5"), 2, 4))
 	var term, kill, restart int64
 	for _, e := range r.Run.Events {
@@ -276,7 +276,7 @@
 // A limiter that ends by itself, and one that cannot be started, fail the run by name.
 func TestFailedLimitersFailTheRun(t *testing.T) {
 	t.Parallel()
-	r, _ := played(t, smaller(t, example(t, "countcut", broken(t, sloppy.Crash)), 2, 3))
+	r, _ := played(t, smaller(t, example(t, "countcut", broken(t, mutants.Crash)), 2, 3))
 	var crashed *Crashed
 	if r.Verdict.Counts[0] != 2 || !errors.As(errors.Join(r.Failures...), &crashed) || !strings.HasSuffix(crashed.Log, ".log") {
 		t.Errorf("%s %v", r.Verdict.Line(), r.Failures)
--- a/internal/lab/runner/runner_test.go
+++ b/internal/lab/runner/runner_test.go
@@ -11,15 +11,15 @@
 
 	"ospreycroft/internal/countloss"
 	"ospreycroft/internal/lab/experiment"
+	"ospreycroft/internal/lab/mutants"
 	"ospreycroft/internal/lab/record"
 	"ospreycroft/internal/lab/rules"
-	"ospreycroft/internal/lab/sloppy"
 )
 
 // The test binary stands in for the broken limiter when the lab starts it by a name that says so.
 func TestMain(m *testing.M) {
-	if mode := sloppy.Mode(os.Args[0]); mode != "" {
-		if err := sloppy.Main(mode); err != nil {
+	if mode := mutants.Mode(os.Args[0]); mode != "" {
+		if err := mutants.Main(mode); err != nil {
 			os.Exit(2)
 		}
 		os.Exit(0)
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), sloppy.Name+mode)
+	path := filepath.Join(t.TempDir(), mutants.Name+mode)
 	if err := os.Symlink(self, path); err != nil {
 		t.Fatal(err)
 	}
@@ -110,7 +110,7 @@
 // the lab must find the second shots in the servers' records.
 func TestBrokenLimiterIsCaught(t *testing.T) {
 	t.Parallel()
-	e := experimentFile(t, broken(t, sloppy.Again), func(s string) string {
+	e := experimentFile(t, broken(t, mutants.Again), func(s string) string {
 		s = strings.Replace(s, "length = 20.0", "length = 4.0", 1)
 		s = strings.Replace(s, "from = 3.0\nuntil = 6.0", "from = 0.5\nuntil = 3.0", 1)
 		return s
--- a/internal/lab/runner/summary.go
+++ b/internal/lab/runner/summary.go
@@ -52,11 +52,11 @@
 		_, _ = fmt.Fprintf(w, "  rule %d at %.3fs: %s: %s\n", b.Rule, float64(b.At)/1e9, b.What, b.Detail)
 	}
 	for _, err := range r.Failures {
-		remedy := ""
-		if e, ok := err.(interface{ Remedy() string }); ok {
-			remedy = e.Remedy()
+		hint := ""
+		if e, ok := err.(interface{ Hint() string }); ok {
+			hint = e.Hint()
 		}
-		_, _ = fmt.Fprintf(w, "  failed: %v; %s\n", err, remedy)
+		_, _ = fmt.Fprintf(w, "  failed: %v; %s\n", err, hint)
 	}
 	if len(r.Run.Lives) > 0 {
 		FleetOf(r.Run).Write(w, r.Run.Length)
--- a/internal/lab/memfleet/counter.go
+++ b/internal/lab/simfleet/counter.go
@@ -1,4 +1,4 @@
-package memfleet
+package simfleet
 
 import (
 	"bytes"
@@ -11,7 +11,6 @@
 // calls a second, one after the other.
 type counter struct {
 	f      *Fleet
-	hosts  []*host // the addresses that it has had, the latest last
 	counts map[string]count
 	free   int64 // when it has done what it has taken
 	calls  int
--- a/internal/lab/memfleet/fleet.go
+++ b/internal/lab/simfleet/fleet.go
@@ -1,11 +1,11 @@
-// Package memfleet plays a whole fleet in one process: real limiters (internal/limiter, the reducer that also runs on
+// Package simfleet plays a whole fleet in one process: real limiters (internal/limiter, the reducer that also runs on
 // sockets), and job servers, a counter, a list service and clients in memory, which speak the real wires. Everything
 // happens in the order of one queue under one virtual clock, with chance from one seed: no goroutine, no wall clock, no
 // sleep. So the same seed gives the same record, byte for byte, and a fault that was seen once can be seen again.
 //
 // The fleet is judged from the records of servers, clients and the list service, never from a limiter's own word
 // (see docs/stories.md).
-package memfleet
+package simfleet
 
 import (
 	"encoding/json"
@@ -440,7 +440,7 @@
 func (f *Fleet) serverNamed(name string) *server {
 	i := slices.IndexFunc(f.servers, func(s *server) bool { return s.spec.Name == name })
 	if i < 0 {
-		panic("memfleet: no server " + name)
+		panic("simfleet: no server " + name)
 	}
 	return f.servers[i]
 }
--- a/internal/lab/memfleet/judge.go
+++ b/internal/lab/simfleet/judge.go
@@ -1,4 +1,4 @@
-package memfleet
+package simfleet
 
 import (
 	"encoding/json"
@@ -112,7 +112,7 @@
 	for _, s := range f.servers {
 		r.Handshakes[s.spec.Name] = s.dialled
 	}
-	r.Run = &record.Run{Name: "memfleet", Seed: f.o.Seed, Length: f.q.now, Limiters: f.o.Limiters, Jobs: f.jobs, Events: f.events}
+	r.Run = &record.Run{Name: "simfleet", Seed: f.o.Seed, Length: f.q.now, Limiters: f.o.Limiters, Jobs: f.jobs, Events: f.events}
 	for _, s := range f.shots {
 		r.Run.Shots = append(r.Run.Shots, s.Shot)
 	}
--- a/internal/lab/memfleet/queue.go
+++ b/internal/lab/simfleet/queue.go
@@ -1,4 +1,4 @@
-package memfleet
+package simfleet
 
 // event is something that happens at a time; of two at one time the one that was planned first comes first.
 type event struct {
--- a/internal/lab/memfleet/server.go
+++ b/internal/lab/simfleet/server.go
@@ -1,4 +1,4 @@
-package memfleet
+package simfleet
 
 import (
 	"bytes"
--- a/internal/lab/stories/steps.go
+++ b/internal/lab/stories/steps.go
@@ -7,8 +7,8 @@
 
 	"github.com/cucumber/godog"
 
-	"ospreycroft/internal/lab/memfleet"
 	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/lab/simfleet"
 )
 
 // Steps gives a scenario the words of this package, and its world.
@@ -16,14 +16,14 @@
 	w := &World{}
 	s.Given(`^a fleet of (\d+) limiters and (\d+) servers, seed (\d+), whose list is pushed$`,
 		func(limiters, servers, seed int) error {
-			w.Options = memfleet.Plain(uint64(seed), limiters, servers)
+			w.Options = simfleet.Plain(uint64(seed), limiters, servers)
 			return nil
 		})
 	s.Given(`^a fleet of (\d+) limiters and (\d+) servers, seed (\d+), `+
 		`whose list is asked for at a service that answers (\d+) calls a second$`,
 		func(limiters, servers, seed, budget int) error {
-			w.Options = memfleet.Plain(uint64(seed), limiters, servers)
-			w.Options.Mode, w.Options.Budget = memfleet.Asked, float64(budget)
+			w.Options = simfleet.Plain(uint64(seed), limiters, servers)
+			w.Options.Mode, w.Options.Budget = simfleet.Asked, float64(budget)
 			return nil
 		})
 	s.Given(`^operators state that it bears (\d+) calls a second$`, func(calls int) error {
@@ -55,10 +55,10 @@
 
 // limiterThat breaks all limiters of the fleet on purpose.
 func (w *World) limiterThat(how string) error {
-	if !slices.Contains(memfleet.Ways, memfleet.Broken(how)) {
-		return fmt.Errorf("no limiter %q: one of %q", how, memfleet.Ways)
+	if !slices.Contains(simfleet.Ways, simfleet.Broken(how)) {
+		return fmt.Errorf("no limiter %q: one of %q", how, simfleet.Ways)
 	}
-	w.Options.Broken = append(w.Options.Broken, memfleet.Broken(how))
+	w.Options.Broken = append(w.Options.Broken, simfleet.Broken(how))
 	return nil
 }
 
@@ -70,7 +70,7 @@
 	}
 	for _, i := range w.some(of, len(w.Options.Servers), 1) {
 		name := w.Options.Servers[i].Name
-		if err := w.Plan(0, func(f *memfleet.Fleet) {
+		if err := w.Plan(0, func(f *simfleet.Fleet) {
 			f.Add(name, name+"-new")
 			f.Gone(name)
 		}); err != nil {
@@ -81,40 +81,40 @@
 }
 
 func (w *World) when(s *godog.ScenarioContext) {
-	at := func(step func(f *memfleet.Fleet)) func(at float64) error {
+	at := func(step func(f *simfleet.Fleet)) func(at float64) error {
 		return func(at float64) error { return w.Plan(seconds(at), step) }
 	}
-	s.When(`^all limiters start together at second ([\d.]+)$`, at(func(f *memfleet.Fleet) { f.StartAll(0) }))
+	s.When(`^all limiters start together at second ([\d.]+)$`, at(func(f *simfleet.Fleet) { f.StartAll(0) }))
 	s.When(`^all limiters start within ([\d.]+) seconds? from second ([\d.]+) on$`, func(over, from float64) error {
-		return w.Plan(seconds(from), func(f *memfleet.Fleet) { f.StartAll(seconds(over)) })
+		return w.Plan(seconds(from), func(f *simfleet.Fleet) { f.StartAll(seconds(over)) })
 	})
 	s.When(`^the list service is down from second ([\d.]+) to second ([\d.]+)$`, func(from, until float64) error {
-		if err := w.Plan(seconds(until), func(f *memfleet.Fleet) { f.ListDown(false) }); err != nil {
+		if err := w.Plan(seconds(until), func(f *simfleet.Fleet) { f.ListDown(false) }); err != nil {
 			return err
 		}
-		return w.Plan(seconds(from), func(f *memfleet.Fleet) { f.ListDown(true) })
+		return w.Plan(seconds(from), func(f *simfleet.Fleet) { f.ListDown(true) })
 	})
-	s.When(`^the list service is down from second ([\d.]+) on$`, at(func(f *memfleet.Fleet) { f.ListDown(true) }))
+	s.When(`^the list service is down from second ([\d.]+) on$`, at(func(f *simfleet.Fleet) { f.ListDown(true) }))
 	s.When(`^(.+) of the limiters are killed at second ([\d.]+) and start again ([\d.]+) seconds? later with their old list$`,
 		w.killed)
 	s.When(`^all open watches fall silent at second ([\d.]+)$`,
-		at(func(f *memfleet.Fleet) { f.Quiet(func(int) bool { return true }) }))
+		at(func(f *simfleet.Fleet) { f.Quiet(func(int) bool { return true }) }))
 	s.When(`^server "([^"]+)" drains at second ([\d.]+)$`, func(name string, at float64) error {
-		return w.Plan(seconds(at), func(f *memfleet.Fleet) { f.Drain(name) })
+		return w.Plan(seconds(at), func(f *simfleet.Fleet) { f.Drain(name) })
 	})
 	s.When(`^server "([^"]+)" crashes at second ([\d.]+) and is back, cold, ([\d.]+) seconds? later$`,
 		func(name string, at, later float64) error {
-			if err := w.Plan(seconds(at), func(f *memfleet.Fleet) { f.Crash(name) }); err != nil {
+			if err := w.Plan(seconds(at), func(f *simfleet.Fleet) { f.Crash(name) }); err != nil {
 				return err
 			}
-			return w.Plan(seconds(at+later), func(f *memfleet.Fleet) { f.Back(name) })
+			return w.Plan(seconds(at+later), func(f *simfleet.Fleet) { f.Back(name) })
 		})
 	s.When(`^the limiters are restarted from second ([\d.]+) on, a tenth at a time, every ([\d.]+) seconds?$`, w.restarted)
 	s.When(`^limiter (\d+) is stopped from second ([\d.]+) to second ([\d.]+)$`, func(n int, from, until float64) error {
-		if err := w.Plan(seconds(from), func(f *memfleet.Fleet) { f.Stop(n) }); err != nil {
+		if err := w.Plan(seconds(from), func(f *simfleet.Fleet) { f.Stop(n) }); err != nil {
 			return err
 		}
-		return w.Plan(seconds(until), func(f *memfleet.Fleet) { f.Continue(n) })
+		return w.Plan(seconds(until), func(f *simfleet.Fleet) { f.Continue(n) })
 	})
 	s.When(`^what (.+) of the limiters send to the counter is lost from second ([\d.]+) to second ([\d.]+)$`,
 		func(part string, from, until float64) error {
@@ -126,7 +126,7 @@
 		})
 	s.When(`^SIGHUP moves all limiters to list service (\d+) and counter (\d+) at second ([\d.]+)$`,
 		func(list, counter int, at float64) error {
-			return w.Plan(seconds(at), func(f *memfleet.Fleet) {
+			return w.Plan(seconds(at), func(f *simfleet.Fleet) {
 				for n := range w.Options.Limiters {
 					f.Hup(n, list, counter)
 				}
@@ -140,14 +140,14 @@
 		return err
 	}
 	hit := w.some(of, w.Options.Limiters, 2)
-	if err := w.Plan(seconds(at), func(f *memfleet.Fleet) {
+	if err := w.Plan(seconds(at), func(f *simfleet.Fleet) {
 		for _, n := range hit {
 			f.Kill(n)
 		}
 	}); err != nil {
 		return err
 	}
-	return w.Plan(seconds(at+later), func(f *memfleet.Fleet) {
+	return w.Plan(seconds(at+later), func(f *simfleet.Fleet) {
 		for _, n := range hit {
 			f.Start(n)
 		}
@@ -156,7 +156,7 @@
 
 func (w *World) restarted(from, every float64) error {
 	for step := range 10 {
-		if err := w.Plan(seconds(from+every*float64(step)), func(f *memfleet.Fleet) {
+		if err := w.Plan(seconds(from+every*float64(step)), func(f *simfleet.Fleet) {
 			for n := step; n < w.Options.Limiters; n += 10 {
 				f.Term(n, true)
 			}
@@ -173,17 +173,17 @@
 		return err
 	}
 	hit := w.some(of, w.Options.Limiters, 3)
-	var rule *memfleet.Rule
-	if err := w.Plan(seconds(since), func(f *memfleet.Fleet) {
-		rule = f.Link(memfleet.Cut, from, to, func(n int) bool { return slices.Contains(hit, n) }, 0, 0)
+	var rule *simfleet.Rule
+	if err := w.Plan(seconds(since), func(f *simfleet.Fleet) {
+		rule = f.Link(simfleet.Cut, from, to, func(n int) bool { return slices.Contains(hit, n) }, 0, 0)
 	}); err != nil {
 		return err
 	}
-	return w.Plan(seconds(until), func(f *memfleet.Fleet) { f.Heal(rule) })
+	return w.Plan(seconds(until), func(f *simfleet.Fleet) { f.Heal(rule) })
 }
 
 func (w *World) then(s *godog.ScenarioContext) {
-	check := func(look func(r *memfleet.Result) error) func() error {
+	check := func(look func(r *simfleet.Result) error) func() error {
 		return func() error {
 			r, err := w.Result()
 			if err != nil {
@@ -207,20 +207,20 @@
 		}
 		return err
 	})
-	s.Then(`^no limiter crashes$`, check(func(r *memfleet.Result) error {
+	s.Then(`^no limiter crashes$`, check(func(r *simfleet.Result) error {
 		if len(r.Faults) > 0 {
 			return broken(r)
 		}
 		return nil
 	}))
 	s.Then(`^limiter (\d+) sends nothing to server "([^"]+)" from second ([\d.]+) on$`, w.sendsNothing)
-	s.Then(`^no cold server falls$`, check(func(r *memfleet.Result) error {
+	s.Then(`^no cold server falls$`, check(func(r *simfleet.Result) error {
 		if r.Falls > 0 {
 			return fmt.Errorf("%d fell", r.Falls)
 		}
 		return nil
 	}))
-	s.Then(`^a cold server falls$`, check(func(r *memfleet.Result) error {
+	s.Then(`^a cold server falls$`, check(func(r *simfleet.Result) error {
 		if r.Falls == 0 {
 			return fmt.Errorf("none fell")
 		}
@@ -250,7 +250,7 @@
 	})
 	s.Then(`^at least (\d+) in 100 of the jobs sent from second ([\d.]+) to second ([\d.]+) are done in their agreed time$`,
 		w.served)
-	s.Then(`^each limiter has the drain before it counts as told$`, check(func(r *memfleet.Result) error {
+	s.Then(`^each limiter has the drain before it counts as told$`, check(func(r *simfleet.Result) error {
 		if len(r.Missed) == 0 {
 			return fmt.Errorf("no watch had fallen silent")
 		}
@@ -262,7 +262,7 @@
 		}
 		return nil
 	}))
-	s.Then(`^no limiter is killed for being late to end$`, check(func(r *memfleet.Result) error {
+	s.Then(`^no limiter is killed for being late to end$`, check(func(r *simfleet.Result) error {
 		for _, e := range r.Run.Events {
 			if e.Kind == "overdue" {
 				return fmt.Errorf("%s had not ended at %.3f s", e.Target, float64(e.At)/1e9)
--- a/internal/lab/stories/stories_test.go
+++ b/internal/lab/stories/stories_test.go
@@ -11,7 +11,7 @@
 	"github.com/cucumber/godog"
 	"github.com/stretchr/testify/require"
 
-	"ospreycroft/internal/lab/memfleet"
+	"ospreycroft/internal/lab/simfleet"
 )
 
 // tags choose the scenarios: those tagged @open show a fault of the present program that is known and not mended yet.
@@ -23,7 +23,7 @@
 	return "~@open"
 }
 
-// STORIES_BREAK names a way (memfleet.Ways) in which the limiters of all scenarios are broken, to see which stories fail;
+// STORIES_BREAK names a way (simfleet.Ways) in which the limiters of all scenarios are broken, to see which stories fail;
 // STORIES_SHIFT is added to the seed of each, to look for days on which one fails.
 
 // TestMain makes the random walks the same ones every time, and few; -rapid.checks and -rapid.seed ask for others.
@@ -43,7 +43,7 @@
 		ScenarioInitializer: func(s *godog.ScenarioContext) {
 			w := Steps(s)
 			if way := os.Getenv("STORIES_BREAK"); way != "" {
-				w.Break = []memfleet.Broken{memfleet.Broken(way)}
+				w.Break = []simfleet.Broken{simfleet.Broken(way)}
 			}
 			w.Shift, _ = strconv.ParseUint(os.Getenv("STORIES_SHIFT"), 10, 64)
 		},
--- a/internal/lab/stories/walk_test.go
+++ b/internal/lab/stories/walk_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"ospreycroft/internal/lab/memfleet"
+	"ospreycroft/internal/lab/simfleet"
 )
 
 // TestWalk plays random schedules of faults on a small fleet. The rules are the invariants.
@@ -21,7 +21,7 @@
 
 // TestWalkFails sees the walks find each of these faults within a few schedules.
 func TestWalkFails(t *testing.T) {
-	ways := []memfleet.Broken{memfleet.IgnoresDrains, memfleet.DropsRenewals, memfleet.LosesAnswers, memfleet.SendsTwice}
+	ways := []simfleet.Broken{simfleet.IgnoresDrains, simfleet.DropsRenewals, simfleet.LosesAnswers, simfleet.SendsTwice}
 	for _, way := range ways {
 		t.Run(string(way), func(t *testing.T) {
 			walks := rapid.Custom(func(t *rapid.T) bool {
--- a/internal/lab/stories/world.go
+++ b/internal/lab/stories/world.go
@@ -1,5 +1,5 @@
 // Package stories tells what operators do and what may happen to them, given, when, then, and plays it on a fleet in
-// memory (package memfleet). The feature files are in features; docs/stories.md holds their words.
+// memory (package simfleet). The feature files are in features; docs/stories.md holds their words.
 //
 // A step of "given" says what the fleet is, one of "when" plans what happens at which second, and the first "then" plays
 // the whole story. So later tasks add steps of their own beside these: they take the World from their constructor.
@@ -11,7 +11,7 @@
 	"math/rand/v2"
 	"strings"
 
-	"ospreycroft/internal/lab/memfleet"
+	"ospreycroft/internal/lab/simfleet"
 )
 
 const second = int64(1e9)
@@ -20,25 +20,25 @@
 
 // World is one scenario's fleet.
 type World struct {
-	Options memfleet.Options
-	Break   []memfleet.Broken // breaks the limiters in these ways beside what the scenario says
+	Options simfleet.Options
+	Break   []simfleet.Broken // breaks the limiters in these ways beside what the scenario says
 	Shift   uint64            // is added to the scenario's seed
 	plans   []plan
-	fleet   *memfleet.Fleet
-	result  *memfleet.Result
+	fleet   *simfleet.Fleet
+	result  *simfleet.Result
 	last    int64 // when the last planned thing happens
 }
 
 type plan struct {
 	at   int64
-	step func(f *memfleet.Fleet)
+	step func(f *simfleet.Fleet)
 }
 
 // errNoFleet is for a scenario that says what happens before it says to whom.
 var errNoFleet = errors.New("no fleet yet: begin with \"given a fleet of ...\"")
 
 // Plan plans what happens at a time of the fleet's clock, nanoseconds. What is planned first happens first.
-func (w *World) Plan(at int64, step func(f *memfleet.Fleet)) error {
+func (w *World) Plan(at int64, step func(f *simfleet.Fleet)) error {
 	if w.Options.Limiters == 0 {
 		return errNoFleet
 	}
@@ -48,14 +48,14 @@
 }
 
 // Fleet is the fleet that the plans are played on; it is made at its first use.
-func (w *World) Fleet() (*memfleet.Fleet, error) {
+func (w *World) Fleet() (*simfleet.Fleet, error) {
 	if w.Options.Limiters == 0 {
 		return nil, errNoFleet
 	}
 	if w.fleet == nil {
 		w.Options.Broken = append(w.Options.Broken, w.Break...)
 		w.Options.Seed += w.Shift
-		f, err := memfleet.New(w.Options)
+		f, err := simfleet.New(w.Options)
 		if err != nil {
 			return nil, err
 		}
@@ -68,7 +68,7 @@
 }
 
 // Result plays the story to its end, once.
-func (w *World) Result() (*memfleet.Result, error) {
+func (w *World) Result() (*simfleet.Result, error) {
 	f, err := w.Fleet()
 	if err == nil && w.result == nil {
 		f.Run(max(w.last, w.Options.Load.Until))
@@ -95,7 +95,7 @@
 }
 
 // broken lists the rules that a run broke, in words.
-func broken(r *memfleet.Result) error {
+func broken(r *simfleet.Result) error {
 	if r.Verdict.Pass && len(r.Faults) == 0 {
 		return nil
 	}
--- a/internal/lab/rig/clients_test.go
+++ b/internal/lab/testbed/clients_test.go
@@ -1,4 +1,4 @@
-package rig
+package testbed
 
 import (
 	"bufio"
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/testbed/testbed.go
@@ -1,6 +1,6 @@
-// Package rig runs one whole limiter in the test's own process, on real loopback sockets, before peers that the test holds in
+// Package testbed runs one whole limiter in the test's own process, on real loopback sockets, before peers that the test holds in
 // its hand: each read, write, half-close and reset of a peer is a line of the test, so that the order of events is the test's.
-package rig
+package testbed
 
 import (
 	"bufio"
@@ -56,7 +56,7 @@
 	}
 	known, _ := json.Marshal(map[string]any{"generation": 1, "reset": true, "instances": entries})
 	second := int64(time.Second)
-	return &settings.Config{Name: "rig", Discovery: "127.0.0.1:1", Memory: 1 << 27, Sockets: 256, Known: known,
+	return &settings.Config{Name: "testbed", Discovery: "127.0.0.1:1", Memory: 1 << 27, Sockets: 256, Known: known,
 		Settings: &settings.Settings{IdleClose: 15 * second, Settings: &choice.Settings{
 			Classes: map[string]*choice.Class{
 				"read":  {Target: second, Value: 1},
--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -6,7 +6,7 @@
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/counterwire"
-	"ospreycroft/internal/remedy"
+	"ospreycroft/internal/hint"
 )
 
 const (
@@ -179,7 +179,7 @@
 	}
 	c := ln.calls[0]
 	if c.ping != (kind == counterwire.Pong) {
-		log.Printf("event=counter-line %s", remedy.Tail(&counterwire.CrossedError{Ping: c.ping}))
+		log.Printf("event=counter-line %s", hint.Tail(&counterwire.CrossedError{Ping: c.ping}))
 		return 0, errUnasked
 	}
 	ln.calls = ln.calls[1:]
@@ -191,7 +191,7 @@
 		ln.counter.tell(c, choice.Full, 0)
 	case counterwire.Refused:
 		log.Printf("event=counter-refused name=%d amount=%v %s", c.name, c.amount,
-			remedy.Tail(&counterwire.RefusedError{Name: c.name, Amount: c.amount}))
+			hint.Tail(&counterwire.RefusedError{Name: c.name, Amount: c.amount}))
 		ln.counter.tell(c, Refused.counted(false), 0)
 	}
 	ln.leave()
--- a/internal/limiter/remedies_test.go
+++ b/internal/limiter/hints_test.go
@@ -10,16 +10,16 @@
 
 	"ospreycroft/internal/counterwire"
 	"ospreycroft/internal/discovery"
-	"ospreycroft/internal/remedy"
+	"ospreycroft/internal/hint"
 )
 
 // What discovery and the counter do wrong is logged with what to do about it.
-func TestRemedies(t *testing.T) {
+func TestHints(t *testing.T) {
 	defer log.SetOutput(os.Stderr)
 	for _, c := range []struct {
 		name, event, says string
 		from              ID
-		err               remedy.Error
+		err               hint.Error
 	}{
 		{"a list too many", "event=list-turned-away status=503 ", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", watching,
 			&discovery.TurnedAwayError{Status: 503}},
@@ -37,8 +37,8 @@
 			var out bytes.Buffer
 			log.SetOutput(&out)
 			w.say(l, second/100, c.from, c.says)
-			require.Contains(t, out.String(), c.event+remedy.Tail(c.err)+"\n")
-			require.Contains(t, out.String(), c.err.Remedy())
+			require.Contains(t, out.String(), c.event+hint.Tail(c.err)+"\n")
+			require.Contains(t, out.String(), c.err.Hint())
 		})
 	}
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -13,7 +13,7 @@
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/buffer"
-	"ospreycroft/internal/inquiry"
+	"ospreycroft/internal/pollpacer"
 	"ospreycroft/internal/settings"
 )
 
@@ -173,7 +173,7 @@
 		requests: map[string]*request{}, pools: map[string]*pool{}}
 	l.counter.l, l.counter.heard, l.watch.l = l, now, l
 	l.keep = l.set.IdleClose / idleShare
-	l.watch.pace = inquiry.New(now, l.set.DialTimeout, max(l.set.Position, 0), l.set.AskEvery)
+	l.watch.pace = pollpacer.New(now, l.set.DialTimeout, max(l.set.Position, 0), l.set.AskEvery)
 	l.watch.pace.Within(l.set.Grace)
 	l.logic = choice.New(now, l.set.Settings, config.Seed, l)
 	l.readyBy = now + readyIn
--- a/internal/limiter/silence_test.go
+++ b/internal/limiter/silence_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ospreycroft/internal/inquiry"
+	"ospreycroft/internal/pollpacer"
 )
 
 const (
@@ -147,7 +147,7 @@
 					continue
 				}
 				l, w := madeTo(t, mode.every, 0)
-				l.watch.pace = inquiry.New(0, l.set.DialTimeout, position, mode.every)
+				l.watch.pace = pollpacer.New(0, l.set.DialTimeout, position, mode.every)
 				d := c.d
 				d.change = max(d.change, 1)
 				require.LessOrEqual(t, d.play(l, w, never), mode.by, "%s: asked every %d s, limiter %d", c.name, mode.every/second, position)
--- a/internal/limiter/start.go
+++ b/internal/limiter/start.go
@@ -8,7 +8,7 @@
 	"ospreycroft/choice"
 	"ospreycroft/internal/coldstart"
 	"ospreycroft/internal/discovery"
-	"ospreycroft/internal/inquiry"
+	"ospreycroft/internal/pollpacer"
 	"ospreycroft/internal/settings"
 	"ospreycroft/internal/snapshot"
 )
@@ -19,7 +19,7 @@
 	readyBound = 30e9 // and a limiter has to be ready within this time
 )
 
-// Stated is what operators state beside the configuration; the zero value leaves a start to the settings and inquiry alone.
+// Stated is what operators state beside the configuration; the zero value leaves a start to the settings and pollpacer alone.
 type Stated struct {
 	ListCalls   float64 // calls a second that discovery bears from all limiters, 0 for what the settings imply
 	Connections float64 // new connections a second that a server bears from all limiters, 0 for no bound
@@ -65,10 +65,10 @@
 	return err
 }
 
-// budgeted tells whether the calls for lists go by the limiter's own instants, and not by inquiry's pace.
+// budgeted tells whether the calls for lists go by the limiter's own instants, and not by pollpacer's pace.
 func (s *start) budgeted() bool { return s != nil && s.set.AskEvery > 0 && s.set.Budget > 0 }
 
-// asked notes a call that goes out by inquiry's pace.
+// asked notes a call that goes out by pollpacer's pace.
 func (s *start) asked() {
 	if s != nil && !s.budgeted() {
 		s.step(coldstart.Event{Kind: coldstart.Asked})
@@ -76,12 +76,12 @@
 }
 
 // failed notes a call that brought no list.
-func (s *start) failed(end inquiry.End) {
+func (s *start) failed(end pollpacer.End) {
 	if s == nil {
 		return
 	}
 	kind := coldstart.Broke
-	if end == inquiry.Turned {
+	if end == pollpacer.Turned {
 		kind = coldstart.Turned
 	}
 	s.step(coldstart.Event{Kind: kind})
--- a/internal/limiter/start_test.go
+++ b/internal/limiter/start_test.go
@@ -185,7 +185,9 @@
 	}
 	require.True(t, opened >= 12 && opened <= 15, "%d connections in 7 s, 2 a second are stated", opened)
 	l, _ = New(0, l.config, w)
-	require.True(t, l.pools["s"].backend() != nil && l.pools["s"].backend() != nil, "held back where nothing is stated")
+	for range 2 {
+		require.NotNil(t, l.pools["s"].backend(), "held back where nothing is stated")
+	}
 }
 
 func TestStartSettings(t *testing.T) {
@@ -194,7 +196,7 @@
 	require.True(t, set.Check() == nil && set.Chance >= 0.99, "%+v: %v", set, set.Check())
 }
 
-// TestNothingStated: without an operator's file a limiter has no start of its own: inquiry's pace calls, at its own hold, an
+// TestNothingStated: without an operator's file a limiter has no start of its own: pollpacer's pace calls, at its own hold, an
 // answer is followed by the next call at once, and it is ready with discovery's first answer.
 func TestNothingStated(t *testing.T) {
 	for _, every := range []int64{0, 10 * second} {
@@ -208,7 +210,7 @@
 	}
 }
 
-// TestStatedUnbudgeted: an operator's file that states no budget leaves the calls to inquiry's pace.
+// TestStatedUnbudgeted: an operator's file that states no budget leaves the calls to pollpacer's pace.
 func TestStatedUnbudgeted(t *testing.T) {
 	plain, w := madeTo(t, 10*second, 0)
 	stated, v := stated(t, 1, Stated{Connections: 2})
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -10,8 +10,8 @@
 	"ospreycroft/choice"
 	"ospreycroft/internal/coldstart"
 	"ospreycroft/internal/discovery"
-	"ospreycroft/internal/inquiry"
-	"ospreycroft/internal/remedy"
+	"ospreycroft/internal/hint"
+	"ospreycroft/internal/pollpacer"
 )
 
 var errTurned = errors.New("discovery has turned the call away")
@@ -28,12 +28,12 @@
 	limit   *timer // until when the call that is out must be answered
 	told    bool   // the connection has brought an answer
 	again   *timer // when it is dialled next, while it waits for that
-	pace    *inquiry.Pace
-	last    inquiry.End // how the latest call ended, where it brought no list
-	checks  bool        // the process stood still: what there is has to be told at once
-	half    bool        // an answer has begun
-	noted   int64       // when a failure was last logged
-	rests   bool        // no call is out on the connection: with a stated budget the next one goes out at its time
+	pace    *pollpacer.Pacer
+	last    pollpacer.End // how the latest call ended, where it brought no list
+	checks  bool          // the process stood still: what there is has to be told at once
+	half    bool          // an answer has begun
+	noted   int64         // when a failure was last logged
+	rests   bool          // no call is out on the connection: with a stated budget the next one goes out at its time
 }
 
 // known takes the list of the configuration, which may be old.
@@ -92,7 +92,7 @@
 }
 
 func (w *watch) dial() {
-	w.told, w.last = false, inquiry.Broke
+	w.told, w.last = false, pollpacer.Broke
 	w.c = w.l.dial(w, w.l.config.Discovery, w.pace.Dial())
 }
 
@@ -105,7 +105,7 @@
 	if !l.start.budgeted() {
 		wait, limit = w.pace.Ask(l.now, !w.fetched)
 	} else {
-		w.told, w.last = false, inquiry.Broke // each call counts for itself
+		w.told, w.last = false, pollpacer.Broke // each call counts for itself
 		if w.fetched {
 			wait, _ = l.start.rules.Wait(l.now)
 		}
@@ -150,8 +150,8 @@
 		w.until(min(w.limit.at, w.l.now+w.pace.Half()))
 	}
 	if err != nil { // asked at once again, it would be as bad
-		w.note("event=list-refused %s", remedy.Tail(err))
-		w.told, w.last = false, inquiry.Broke
+		w.note("event=list-refused %s", hint.Tail(err))
+		w.told, w.last = false, pollpacer.Broke
 	}
 	if err != nil || n == 0 || a.Status < 200 { // the answer itself comes behind a status of 1xx
 		return n, err
@@ -174,8 +174,8 @@
 // news takes a whole answer: a list, or word that there is none.
 func (w *watch) news(a discovery.Answer) (err error) {
 	if w.told = true; a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		w.note("event=list-turned-away status=%d %s", a.Status, remedy.Tail(a.Refused()))
-		w.told, w.last = false, inquiry.Turned // what is held stays, and what is newer than that is asked for again
+		w.note("event=list-turned-away status=%d %s", a.Status, hint.Tail(a.Refused()))
+		w.told, w.last = false, pollpacer.Turned // what is held stays, and what is newer than that is asked for again
 		return errTurned
 	}
 	var list *discovery.List
@@ -184,8 +184,8 @@
 	}
 	if err != nil {
 		// The last good list stays. Asked at once again, it would be as bad.
-		w.note("event=list-refused %s", remedy.Tail(err))
-		w.fetched, w.told, w.last = false, false, inquiry.Broke
+		w.note("event=list-refused %s", hint.Tail(err))
+		w.fetched, w.told, w.last = false, false, pollpacer.Broke
 		return err
 	}
 	w.pace.Answered(w.l.now)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -33,8 +33,8 @@
 
 func (u *Unreadable) Error() string { return fmt.Sprintf("operator's file %s: %v", u.Path, u.Err) }
 
-// Remedy is what to do.
-func (u *Unreadable) Remedy() string {
+// Hint is what to do.
+func (u *Unreadable) Hint() string {
 	return "mend " + u.Path + " (deploy/operator.toml is an example), or unset " + Variable + " to start without it"
 }
 
@@ -52,8 +52,8 @@
 	return fmt.Sprintf("operator's file %s: %s is %v, not %s", b.Path, b.Key, b.Value, b.Want)
 }
 
-// Remedy is what to do.
-func (b *BadKey) Remedy() string {
+// Hint is what to do.
+func (b *BadKey) Hint() string {
 	return fmt.Sprintf("set %s to %s in %s, or leave it out", b.Key, b.Want, b.Path)
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -20,7 +20,7 @@
 	require.Equal(t, want, *o, "the example")
 	t.Setenv(Variable, "/none")
 	var unreadable *Unreadable
-	if _, err := Read(); !errors.As(err, &unreadable) || !errors.Is(err, fs.ErrNotExist) || unreadable.Remedy() == "" {
+	if _, err := Read(); !errors.As(err, &unreadable) || !errors.Is(err, fs.ErrNotExist) || unreadable.Hint() == "" {
 		t.Fatal(err)
 	}
 	_, err = Parse("x", []byte("list_calls_per_s = "))
@@ -37,7 +37,7 @@
 		"start = 5\nlist_calls_per_s = 3\n" + "snapshot = 'x'": "snapshot",
 	} {
 		var bad *BadKey
-		if _, err := Parse("x", []byte(text)); !errors.As(err, &bad) || bad.Key != key || bad.Remedy() == "" {
+		if _, err := Parse("x", []byte(text)); !errors.As(err, &bad) || bad.Key != key || bad.Hint() == "" {
 			t.Errorf("%q: %v", text, err)
 		}
 	}
--- a/internal/inquiry/inquiry.go
+++ b/internal/pollpacer/pollpacer.go
@@ -1,9 +1,9 @@
-// Package inquiry decides how often a limiter asks discovery, and for what. It does no I/O: the caller tells how each
+// Package pollpacer decides how often a limiter asks discovery, and for what. It does no I/O: the caller tells how each
 // call ended and is told how long to wait before the next one, in nanoseconds.
 //
 // A call that is asked again at once is harmless in one limiter. In a fleet that starts together it keeps discovery
 // overbooked for good: each call that is turned away comes again before the others have had their turn.
-package inquiry
+package pollpacer
 
 import "math"
 
@@ -39,8 +39,8 @@
 	margin   = 100e6 // what all that is not waiting takes together
 )
 
-// Pace is one limiter's way of asking. The zero value is not of use; see New.
-type Pace struct {
+// Pacer is one limiter's way of asking. The zero value is not of use; see New.
+type Pacer struct {
 	dial     int64   // a dial time-out
 	every    int64   // the longest time between calls where they are work for discovery, 0 where changes are pushed
 	pause    int64   // the longest between them where they are none
@@ -55,13 +55,13 @@
 
 // New makes the pace of the limiter with this number among all. dialTimeout is in nanoseconds and above 0; every is the
 // settings' longest time between calls where discovery tells only those that ask, and 0 where it tells all.
-func New(now, dialTimeout int64, position int, every int64) *Pace {
+func New(now, dialTimeout int64, position int, every int64) *Pacer {
 	_, place := math.Modf(float64(position) * math.Phi)
-	return &Pace{dial: min(dialTimeout, mostDial), place: place, every: every, pause: mostPause, known: now}
+	return &Pacer{dial: min(dialTimeout, mostDial), place: place, every: every, pause: mostPause, known: now}
 }
 
 // Within takes the settings' grace: how late what is told may be acted on, 0 where they do not say.
-func (p *Pace) Within(grace int64) {
+func (p *Pacer) Within(grace int64) {
 	if grace > 0 {
 		p.pause = max(min(mostPause, grace/pushedPart), leastPause)
 	}
@@ -70,24 +70,24 @@
 // First is how long to wait before the first call. Limiters that start together would overbook a discovery that takes their
 // calls in turn, and what it cannot answer in time is work in vain: by their places they come evenly. The list of the
 // configuration holds until then, but not for longer than its news takes to count as told.
-func (p *Pace) First() int64 {
+func (p *Pacer) First() int64 {
 	return int64(p.place * float64(min(p.every/startShare, toldAfter-p.room())))
 }
 
 // Dial is how long a connection to discovery may take to come up.
-func (p *Pace) Dial() int64 { return p.dial }
+func (p *Pacer) Dial() int64 { return p.dial }
 
 // Half is how long the rest of an answer that has begun may take.
-func (p *Pace) Half() int64 { return 2 * p.dial }
+func (p *Pacer) Half() int64 { return 2 * p.dial }
 
 // room is what has to be left when a call is given up: a dial that is never answered, the pause after it, a dial and an
 // answer.
-func (p *Pace) room() int64 { return 3*p.dial + p.dial/brokeFirst*3/2 + margin }
+func (p *Pacer) room() int64 { return 3*p.dial + p.dial/brokeFirst*3/2 + margin }
 
 // Ask tells how long a call that is made now is to wait for news, and after how long it is given up if it is still
 // unanswered. A call for the whole list does not wait. To give one up that stands in discovery's queue and ask again
 // adds to the queue, so where it is asked it is held for as long as leaves room before news counts as told.
-func (p *Pace) Ask(now int64, whole bool) (hold, limit int64) {
+func (p *Pacer) Ask(now int64, whole bool) (hold, limit int64) {
 	switch {
 	case whole:
 	case p.every > 0:
@@ -99,7 +99,7 @@
 }
 
 // Held is the same for a call whose wait is given; it tells after how long that is given up.
-func (p *Pace) Held(now int64, whole bool, hold int64) (limit int64) {
+func (p *Pacer) Held(now int64, whole bool, hold int64) (limit int64) {
 	told := now + toldAfter
 	if whole && p.told-p.room()-now >= p.dial {
 		told = min(told, p.told)
@@ -116,19 +116,19 @@
 }
 
 // Answered notes a list: nothing is missed.
-func (p *Pace) Answered(now int64) {
+func (p *Pacer) Answered(now int64) {
 	p.failures, p.known, p.told, p.early, p.resume = 0, now, 0, true, 0
 }
 
 // Moved notes that discovery is at a new address, from which nothing has come yet. As at the start, all limiters ask it
 // together, so no call comes early.
-func (p *Pace) Moved(now int64) { p.failures, p.told, p.early, p.resume = 0, now+toldMoved, false, 0 }
+func (p *Pacer) Moved(now int64) { p.failures, p.told, p.early, p.resume = 0, now+toldMoved, false, 0 }
 
 // Next takes the end of a call that brought no list and tells how long to wait before the next one: longer with each in a
 // row. Limiters that failed together come again apart: the wait is between half and one and a half of its span, by the
 // limiter's place, which steps on with each failure. Where the next call would come after what is missed counts as told, one
 // comes before that, apart again: one more a limiter and outage, and the others stay where they were.
-func (p *Pace) Next(now int64, end End) int64 {
+func (p *Pacer) Next(now int64, end End) int64 {
 	if p.told == 0 {
 		p.told = p.known + toldAfter
 		if end == Broke {
--- a/internal/inquiry/inquiry_test.go
+++ b/internal/pollpacer/pollpacer_test.go
@@ -1,4 +1,4 @@
-package inquiry
+package pollpacer
 
 import (
 	"testing"
@@ -102,7 +102,7 @@
 	for _, end := range []End{Turned, Broke} {
 		tenths := [10]int{}
 		// calls are how many of a limiter come within a minute, and when the last one does before its news counts.
-		calls := func(p *Pace) (n int, last int64) {
+		calls := func(p *Pacer) (n int, last int64) {
 			for now := int64(0); now < late; n++ {
 				if now <= 6e9-2*unit {
 					last = now
@@ -137,7 +137,7 @@
 		const all, patience = 8 * int64(1e9), 2 * int64(1e9)
 		cost := all / int64(limiters)
 		type asker struct {
-			pace *Pace
+			pace *Pacer
 			at   int64
 			has  int64
 		}
--- a/internal/settings/errors.go
+++ b/internal/settings/errors.go
@@ -19,7 +19,7 @@
 	return "the configuration cannot be read: " + e.Cause.Error()
 }
 func (e *UnreadableError) Unwrap() error { return e.Cause }
-func (e *UnreadableError) Remedy() string {
+func (e *UnreadableError) Hint() string {
 	if e.Path == "" {
 		return "set GW_CONFIG to the path of the configuration"
 	}
@@ -31,7 +31,7 @@
 
 func (e *MalformedError) Error() string { return "the configuration is malformed: " + e.Cause.Error() }
 func (e *MalformedError) Unwrap() error { return e.Cause }
-func (e *MalformedError) Remedy() string {
+func (e *MalformedError) Hint() string {
 	return "mend the JSON; `ospreycroft check` reads it again without starting"
 }
 
@@ -50,7 +50,7 @@
 	return strings.Join(slices.DeleteFunc(parts, func(p string) bool { return p == "" }), ": ")
 }
 func (e *KeyError) Unwrap() error { return e.Cause }
-func (e *KeyError) Remedy() string {
+func (e *KeyError) Hint() string {
 	return fmt.Sprintf("mend the key %q of the configuration; `ospreycroft check` reads it again without starting", e.Key)
 }
 
--- a/internal/snapshot/errors.go
+++ b/internal/snapshot/errors.go
@@ -15,8 +15,8 @@
 	return fmt.Sprintf("snapshot %s cannot be read: %v", u.Path, u.Err)
 }
 
-// Remedy is what to do.
-func (u *Unreadable) Remedy() string {
+// Hint is what to do.
+func (u *Unreadable) Hint() string {
 	return "let the limiter's user read " + u.Path + ", and look at the disk"
 }
 
@@ -32,8 +32,8 @@
 	return fmt.Sprintf("snapshot %s is cut short at %d bytes", c.Path, c.Bytes)
 }
 
-// Remedy is what to do.
-func (c *CutShort) Remedy() string {
+// Hint is what to do.
+func (c *CutShort) Hint() string {
 	return "nothing: the next list replaces it; if it comes again, the disk loses what it has confirmed"
 }
 
@@ -45,8 +45,8 @@
 
 func (s *Spoilt) Error() string { return fmt.Sprintf("snapshot %s is spoilt: %v", s.Path, s.Err) }
 
-// Remedy is what to do.
-func (s *Spoilt) Remedy() string {
+// Hint is what to do.
+func (s *Spoilt) Hint() string {
 	return "nothing: the next list replaces it; if it comes again, look at the disk and at who else writes to " + s.Path
 }
 
@@ -62,8 +62,8 @@
 	return fmt.Sprintf("snapshot %s is of version %d, not %d", o.Path, o.Version, version)
 }
 
-// Remedy is what to do.
-func (o *Other) Remedy() string {
+// Hint is what to do.
+func (o *Other) Hint() string {
 	return "nothing: the next list replaces it by one of this program's version"
 }
 
@@ -76,8 +76,8 @@
 	return fmt.Sprintf("snapshot %s is of limiter %q of installation %q", f.Path, f.Limiter, f.Installation)
 }
 
-// Remedy is what to do.
-func (f *Foreign) Remedy() string {
+// Hint is what to do.
+func (f *Foreign) Hint() string {
 	return "give each installation a snapshot.path of its own, and look at how the file came to " + f.Path
 }
 
@@ -91,8 +91,8 @@
 	return fmt.Sprintf("snapshot %s was taken %v ago, no more than %v is believed", o.Path, time.Duration(o.Age), time.Duration(o.Oldest))
 }
 
-// Remedy is what to do.
-func (o *Old) Remedy() string {
+// Hint is what to do.
+func (o *Old) Hint() string {
 	return "nothing after a long stop; if the limiter ran meanwhile, look for event=snapshot-unwritten in its log; if it is from the " +
 		"future, set the machine's clock"
 }
@@ -107,8 +107,8 @@
 	return fmt.Sprintf("snapshot %s is not written: %v", u.Path, u.Err)
 }
 
-// Remedy is what to do.
-func (u *Unwritten) Remedy() string {
+// Hint is what to do.
+func (u *Unwritten) Hint() string {
 	return "make room on the disk and let the limiter's user write there; until then a restart begins with an older list"
 }
 
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ospreycroft/internal/lab/memdisk"
+	"ospreycroft/internal/lab/memfs"
 )
 
 var place = Place{Dir: "/d", Installation: "east", Limiter: "n/1", Oldest: 3600e9}
@@ -22,7 +22,7 @@
 }
 
 func TestFile(t *testing.T) {
-	d := memdisk.New()
+	d := memfs.New()
 	if s, err := place.Load(d, 1e18); s != nil || err != nil {
 		t.Fatalf("with no file: %v, %v", s, err)
 	}
@@ -36,7 +36,7 @@
 			d.Held[place.Path()] = []byte(text)
 		}
 		s, err := p.Load(d, now)
-		if s != nil || reflect.TypeOf(err) != reflect.TypeOf(want) || err.(interface{ Remedy() string }).Remedy() == "" || err.Error() == "" {
+		if s != nil || reflect.TypeOf(err) != reflect.TypeOf(want) || err.(interface{ Hint() string }).Hint() == "" || err.Error() == "" {
 			t.Fatalf("%q: %v, %T (%v), want %T", text, s, err, err, want)
 		}
 	}
@@ -81,7 +81,7 @@
 }
 
 func TestWriter(t *testing.T) {
-	slow := memdisk.New()
+	slow := memfs.New()
 	slow.Gate = make(chan bool)
 	last := NewWriter(slow, place, func(err error) { t.Error(err) })
 	last.Save(list(1))
--- a/internal/sockets/errors.go
+++ b/internal/sockets/errors.go
@@ -16,7 +16,7 @@
 	return fmt.Sprintf("%s is in use by another process: %v", e.Address, e.Cause)
 }
 func (e *AddressInUseError) Unwrap() error { return e.Cause }
-func (e *AddressInUseError) Remedy() string {
+func (e *AddressInUseError) Hint() string {
 	return "end the process that listens there, perhaps this limiter's last one, or change the configuration's listen address"
 }
 
@@ -30,7 +30,7 @@
 	return fmt.Sprintf("cannot listen on %s: %v", e.Address, e.Cause)
 }
 func (e *AddressError) Unwrap() error { return e.Cause }
-func (e *AddressError) Remedy() string {
+func (e *AddressError) Hint() string {
 	return "set the configuration's listen to an address of this machine and a port that this user may listen on"
 }
 
@@ -47,7 +47,7 @@
 	return fmt.Sprintf("the process may hold %d descriptors, the configuration's limits say %d", e.Have, e.Need)
 }
 func (e *DescriptorsError) Unwrap() error { return e.Cause }
-func (e *DescriptorsError) Remedy() string {
+func (e *DescriptorsError) Hint() string {
 	return "raise the process's limit on open files (ulimit -n), or lower limits.sockets of the configuration to it"
 }
 
