--- /dev/null
+++ b/internal/sockets/close.go
@@ -0,0 +1,113 @@
+package sockets
+
+import (
+	"log"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"ospreycroft/internal/limiter"
+)
+
+// This file ends connections.
+
+// looks is how often connections that were left are looked at, nanoseconds.
+const looks = 5e6
+
+// Close is an effect.
+func (s *Sockets) Close(id limiter.ID) int64 {
+	l := s.links[id]
+	if l == nil {
+		return 0
+	}
+	delete(s.links, id)
+	l.unasked.Store(true)
+	if l.cancel != nil {
+		l.cancel()
+	}
+	if c := l.conn.Load(); c != nil {
+		if l.gate == nil && l.written.Load() == l.handed && asks(c, syscall.TIOCOUTQ) > 0 {
+			breakOff(c)
+		}
+		shut(c, syscall.SHUT_RDWR)
+	}
+	return l.written.Load()
+}
+
+// Leave is an effect. From the look at what has come until the sending has ended the poller reads nothing: it holds the lock as
+// long as bytes are out of the kernel and not posted. Both directions end when the client has ended its own, or after a time
+// unless its machine still lacks bytes: to close over what was not read breaks the connection off, and takes these along.
+func (s *Sockets) Leave(id limiter.ID, after, most int64) bool {
+	l := s.links[id]
+	if l == nil {
+		return true
+	}
+	if !l.reading.TryLock() {
+		return false
+	}
+	defer l.reading.Unlock()
+	if l.posted > l.told.Load() {
+		return false
+	}
+	delete(s.links, id)
+	l.unasked.Store(true)
+	c := l.conn.Load()
+	if !shut(c, syscall.SHUT_WR) {
+		return true
+	}
+	s.left = append(slices.DeleteFunc(s.left, (*link).closed), l)
+	var wait func(so int64)
+	wait = func(so int64) {
+		time.AfterFunc(time.Duration(after), func() {
+			if so < most && asks(c, syscall.TIOCOUTQ) > 0 {
+				wait(so + after)
+				return
+			}
+			shut(c, syscall.SHUT_RDWR)
+		})
+	}
+	wait(after)
+	return true
+}
+
+func (l *link) closed() bool {
+	closed, _ := l.conn.Load().IsClosed()
+	return closed
+}
+
+// owes tells whether the end of the process could break off a connection that was left: its client's machine lacks bytes, or has
+// sent some that were not read.
+func (s *Sockets) owes() bool {
+	s.left = slices.DeleteFunc(s.left, func(l *link) bool {
+		c := l.conn.Load()
+		return asks(c, syscall.TIOCOUTQ) <= 0 && asks(c, syscall.TIOCINQ) <= 0
+	})
+	return len(s.left) > 0
+}
+
+// breakOff has the closing of the descriptor, which follows, take along what the other machine lacks: a command that was given up
+// and that the kernel has whole would else become whole there later, when it takes bytes again, and run for nobody.
+func breakOff(c *nbio.Conn) {
+	c.Lock()
+	defer c.Unlock()
+	if closed, _ := c.IsClosed(); !closed {
+		_ = syscall.SetsockoptLinger(c.Hash(), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	}
+}
+
+// shut ends one or both directions and leaves closing the descriptor to the poller, which sees the end next. Were it
+// closed here, what the poller still has to tell of it could hit a new connection with the same number. It tells whether there
+// was something to end.
+func shut(c *nbio.Conn, how int) bool {
+	c.Lock()
+	defer c.Unlock()
+	if closed, _ := c.IsClosed(); closed {
+		return false
+	}
+	if err := syscall.Shutdown(c.Hash(), how); err != nil && err != syscall.ENOTCONN {
+		log.Printf("event=shutdown error=%q", err)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/sockets/dial.go
@@ -0,0 +1,55 @@
+package sockets
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"ospreycroft/internal/limiter"
+)
+
+// This file opens connections.
+
+// Dial is an effect. The standard library dials and nbio takes the connection over: nbio's own dialling (v1.6.8)
+// copies the first four of the sixteen bytes in which addresses are held, so that each IPv4 address becomes
+// 0.0.0.0, and it takes a refused connection for one that is up.
+func (s *Sockets) Dial(address string, timeout int64) limiter.ID {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(timeout))
+	l := s.link(cancel, nil)
+	s.links[l.id] = l
+	go func() {
+		defer cancel()
+		if err := s.dial(ctx, l, address); err != nil {
+			end := limiter.Refused
+			if ctx.Err() != nil {
+				end = limiter.DialOver
+			}
+			s.post(l, limiter.Event{Kind: limiter.Ended, End: end}, nil)
+			return
+		}
+		s.post(l, limiter.Event{Kind: limiter.Connected}, nil)
+	}()
+	return l.id
+}
+
+func (s *Sockets) dial(ctx context.Context, l *link, address string) error {
+	var dialer net.Dialer
+	plain, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	c, err := nbio.NBConn(plain)
+	if err != nil {
+		_ = plain.Close()
+		return err
+	}
+	c.SetSession(l)
+	l.conn.Store(c)
+	if _, err = s.engine.AddConn(c); err == nil && l.unasked.Load() {
+		shut(c, syscall.SHUT_RDWR)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sockets/gate.go
@@ -0,0 +1,39 @@
+package sockets
+
+import (
+	"net"
+	"sync/atomic"
+
+	"github.com/lesismal/nbio"
+)
+
+// This file bounds how many clients' connections are open.
+
+// gate lets only so many connections in; the rest wait in the kernel, where they are not lost.
+type gate struct {
+	net.Listener
+	free chan struct{}
+	full atomic.Bool // one more waits for a place, perhaps
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	g.full.Store(true)
+	g.free <- struct{}{}
+	g.full.Store(false)
+	c, err := g.Listener.Accept()
+	if err == nil {
+		var taken *nbio.Conn // nbio would keep the place of one that it cannot take over for want of a descriptor
+		if taken, err = nbio.NBConn(c); err == nil {
+			return taken, nil
+		}
+		_ = c.Close()
+	}
+	g.leave()
+	return nil, err
+}
+
+func (g *gate) leave() { <-g.free }
+
+// Queued is an effect. The listener stays open until the process ends: on the fleet's bench the goroutine that closed it stood still for a
+// second and more, and with it the reducer.
+func (s *Sockets) Queued() bool { return s.gate.full.Load() }
--- /dev/null
+++ b/internal/sockets/write.go
@@ -0,0 +1,128 @@
+package sockets
+
+import (
+	"net"
+	"syscall"
+	"unsafe"
+
+	"github.com/lesismal/nbio"
+
+	"ospreycroft/internal/limiter"
+)
+
+// This file writes, and tells what the kernel knows of a connection.
+
+// The kernel's numbers, in the first byte of TCP_INFO, for a connection that the other side has broken off or ended.
+const (
+	brokenOff = 7
+	closeWait = 8
+)
+
+// Write is an effect. A failure ends the connection, which the poller finds and tells. Written by nbio, it would be closed here,
+// before the poller (see shut); so nbio gets only what the kernel has no room for, and what comes behind that.
+func (s *Sockets) Write(id limiter.ID, bytes []byte) {
+	l := s.links[id]
+	if l == nil {
+		return
+	}
+	c, waits := l.conn.Load(), l.handed > l.written.Load()
+	// What was sent to us before its end waits in the kernel still; what we write behind it would count as sent.
+	if l.gate == nil && ended(c) {
+		return
+	}
+	if l.handed += int64(len(bytes)); !waits {
+		n, err := put(c, bytes)
+		if err != nil {
+			shut(c, syscall.SHUT_RDWR)
+			return
+		}
+		l.written.Add(int64(n))
+		bytes = bytes[n:]
+	}
+	if len(bytes) > 0 {
+		_, _ = c.Write(bytes)
+	}
+}
+
+// put writes what the kernel takes at once.
+func put(c *nbio.Conn, bytes []byte) (int, error) {
+	c.Lock()
+	defer c.Unlock()
+	for {
+		if closed, _ := c.IsClosed(); closed {
+			return 0, net.ErrClosed
+		}
+		switch n, err := syscall.Write(c.Hash(), bytes); err {
+		case nil:
+			return n, nil
+		case syscall.EAGAIN:
+			return 0, nil
+		case syscall.EINTR:
+		default:
+			return 0, err
+		}
+	}
+}
+
+// ended tells whether the other side has ended the connection, as far as the kernel knows.
+func ended(c *nbio.Conn) bool {
+	c.Lock()
+	defer c.Unlock()
+	if closed, _ := c.IsClosed(); closed {
+		return true
+	}
+	info, err := syscall.GetsockoptInt(c.Hash(), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	state := info & 0xff
+	return err == nil && (state == brokenOff || state == closeWait)
+}
+
+// Alive is an effect. Of a connection to a server it also asks for what has come and was not told: the next answer on it would be
+// taken for what a server sent behind the last one, and what is written to one that the server has ended counts as sent.
+func (s *Sockets) Alive(id limiter.ID) bool {
+	l := s.links[id]
+	if l == nil {
+		return false
+	}
+	c := l.conn.Load()
+	if closed, _ := c.IsClosed(); closed || l.gate != nil {
+		return !closed
+	}
+	if !l.reading.TryLock() {
+		return false
+	}
+	defer l.reading.Unlock()
+	return l.posted == l.told.Load() && still(c)
+}
+
+// still tells whether neither bytes nor an end wait in the kernel.
+func still(c *nbio.Conn) bool {
+	c.Lock()
+	defer c.Unlock()
+	if closed, _ := c.IsClosed(); closed {
+		return false
+	}
+	_, _, err := syscall.Recvfrom(c.Hash(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
+}
+
+// Written is an effect.
+func (s *Sockets) Written(id limiter.ID) int64 {
+	if l := s.links[id]; l != nil {
+		return l.written.Load()
+	}
+	return 0
+}
+
+// asks asks the kernel how many bytes wait on a connection; 0 where that cannot be known.
+func asks(c *nbio.Conn, which uintptr) int {
+	c.Lock()
+	defer c.Unlock()
+	waiting := int32(0)
+	if closed, _ := c.IsClosed(); closed {
+		return 0
+	}
+	if _, _, failed := syscall.Syscall(syscall.SYS_IOCTL, uintptr(c.Hash()), which, uintptr(unsafe.Pointer(&waiting))); failed != 0 {
+		return 0
+	}
+	return int(waiting)
+}
