--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,8 +16,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand"
@@ -36,6 +34,11 @@
 	timers   map[int64]*request
 	tokens   int64
 	accounts map[uint64]*account
+	index    serverIndex
+	expiries expiryQueue
+	fitting  []*server // a buffer of able
+	unturned bool      // servers came or went since the ring was turned
+	ticked   int64     // the latest tick
 	calls    map[uint64][]call
 	asks     float64 // the share of requests for which the counter is asked
 	answered float64 // the calls answered since one was not
@@ -89,17 +92,6 @@
 	spareMost    = 10        // one second attempt for so many first ones
 )
 
-func (s *store) fill(now int64) float64 {
-	s.level += s.rate * seconds(now-s.at)
-	s.spilt += max(0, s.level-s.depth)
-	s.level, s.at = math.Min(s.depth, s.level), now
-	return s.level
-}
-
-func seconds(ns int64) float64 { return float64(ns) / 1e9 }
-
-func nanos(s float64) int64 { return int64(s * 1e9) }
-
 // New makes a limiter that knows nothing yet.
 func New(now int64, set *Settings, seed int64, effects Effects) *Limiter {
 	l := &Limiter{set: set, effects: effects, rng: rand.New(rand.NewSource(seed)), began: now,
@@ -149,25 +141,27 @@
 			// Limiters that start together, all knowing nothing, must not all begin at the same server.
 			s, fresh.credit = &fresh, l.rng.Float64()
 			fresh.turns = fresh.credit
-			l.servers[e.ID], l.order = s, append(l.order, s)
+			l.servers[e.ID], l.order, l.unturned = s, append(l.order, s), true
 		} else if e.Since > s.warmFrom {
 			// A new process: nothing known of the old one holds for it.
 			fresh.attempts, fresh.out, fresh.turns = s.attempts, s.out, l.rng.Float64()
+			fresh.position, fresh.indexRecord = s.position, s.indexRecord
 			*s = fresh
 		}
 		s.zone, s.cell, s.listing, s.hint = e.Zone, e.Cell, e.Listing, e.Hint
+		l.note(now, s)
+	}
+	if whole {
+		for _, s := range l.order {
+			l.note(now, s)
+		}
 	}
 	if l.room == 0 {
 		l.room = max(startLargest*l.least(), l.least()+swing*math.Sqrt(l.least()*l.set.MostUnits))
 	}
-	l.turnRing()
-}
-
-// placed spreads servers over the ring by their ids.
-func placed(id string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return mix(h.Sum64())
+	if l.unturned {
+		l.turnRing()
+	}
 }
 
 // turnRing puts the servers in the order of the ring, from this limiter's place on. Places go by rank: each
@@ -179,7 +173,8 @@
 	})
 	_, part := math.Modf(float64(max(l.set.Position, 0)) * math.Phi)
 	start := int(part * float64(len(l.order)))
-	l.order = append(slices.Clone(l.order[start:]), l.order[:start]...)
+	l.order, l.unturned = append(slices.Clone(l.order[start:]), l.order[:start]...), false
+	l.number()
 }
 
 // circle is the number of servers that this limiter's requests go to. Each limiter's connection to a server
@@ -206,6 +201,7 @@
 	}
 	q.account = l.accountOf(now, a, plan)
 	acc := q.account
+	acc.hold()
 	if q.end <= now || len(l.able(now, q)) == 0 {
 		l.reject(now, q, l.crowded(), ForRoom)
 		return
@@ -253,6 +249,7 @@
 		acc.phase = int64(mix(a.Customer) >> 1)
 		l.slice(now, acc, burst)
 		l.accounts[a.Customer] = acc
+		l.expiries.enter(now, acc)
 	}
 	acc.used = now
 	return acc
@@ -267,16 +264,6 @@
 	return float64(a.phase)/math.MaxInt64 < share || l.rng.Float64() < askLeast
 }
 
-// mix spreads a number over all bits, so that names of different windows and customers do not meet.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-func (a *account) name() uint64 { return mix(mix(a.id)^uint64(a.window)) >> 1 }
-
 // span is the length of the customer's windows. At each turn what was added before goes unseen, so turns are
 // rare; a lease of two windows must not be longer than the counter keeps a name.
 func (l *Limiter) span(a *account) int64 {
@@ -472,6 +459,7 @@
 	att := &attempt{request: q, server: s, number: len(q.attempts), at: now, open: true, maybe: true}
 	q.attempts, q.open = append(q.attempts, att), q.open+1
 	s.attempts, s.out = append(s.attempts, att), s.out+q.units
+	l.note(now, s)
 	l.effects.Send(q.id, s.id)
 }
 
@@ -480,8 +468,12 @@
 	if s.warmFrom == 0 || now >= s.warmFrom+l.set.WarmWithin {
 		return 1
 	}
-	part := float64(max(0, now-s.warmFrom)) / float64(l.set.WarmWithin)
-	return l.set.ColdFrom + (1-l.set.ColdFrom)*part
+	return l.warmthAt(max(0, now-s.warmFrom))
+}
+
+// warmthAt is the warmth of a server so long after it began to warm up.
+func (l *Limiter) warmthAt(age int64) float64 {
+	return l.set.ColdFrom + (1-l.set.ColdFrom)*float64(age)/float64(l.set.WarmWithin)
 }
 
 // weight follows the nominal size and the pace that the server's answers have shown.
@@ -521,30 +513,28 @@
 
 // able lists the servers that have room for the request, if there is room in all: among many limiters one
 // request at each server is too much already. What may be out shrinks with the servers that can be used.
+// The list holds until the next call.
 func (l *Limiter) able(now int64, q *request) []*server {
-	var able []*server
-	out, usable, ready, near := q.units, 0.0, 0.0, 0
+	out, usable := l.usableSums(now, q)
+	out += q.units
+	room := l.room * l.ease(now, q) * usable / max(float64(l.index.ready), 1)
+	room *= 1 - cheapLess*(1-q.class.Value/l.dearest.Value)
+	if l.busy = out > room/2; out > room && out > q.units {
+		return nil
+	}
+	able, near, circle := l.fitting[:0], 0, l.circle()
 	for _, s := range l.order {
-		if s.listing == Ready {
-			ready++
-		}
 		if !l.usable(now, q, s) {
 			continue
 		}
-		warmth := l.warmth(now, s)
-		out, usable, near = out+s.out, usable+warmth, near+1
-		if near > l.circle() && len(able) > 0 {
-			continue // it is another's; those beyond the circle come in one by one where no other has room
+		if near++; near > circle && len(able) > 0 {
+			break // it is another's; those beyond the circle come in one by one where no other has room
 		}
-		if now >= s.fullTill && (len(s.attempts) == 0 || s.out+q.units <= s.limit*warmth) {
+		if now >= s.fullTill && (len(s.attempts) == 0 || s.out+q.units <= s.limit*l.warmth(now, s)) {
 			able = append(able, s)
 		}
 	}
-	room := l.room * l.ease(now, q) * usable / max(ready, 1)
-	room *= 1 - cheapLess*(1-q.class.Value/l.dearest.Value)
-	if l.busy = out > room/2; out > room && out > q.units {
-		return nil
-	}
+	l.fitting = able
 	return able
 }
 
@@ -559,18 +549,6 @@
 	return max(1, seconds(target)/wellInside/math.Exp(l.stay))
 }
 
-// stay is how long requests stay at the server by its load report, in seconds, 0 where it does not tell: what
-// it holds over what it does a second, or else the work itself and what waits over that pace.
-func (r *Reply) stay() float64 {
-	switch {
-	case r.Held > 0 && r.Pace > 0:
-		return r.Held / r.Pace
-	case r.Work > 0 && r.Pace > 0:
-		return seconds(r.Work) + r.Queue/r.Pace
-	}
-	return seconds(r.Work)
-}
-
 // pick takes the next in the weighted rotation; those that hold more than their share of what is out pass.
 func (l *Limiter) pick(now int64, q *request) *server {
 	able := l.able(now, q)
@@ -751,37 +729,24 @@
 		}
 	}
 	s.limit = max(s.limit, l.part)
+	l.note(now, s)
 }
 
 // setAside keeps new requests from a server until it shows life. A shared cause must not take all of them.
 func (l *Limiter) setAside(now int64, s *server, why string) {
-	ready, away := 0, 0
-	for _, o := range l.order {
-		if o.listing == Ready {
-			ready++
-			if o.standing == aside {
-				away++
-			}
-		}
-	}
-	if s.standing == aside || float64(away+1) > float64(ready)*asideMost {
+	if s.standing == aside || float64(l.index.away()+1) > float64(l.index.ready)*asideMost {
 		return
 	}
 	l.log("server %s %s, set aside", s.id, why)
 	s.rest = min(max(2*s.rest, l.beat*beats), l.set.WarmWithin)
 	s.standing, s.probes, s.next = aside, 0, now+s.rest
+	l.note(now, s)
 }
 
-// look is the regular look at the servers: it finds the silent ones and lets others come back. Those that are
-// gone are let go of: a fleet that is replaced again and again would fill the memory and count in the room.
+// look is the regular look at the servers in use: it finds the silent ones and lets others come back. Those
+// that are gone are let go of: a fleet that is replaced again and again would fill the memory.
 func (l *Limiter) look(now int64) {
-	l.order = slices.DeleteFunc(l.order, func(s *server) bool {
-		over := s.listing == Gone && len(s.attempts) == 0
-		if over {
-			delete(l.servers, s.id)
-		}
-		return over
-	})
+	l.letGo()
 	l.load -= l.load / beats
 	l.whole = 0
 	for i, near := 0, l.circle(); i < len(l.order) && near > 0; i++ {
@@ -789,58 +754,73 @@
 			l.whole, near = l.whole+l.weight(now, s), near-1
 		}
 	}
-	for _, s := range l.order {
+	active := l.index.inOrder()
+	for _, s := range active {
 		for _, att := range s.attempts {
 			l.overdue(now, att)
 		}
-		if s.listing != Ready {
-			continue
-		}
-		if s.standing == aside {
-			if now < s.next {
-				continue
-			}
-			if l.set.Probes {
-				l.effects.Probe(s.id)
-				s.next = now + max(s.rest, l.set.DialTimeout)
-			} else {
-				l.comeBack(now, s)
-			}
-			continue
-		}
-		if l.load += s.out / beats; len(s.attempts) > 0 {
-			first := s.attempts[0]
-			wait := first.request.class.Target
-			if len(s.attempts) > 1 {
-				wait = wait * 2 / 3
-			}
-			if now-max(s.heard, first.at) > wait {
-				l.setAside(now, s, "is silent")
-			}
+		if s.listing == Ready && s.standing == aside {
+			l.tryAgain(now, s)
+		} else if s.listing == Ready {
+			l.load += s.out / beats
+			l.listen(now, s)
 		}
 	}
-	for _, s := range l.order {
+	for _, s := range active {
 		for _, att := range slices.Clone(s.attempts) {
-			q, lost := att.request, l.lost(now, att)
-			if q.state != Out || q.class.Effect == NonIdempotent || !l.set.Cancelling {
-				continue
-			}
-			if lost && now-q.attempts[0].at > q.class.Target {
-				// A late answer is worth nothing: the server and the client are spared it.
-				l.finish(now, q)
-				l.effects.Cancel(q.id, att.number)
-				continue
-			}
-			if s.standing != aside && s.listing != Gone && !lost || now-att.at > q.class.Target {
-				continue
-			}
-			if l.spare >= 1 && len(l.able(now, q)) > 0 {
-				l.effects.Cancel(q.id, att.number) // it is sent again once its end is known
-			}
+			l.callOff(now, att)
 		}
 	}
 }
 
+// tryAgain probes a server that is aside, or lets it come back where there are no probes, when it has rested.
+func (l *Limiter) tryAgain(now int64, s *server) {
+	if now < s.next {
+		return
+	}
+	if !l.set.Probes {
+		l.comeBack(now, s)
+		return
+	}
+	l.effects.Probe(s.id)
+	s.next = now + max(s.rest, l.set.DialTimeout)
+}
+
+// listen sets a server aside that has been silent for too long.
+func (l *Limiter) listen(now int64, s *server) {
+	if len(s.attempts) == 0 {
+		return
+	}
+	first := s.attempts[0]
+	wait := first.request.class.Target
+	if len(s.attempts) > 1 {
+		wait = wait * 2 / 3
+	}
+	if now-max(s.heard, first.at) > wait {
+		l.setAside(now, s, "is silent")
+	}
+}
+
+// callOff cancels an attempt whose answer is lost, or whose server is aside or gone: others may do better.
+func (l *Limiter) callOff(now int64, att *attempt) {
+	s, q, lost := att.server, att.request, l.lost(now, att)
+	if q.state != Out || q.class.Effect == NonIdempotent || !l.set.Cancelling {
+		return
+	}
+	if lost && now-q.attempts[0].at > q.class.Target {
+		// A late answer is worth nothing: the server and the client are spared it.
+		l.finish(now, q)
+		l.effects.Cancel(q.id, att.number)
+		return
+	}
+	if s.standing != aside && s.listing != Gone && !lost || now-att.at > q.class.Target {
+		return
+	}
+	if l.spare >= 1 && len(l.able(now, q)) > 0 {
+		l.effects.Cancel(q.id, att.number) // it is sent again once its end is known
+	}
+}
+
 // lost tells whether an attempt's answer is likely not to come, whether its server lives or not: it is out
 // for many times as long as a request of its size takes there, while the answers that do come are prompt.
 func (l *Limiter) lost(now int64, att *attempt) bool {
@@ -908,25 +888,31 @@
 // forget lets go of customers whose every count and store is as good as new and has nothing to settle. A full
 // part of a ceiling is: a new one, which fills from the start on, would be full too.
 func (l *Limiter) forget(now int64) {
-	for _, q := range l.requests {
-		q.account.used = now
-	}
-	for id, a := range l.accounts {
-		full := a.quota.rate <= 0 || a.quota.fill(now) >= a.quota.depth && now-a.used > l.span(a)
-		if full && a.ceiling.fill(now) >= a.ceiling.depth {
-			delete(l.accounts, id)
+	l.ticked = now
+	for a := l.expiries.due(now); a != nil; a = l.expiries.due(now) {
+		if l.accounts[a.id] != a {
+			continue
+		}
+		if at := l.forgetAt(now, a); at > now {
+			l.expiries.enter(at, a)
+		} else {
+			delete(l.accounts, a.id)
 		}
 	}
 }
 
-func (q *request) ended() bool { return q.state >= Served }
-
-// move is the only place where a request changes its state; an ended request keeps its end.
-func (l *Limiter) move(q *request, to State) {
-	if q.ended() {
-		panic(fmt.Sprintf("request %s moved to %d after its end %d", q.id, to, q.state))
+// forgetAt is the earliest time at which a customer can be let go of, as far as is known now.
+func (l *Limiter) forgetAt(now int64, a *account) int64 {
+	a.ceiling.fill(now)
+	at := a.ceiling.fullAt(math.MaxInt64)
+	if a.quota.rate > 0 {
+		if a.held > 0 {
+			a.used = now
+		}
+		a.quota.fill(now)
+		at = max(at, a.quota.fullAt(math.MaxInt64), a.used+l.span(a)+1)
 	}
-	q.state = to
+	return at
 }
 
 // drop forgets an ended request once nothing of it is out. If no server got it whole all it took goes back.
@@ -936,6 +922,9 @@
 		return
 	}
 	delete(l.requests, q.id)
+	if q.account != nil {
+		q.account.release(l.ticked)
+	}
 	if a := q.account; len(q.attempts) > 0 && !q.spent {
 		a.quota.level = math.Min(a.quota.depth, a.quota.fill(now)+q.charge)
 		a.slice.level = math.Min(a.slice.depth, a.slice.fill(now)+q.charge)
@@ -946,5 +935,3 @@
 		l.release(now, q, q.charge)
 	}
 }
-
-func (l *Limiter) log(form string, args ...any) { l.effects.Log(fmt.Sprintf(form, args...)) }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -463,6 +463,7 @@
 		l, _ := made()
 		a := l.servers["a"]
 		a.standing = trial
+		reindex(l, 0)
 		free, nonIdempotent := l.usable(0, probe, a), l.usable(0, &request{class: l.set.Classes["write"]}, a)
 		l.send(0, &request{class: probe.class}, a)
 		if !free || nonIdempotent || l.usable(0, probe, a) {
@@ -479,6 +480,7 @@
 	t.Run("gives a cold server its part of the turns", func(t *testing.T) {
 		l, _ := made()
 		l.servers["a"].warmFrom = second
+		reindex(l, second)
 		turns := 0
 		for range 100 {
 			if l.pick(second, probe) == l.servers["a"] {
@@ -569,6 +571,7 @@
 		l, _ := made()
 		l.room = 4
 		l.servers["a"].out = 3
+		reindex(l, 0)
 		if able := l.able(0, &request{units: 2, class: &Class{}}); able != nil {
 			t.Fatal(len(able), "servers are able")
 		}
@@ -641,6 +644,7 @@
 	}{{300, 180, 14}, {3, 9, 36}} {
 		l, _ := made()
 		l.set.Limiters, l.part, l.room, l.servers, l.order = c.limiters, l.set.MostUnits/float64(c.limiters), 0, map[string]*server{}, nil
+		l.index = serverIndex{}
 		var entries []Entry
 		for i := range c.servers {
 			entries = append(entries, Entry{ID: fmt.Sprint(i), Hint: 1})
@@ -743,12 +747,14 @@
 		for _, s := range l.order[:l.circle()/2] {
 			s.standing = aside
 		}
+		reindex(l, 0)
 		if n := len(able()); n != l.circle() {
 			t.Fatal(n, "servers with half of them aside")
 		}
 		for _, s := range l.order[:2*l.circle()] {
 			s.standing, s.fullTill = fit, 1
 		}
+		reindex(l, 0)
 		if n := len(able()); n != 1 {
 			t.Fatal(n, "servers where all are full")
 		}
@@ -816,6 +822,7 @@
 			}
 			l.room = 2.5
 			l.servers["a"].out = 3
+			reindex(l, c.age)
 			if able := l.able(c.age, &request{class: l.set.Classes["read"], units: 1}); len(able) > 0 != c.able {
 				t.Fatalf("able %v with a room of %v eased by %v", able, l.room, l.ease(c.age, &request{class: l.set.Classes["read"]}))
 			}
@@ -1005,6 +1012,7 @@
 	l.Members(second, false, []Entry{{ID: "a", Zone: "x", Hint: 1, Since: 1}}) // a was a mistake: it is warm
 	a, b := l.servers["a"], l.servers["b"]
 	a.warmFrom, a.fullTill, b.turns = 0, 1<<62, math.Min(b.turns, 0)
+	reindex(l, second)
 	now := 2 * second // b is warm for a tenth
 	l.look(now)
 	got := 0
@@ -1048,6 +1056,7 @@
 	}()
 	l.room = 4
 	l.servers["a"].out = 2
+	reindex(l, 0)
 	if len(l.able(0, &request{units: 2, class: dear})) == 0 {
 		t.Fatal("the dearest class's requests do not get all of the room")
 	}
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -67,9 +67,17 @@
 	}
 }
 
+// reindex takes in what a test has changed in the servers by hand.
+func reindex(l *Limiter, now int64) {
+	for _, s := range l.order {
+		l.note(now, s)
+	}
+}
+
 // byName puts the servers in the order of their ids instead of the ring's.
 func byName(l *Limiter) {
 	slices.SortFunc(l.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+	l.number()
 }
 
 // opens lets a window of the plan's customer begin at the time.
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,5 +1,11 @@
 package choice
 
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+)
+
 // State is where a request stands; move is the only function that changes it.
 type State uint8
 
@@ -63,6 +69,17 @@
 	fullTill int64   // it has turned a request away and gets none until then
 	credit   float64 // its claim on the next turn
 	turns    float64 // while it is cold: the turns that it is owed
+	position int     // in the order of the ring, from this limiter's place on
+	indexRecord
+}
+
+// indexRecord is where a serverIndex holds a server.
+type indexRecord struct {
+	group   group
+	slot    int   // its place in the group's list
+	indexed int64 // warmFrom, as the group warming has it
+	counted bool  // it is in ready
+	leaving bool  // it is in gone
 }
 
 type standing uint8
@@ -97,6 +114,7 @@
 	idle    float64 // the part of them that was never sent
 	ceiling store   // this limiter's part of the hard ceiling
 	used    int64
+	held    int // its requests that are known
 }
 
 type call struct {
@@ -105,3 +123,56 @@
 	amount  float64
 	back    bool // no request waits for it: it adds back or settles
 }
+
+// fill adds what has come in since the last call and tells the level.
+func (s *store) fill(now int64) float64 {
+	s.level += s.rate * seconds(now-s.at)
+	s.spilt += max(0, s.level-s.depth)
+	s.level, s.at = math.Min(s.depth, s.level), now
+	return s.level
+}
+
+func seconds(ns int64) float64 { return float64(ns) / 1e9 }
+
+func nanos(s float64) int64 { return int64(s * 1e9) }
+
+// mix spreads a number over all bits, so that names of different windows and customers do not meet.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// placed spreads servers over the ring by their ids.
+func placed(id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+func (l *Limiter) log(form string, args ...any) { l.effects.Log(fmt.Sprintf(form, args...)) }
+
+// stay is how long requests stay at the server by its load report, in seconds, 0 where it does not tell: what
+// it holds over what it does a second, or else the work itself and what waits over that pace.
+func (r *Reply) stay() float64 {
+	switch {
+	case r.Held > 0 && r.Pace > 0:
+		return r.Held / r.Pace
+	case r.Work > 0 && r.Pace > 0:
+		return seconds(r.Work) + r.Queue/r.Pace
+	}
+	return seconds(r.Work)
+}
+
+func (a *account) name() uint64 { return mix(mix(a.id)^uint64(a.window)) >> 1 }
+
+func (q *request) ended() bool { return q.state >= Served }
+
+// move is the only place where a request changes its state; an ended request keeps its end.
+func (l *Limiter) move(q *request, to State) {
+	if q.ended() {
+		panic(fmt.Sprintf("request %s moved to %d after its end %d", q.id, to, q.state))
+	}
+	q.state = to
+}
