--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,7 +15,6 @@
 package choice
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"math/rand"
@@ -168,9 +167,7 @@
 // server is near as many limiters, in steps of the golden section: neighbours in number share customers and
 // stand far apart. A change of the list moves a limiter by a server or two.
 func (l *Limiter) turnRing() {
-	slices.SortFunc(l.order, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.id, b.id))
-	})
+	slices.SortFunc(l.order, byPlace)
 	_, part := math.Modf(float64(max(l.set.Position, 0)) * math.Phi)
 	start := int(part * float64(len(l.order)))
 	l.order, l.unturned = append(slices.Clone(l.order[start:]), l.order[:start]...), false
--- a/choice/index.go
+++ b/choice/index.go
@@ -262,6 +262,14 @@
 	l.number()
 }
 
+// byPlace orders servers on the ring of all limiters.
+func byPlace(a, b *server) int {
+	if a.place != b.place {
+		return cmp.Compare(a.place, b.place)
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
 // number gives the servers their places in the order of the ring.
 func (l *Limiter) number() {
 	for i, s := range l.order {
--- a/choice/scale_bench_test.go
+++ b/choice/scale_bench_test.go
@@ -106,3 +106,22 @@
 		l.Woken(now, 0)
 	}
 }
+
+// BenchmarkMembers takes in a change of one server, and a new server that goes again.
+func BenchmarkMembers(b *testing.B) {
+	for _, servers := range []int{20, 1000, 8500} {
+		b.Run(fmt.Sprintf("change/servers=%d", servers), func(b *testing.B) {
+			l, _, now := benchFleet(servers, 1)
+			for i := range b.N {
+				l.Members(now, false, []Entry{{ID: "server-1", Listing: Listing(i % 2), Hint: 1}})
+			}
+		})
+		b.Run(fmt.Sprintf("new/servers=%d", servers), func(b *testing.B) {
+			l, _, now := benchFleet(servers, 1)
+			for i := range b.N {
+				l.Members(now, false, []Entry{{ID: "new", Listing: []Listing{Ready, Gone}[i%2], Hint: 1}})
+				l.Woken(now, 0)
+			}
+		})
+	}
+}
