--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,13 +4,13 @@
 // clients should come. The limiter acts through the Effects it was given, in types.go with the settings;
 // state.go has the records that it keeps. It is not safe for concurrent use.
 // The ordinary path is Reserve and Reconcile (docs/design.md). Servers take turns in a weighted rotation,
-// in a large fleet those of the limiter's circle. Beside it stand these mechanisms:
+// in a large fleet those of the limiter's subset. Beside it stand these mechanisms:
 //  1. ceiling: each limiter's own part of a hard ceiling, which every first attempt must fit;
 //  2. memory: what the counter has forgotten, or added for a call without an answer, is put right;
-//  3. asks: a counter that does not answer is asked for some of the customers only;
-//  4. room: the work out is bounded by what is answered well inside the target latency, at a server and in
+//  3. sampling: a counter that does not answer is asked for some of the customers only;
+//  4. limits: the work out is bounded by what is answered well inside the target latency, at a server and in
 //     all, more widely while load reports show short stays;
-//  5. standing: a server that shows no life is set aside until it answers, and its requests go elsewhere;
+//  5. health: a server that shows no life is ejected until it answers, and its requests go elsewhere;
 //  6. lost: so does a request whose answer is long overdue where others come promptly.
 package choice
 
@@ -23,92 +23,92 @@
 
 // Limiter is one instance of the gateway's decisions.
 type Limiter struct {
-	set      *Settings
-	effects  Effects
-	rng      *rand.Rand
-	began    int64
-	servers  map[string]*server
-	order    []*server // on their ring, from this limiter's place on
-	requests map[string]*request
-	timers   map[int64]*request
-	tokens   int64
-	accounts map[uint64]*account
-	index    serverIndex
-	expiries expiryQueue
-	fitting  []*server // a buffer of able
-	unturned bool      // servers came or went since the ring was turned
-	ticked   int64     // the latest tick
-	calls    map[uint64][]call
-	asks     float64 // the share of requests for which the counter is asked
-	answered float64 // the calls answered since one was not
-	bore     float64 // the share that it bore before the first of the calls unanswered in a row
-	stake    float64 // what a request beyond the quota costs, a fading mean over their plans
-	took     float64
-	did      float64
-	beat     int64
-	whole    float64 // the weight of all servers in the circle
-	stint    float64 // the seconds in which attempts under a cap fade
-	spare    float64 // second attempts in hand
-	part     float64 // the largest request over the number of limiters: the least limit of a server
-	room     float64 // units that may be out at all servers together
-	load     float64 // units that were out at them, faded over the target latency
-	slow     float64 // the fading share of answers that were late or full
-	stay     float64 // the fading mean of the logarithm of the seconds that requests stay, by load reports
-	reported int64   // when the latest came
-	busy     bool    // more than half of it was taken when a request last looked for room
-	dearest  *Class  // the class whose units bring the most, and of several the most urgent
-	mild     bool    // some class's requests may run again
+	set           *Settings
+	effects       Effects
+	rng           *rand.Rand
+	began         int64
+	servers       map[string]*server
+	order         []*server // on their ring, from this limiter's place on
+	requests      map[string]*request
+	timers        map[int64]*request
+	tokens        int64
+	accounts      map[uint64]*account
+	index         serverIndex
+	expiries      expiryQueue
+	fitting       []*server // a buffer of able
+	unturned      bool      // servers came or went since the ring was turned
+	ticked        int64     // the latest tick
+	calls         map[uint64][]call
+	samplingRate  float64 // the share of requests for which the counter is asked
+	answered      float64 // the calls answered since one was not
+	sustainedRate float64 // the share that it bore before the first of the calls unanswered in a row
+	overQuotaCost float64 // what a request beyond the quota costs, a fading mean over their plans
+	timeTaken     float64
+	unitsDone     float64
+	tickInterval  int64
+	subsetWeight  float64 // the weight of all servers in the subset
+	capDecay      float64 // the seconds in which attempts under a cap fade
+	retryBudget   float64 // second attempts in hand
+	part          float64 // the largest request over the number of limiters: the least limit of a server
+	inFlightLimit float64 // units that may be out at all servers together
+	meanInFlight  float64 // units that were out at them, faded over the target latency
+	overloadRatio float64 // the fading share of answers that were late or full
+	meanStay      float64 // the fading mean logarithm of the seconds that requests stay, by load reports
+	reported      int64   // when the latest came
+	busy          bool    // more than half of the in-flight limit was taken at the last request
+	highestValue  *Class  // the class whose units bring the most, and of several the most urgent
+	hasRepeatable bool    // some class's requests may run again
 }
 
 const (
-	windowBursts = 16        // a window is so many times the time in which the store fills
-	sharers      = 16        // the limiters that share a server
-	circleLeast  = 8         // the servers that a limiter has at least, where there are so many
-	startLargest = 3         // the largest requests that all limiters may have out together at a new server
-	askLess      = 0.75      // the share of requests asked for falls so with each call unanswered
-	askLeast     = 1.0 / 16  // it is never less
-	askMore      = 1.0 / 256 // and rises by so much times the answers since the last one that failed
-	beats        = 20        // looks at the servers in one target latency
-	fade         = 40        // answers after which an old one has lost most of its weight
-	slowFade     = 16        // the same for the share of slow answers
-	wellInside   = 2         // an answer within this part of the target latency is prompt
-	stayFade     = 8         // the same for the mean stay: each of many limiters hears a few reports a second
-	narrow       = 0.5       // with less of the circle to choose from, a cold server must be owed a turn
-	late         = 10        // a late attempt takes off so many times what a prompt one adds to a limit
-	lateAll      = 4         // and at most so many times from the room at all servers
-	slowLeast    = 1.0 / 32  // that is by an attempt for each such share of slow answers
-	swing        = 4         // the room grows to the load and so many times the deviation of a random one
-	stints       = 4         // a capped attempt is taken to last for this part of the shortest target latency
-	Uneven       = 2         // a slice is so many equal parts: use is uneven, and most customers take half
-	lostAfter    = 4         // an attempt out for so many times what it should take is taken for lost
-	lostLeast    = 4         // but not before such a part of the target latency
-	cheapLess    = 0.8       // the part of the room that one worth nothing beside the dearest does not get
-	grow         = 8         // prompt answers that raise a limit by their own size
-	paceMost     = 3         // a server's weight may be so many times the mean or so small a part of it
-	badStep      = 0.25      // the weight of the latest attempt in the share that came to nothing
-	badMost      = 0.55      // a larger share sets a server aside: three in a row
-	asideMost    = 0.75      // the share of the servers that may be set aside
-	spareMost    = 10        // one second attempt for so many first ones
+	windowBursts    = 16        // a window is so many times the time in which the store fills
+	sharers         = 16        // the limiters that share a server
+	subsetLeast     = 8         // the servers that a limiter has at least, where there are so many
+	startLargest    = 3         // the largest requests that all limiters may have out at a new server
+	samplingLess    = 0.75      // the share of requests asked for falls so with each call unanswered
+	samplingLeast   = 1.0 / 16  // it is never less
+	samplingMore    = 1.0 / 256 // and rises by so much times the answers since the last one that failed
+	ticksPerTarget  = 20        // ticks in one target latency
+	fade            = 40        // answers after which an old one has lost most of its weight
+	overloadFade    = 16        // the same for the share of slow answers
+	wellInside      = 2         // an answer within this part of the target latency is prompt
+	stayFade        = 8         // the same for the mean stay: each limiter hears a few reports a second
+	fewUsable       = 0.5       // with less of the subset to choose from, a cold server must be owed a turn
+	late            = 10        // a late attempt takes off so many times what a prompt one adds to a limit
+	lateAll         = 4         // and at most so many times from the limit at all servers
+	overloadLeast   = 1.0 / 32  // that is by an attempt for each such share of slow answers
+	burstDeviations = 4         // the limit grows to the mean in flight and so many deviations
+	capDecayParts   = 4         // a capped attempt lasts for this part of the shortest target latency
+	Uneven          = 2         // a slice is so many equal parts: use is uneven, and most customers take half
+	lostAfter       = 4         // an attempt out for so many times what it should take is taken for lost
+	lostLeast       = 4         // but not before such a part of the target latency
+	cheapLess       = 0.8       // the part of the limit that a class worth nothing does not get
+	grow            = 8         // prompt answers that raise a limit by their own size
+	paceMost        = 3         // a server's weight may be so many times the mean or so small a part of it
+	badStep         = 0.25      // the weight of the latest attempt in the share that came to nothing
+	badMost         = 0.55      // a larger share ejects a server: three in a row
+	ejectedMost     = 0.75      // the share of the servers that may be ejected
+	retryBudgetPart = 10        // one second attempt for so many first ones
 )
 
 // New makes a limiter that knows nothing yet.
 func New(now int64, set *Settings, seed int64, effects Effects) *Limiter {
 	l := &Limiter{set: set, effects: effects, rng: rand.New(rand.NewSource(seed)), began: now,
 		servers: map[string]*server{}, requests: map[string]*request{}, timers: map[int64]*request{},
-		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, spare: 1, asks: 1, slow: 1,
-		part: set.MostUnits / float64(set.Limiters)}
+		accounts: map[uint64]*account{}, calls: map[uint64][]call{}, retryBudget: 1, samplingRate: 1,
+		overloadRatio: 1, part: set.MostUnits / float64(set.Limiters)}
 	target := int64(math.MaxInt64)
 	for _, t := range set.Classes {
 		target = min(target, t.Target)
-		l.mild = l.mild || t.Effect != NonIdempotent
-		if l.dearest == nil || t.Value > l.dearest.Value ||
-			t.Value == l.dearest.Value && t.Target < l.dearest.Target {
-			l.dearest = t
+		l.hasRepeatable = l.hasRepeatable || t.Effect != NonIdempotent
+		if l.highestValue == nil || t.Value > l.highestValue.Value ||
+			t.Value == l.highestValue.Value && t.Target < l.highestValue.Target {
+			l.highestValue = t
 		}
 	}
-	l.stint = seconds(target) / stints
-	l.beat = max(target/beats, set.Granularity)
-	effects.Wake(now+l.beat, 0)
+	l.capDecay = seconds(target) / capDecayParts
+	l.tickInterval = max(target/ticksPerTarget, set.Granularity)
+	effects.Wake(now+l.tickInterval, 0)
 	return l
 }
 
@@ -139,11 +139,11 @@
 		if s == nil {
 			// Limiters that start together, all knowing nothing, must not all begin at the same server.
 			s, fresh.credit = &fresh, l.rng.Float64()
-			fresh.turns = fresh.credit
+			fresh.slowStartTurns = fresh.credit
 			l.servers[e.ID], l.order, l.unturned = s, append(l.order, s), true
 		} else if e.Since > s.warmFrom {
 			// A new process: nothing known of the old one holds for it.
-			fresh.attempts, fresh.out, fresh.turns = s.attempts, s.out, l.rng.Float64()
+			fresh.attempts, fresh.out, fresh.slowStartTurns = s.attempts, s.out, l.rng.Float64()
 			fresh.position, fresh.indexRecord = s.position, s.indexRecord
 			*s = fresh
 		}
@@ -155,8 +155,9 @@
 			l.note(now, s)
 		}
 	}
-	if l.room == 0 {
-		l.room = max(startLargest*l.least(), l.least()+swing*math.Sqrt(l.least()*l.set.MostUnits))
+	if l.inFlightLimit == 0 {
+		least := l.least()
+		l.inFlightLimit = max(startLargest*least, least+burstDeviations*math.Sqrt(least*l.set.MostUnits))
 	}
 	if l.unturned {
 		l.turnRing()
@@ -174,14 +175,14 @@
 	l.number()
 }
 
-// circle is the number of servers that this limiter's requests go to. Each limiter's connection to a server
-// costs a handshake, and what it learns of a server that it seldom meets comes late, so among many limiters
+// subsetSize is the number of servers that this limiter's requests go to. Each connection to a server costs a
+// handshake, and what a limiter learns of a server that it seldom meets comes late. So among many limiters
 // each keeps to a few servers, enough of them that a server's load is the sum over many limiters.
-func (l *Limiter) circle() int {
-	if l.set.Position < 0 { // all limiters that do not know their place would have the same circle
+func (l *Limiter) subsetSize() int {
+	if l.set.Position < 0 { // all limiters that do not know their place would have the same subset
 		return len(l.order)
 	}
-	return max(circleLeast, (sharers*len(l.order)+l.set.Limiters-1)/l.set.Limiters)
+	return max(subsetLeast, (sharers*len(l.order)+l.set.Limiters-1)/l.set.Limiters)
 }
 
 // Request takes a request from a client: it reserves on the counter, or decides by the slice when it cannot.
@@ -200,7 +201,7 @@
 	acc := q.account
 	acc.hold()
 	if q.end <= now || len(l.able(now, q)) == 0 {
-		l.reject(now, q, l.crowded(), ForRoom)
+		l.reject(now, q, l.retryAfterRoom(), ForRoom)
 		return
 	}
 	if wait := acc.overCeiling(now, q.units); wait > 0 {
@@ -218,8 +219,8 @@
 	// The counter is not asked for a customer that is known to be out of units: the store kept here fills at
 	// the whole rate, so the true one holds no more, but for what others add back. A call that brings what is
 	// still to be added back is made: the others go by a total that is too high until then.
-	out := acc.quota.fill(now) < q.charge && acc.owed >= 0
-	if l.set.CounterWait == 0 || out && acc.known || l.asks < 1 && (out || !l.asked(acc)) {
+	out := acc.quota.fill(now) < q.charge && acc.pendingAdjustment >= 0
+	if l.set.CounterWait == 0 || out && acc.known || l.samplingRate < 1 && (out || !l.sampled(acc)) {
 		l.bySlice(now, q)
 		return
 	}
@@ -233,7 +234,7 @@
 		rate, burst, most := plan.Rate, plan.Burst, l.set.MostUnits
 		if rate <= 0 && plan.Open > 0 {
 			// A cap on attempts out: each counts one and fades as they end, so the faded use is what is out.
-			rate, burst, most = plan.Open/l.stint, plan.Open, 1
+			rate, burst, most = plan.Open/l.capDecay, plan.Open, 1
 		} else if plan.Open > 0 {
 			burst = min(burst, max(plan.Open/2, 2)*most)
 		}
@@ -252,13 +253,13 @@
 	return acc
 }
 
-// asked tells whether a crowded counter is asked for a customer: always for some, the same at all limiters
+// sampled tells whether a crowded counter is asked for a customer: always for some, the same at all limiters
 // (a count of a part of the use says little), more where going beyond costs more. The rest see if it is back.
-func (l *Limiter) asked(a *account) bool {
+func (l *Limiter) sampled(a *account) bool {
 	stake := max(0, a.plan.BeyondCosts-a.plan.BeyondEarns) * a.plan.Value
-	l.stake += (stake - l.stake) / fade
-	share := (l.asks - askLeast) / (1 - l.asks) * stake / l.stake
-	return float64(a.phase)/math.MaxInt64 < share || l.rng.Float64() < askLeast
+	l.overQuotaCost += (stake - l.overQuotaCost) / fade
+	share := (l.samplingRate - samplingLeast) / (1 - l.samplingRate) * stake / l.overQuotaCost
+	return float64(a.phase)/math.MaxInt64 < share || l.rng.Float64() < samplingLeast
 }
 
 // span is the length of the customer's windows. At each turn what was added before goes unseen, so turns are
@@ -276,7 +277,7 @@
 	fills := func(ns int64) float64 { return seconds(ns) * a.quota.rate / a.quota.depth }
 	if w := since / span; w != a.window {
 		a.window, a.total, a.unsure, a.idle = w, 0, 0, 0
-		a.owed = max(a.owed, 0) * math.Exp(-fills(span))
+		a.pendingAdjustment = max(a.pendingAdjustment, 0) * math.Exp(-fills(span))
 	}
 	return math.Exp(fills(since % span))
 }
@@ -286,8 +287,8 @@
 	q.weight = l.turn(now, a)
 	q.name, q.reserved, q.lease = a.name(), true, now+l.span(a)
 	l.move(q, Reserving)
-	l.count(q, q.charge*q.weight+a.owed, false)
-	a.owed = 0
+	l.count(q, q.charge*q.weight+a.pendingAdjustment, false)
+	a.pendingAdjustment = 0
 }
 
 // count makes a call; what a reservation carries along may bring its amount below 0.
@@ -309,8 +310,8 @@
 	if more := units - q.units; units > 0 && more != 0 && q.account.plan.Rate > 0 {
 		a := q.account
 		a.quota.level, a.slice.level = a.quota.level-more, a.slice.level-more
-		if !q.reserved || l.asks < 1 { // a crowded counter is spared the call: the next one brings it
-			a.owed += more * l.turn(now, a)
+		if !q.reserved || l.samplingRate < 1 { // a crowded counter is spared the call: the next one brings it
+			a.pendingAdjustment += more * l.turn(now, a)
 			q.reserved = false
 		}
 		l.release(now, q, -more)
@@ -333,10 +334,10 @@
 		// A counter that is down or crowded is asked less, so that nothing waits for it in vain and it can
 		// work off its line; it is asked more again step by step, so that its return brings no rush.
 		if outcome != Broke { // it has worked off the call, or may have, and only its answer was spoilt
-			if l.asks *= askLess; l.answered > 0 {
-				l.bore = l.asks
+			if l.samplingRate *= samplingLess; l.answered > 0 {
+				l.sustainedRate = l.samplingRate
 			}
-			l.asks, l.answered = max(l.asks, askLeast), 0
+			l.samplingRate, l.answered = max(l.samplingRate, samplingLeast), 0
 		}
 		vain := 0.0
 		if !c.back { // what the slice sends is owed anew
@@ -345,7 +346,7 @@
 		if outcome == TimedOut || outcome == Broke {
 			a.unsure, a.idle = a.unsure+c.amount, a.idle+vain
 		} else {
-			a.owed += c.amount - vain
+			a.pendingAdjustment += c.amount - vain
 		}
 		if q.state == Reserving { // a call that adds back comes after that
 			l.bySlice(now, q)
@@ -353,7 +354,8 @@
 		return
 	}
 	l.answered++
-	l.asks = math.Min(1, max(l.asks+askMore*l.answered, math.Min(2*l.asks, l.bore)))
+	regained := math.Min(2*l.samplingRate, l.sustainedRate)
+	l.samplingRate = math.Min(1, max(l.samplingRate+samplingMore*l.answered, regained))
 	l.see(now, c, name, total)
 	if c.back {
 		return
@@ -380,7 +382,7 @@
 	// Calls that nobody answered may have been worked off late: what they added is not the others', and what
 	// was added for requests that were never sent is added back with the next call.
 	ours := math.Min(max(others, math.Min(a.unsure, 0)), max(a.unsure, 0))
-	a.owed -= math.Min(a.idle, max(ours, 0))
+	a.pendingAdjustment -= math.Min(a.idle, max(ours, 0))
 	others, a.unsure, a.idle = others-ours, 0, 0
 	// Others add back what they rejected, but a total that falls further means that the counter has
 	// forgotten, and that gives nothing back: a flushed counter grants nobody a fresh burst.
@@ -413,7 +415,7 @@
 // bySlice decides by the local slice, when the counter does not answer.
 func (l *Limiter) bySlice(now int64, q *request) {
 	if s := &q.account.slice; s.fill(now) < q.charge {
-		l.reject(now, q, min(nanos((q.charge-s.level)/s.rate), l.crowded()), ForSlice)
+		l.reject(now, q, min(nanos((q.charge-s.level)/s.rate), l.retryAfterRoom()), ForSlice)
 		return
 	}
 	l.place(now, q)
@@ -432,7 +434,7 @@
 	a, wait, cause := q.account, q.account.overCeiling(now, q.units), ForCeiling
 	var s *server
 	if wait == 0 {
-		s, wait, cause = l.pick(now, q), l.crowded(), ForRoom
+		s, wait, cause = l.pick(now, q), l.retryAfterRoom(), ForRoom
 	}
 	if s == nil {
 		l.release(now, q, q.charge)
@@ -442,12 +444,12 @@
 	a.quota.level, a.slice.level = a.quota.fill(now)-q.charge, a.slice.fill(now)-q.charge
 	if !q.reserved && a.quota.rate > 0 {
 		q.weight = l.turn(now, a)
-		a.owed, q.name = a.owed+q.charge*q.weight, a.name()
+		a.pendingAdjustment, q.name = a.pendingAdjustment+q.charge*q.weight, a.name()
 	}
 	if a.ceiling.fill(now); a.plan.CeilingRate > 0 { // one that never fills would never be forgotten
 		a.ceiling.level -= q.units
 	}
-	l.spare = math.Min(l.spare+1.0/spareMost, float64(len(l.order)))
+	l.retryBudget = math.Min(l.retryBudget+1.0/retryBudgetPart, float64(len(l.order)))
 	l.move(q, Out)
 	l.send(now, q, s)
 }
@@ -460,37 +462,37 @@
 	l.effects.Send(q.id, s.id)
 }
 
-// warmth is the share of its capacity that a server is sure to have.
-func (l *Limiter) warmth(now int64, s *server) float64 {
+// slowStartWeight is the share of its capacity that a server is sure to have.
+func (l *Limiter) slowStartWeight(now int64, s *server) float64 {
 	if s.warmFrom == 0 || now >= s.warmFrom+l.set.WarmWithin {
 		return 1
 	}
-	return l.warmthAt(max(0, now-s.warmFrom))
+	return l.slowStartWeightAt(max(0, now-s.warmFrom))
 }
 
-// warmthAt is the warmth of a server so long after it began to warm up.
-func (l *Limiter) warmthAt(age int64) float64 {
+// slowStartWeightAt is the slow-start weight of a server so long after it began to warm up.
+func (l *Limiter) slowStartWeightAt(age int64) float64 {
 	return l.set.ColdFrom + (1-l.set.ColdFrom)*float64(age)/float64(l.set.WarmWithin)
 }
 
 // weight follows the nominal size and the pace that the server's answers have shown.
 func (l *Limiter) weight(now int64, s *server) float64 {
 	pace := 1.0
-	if s.did > 0 && l.did > 0 {
-		pace = (l.took / l.did) / (s.took / s.did)
+	if s.did > 0 && l.unitsDone > 0 {
+		pace = (l.timeTaken / l.unitsDone) / (s.took / s.did)
 		pace = math.Min(paceMost, max(1.0/paceMost, pace))
 	}
 	if s.hint > 0 {
 		pace *= s.hint
 	}
-	return pace * l.warmth(now, s) * (1 - s.bad)
+	return pace * l.slowStartWeight(now, s) * (1 - s.bad)
 }
 
 // usable tells whether a server may get this request at all.
 func (l *Limiter) usable(now int64, q *request, s *server) bool {
 	// A trial is one request at a time, and for requests that may run again, where there are any.
-	if s.listing != Ready || s.standing == aside ||
-		s.standing == trial && (len(s.attempts) > 0 || q.class.Effect == NonIdempotent && l.mild) {
+	if s.listing != Ready || s.health == ejected ||
+		s.health == trial && (len(s.attempts) > 0 || q.class.Effect == NonIdempotent && l.hasRepeatable) {
 		return false
 	}
 	for _, att := range q.attempts {
@@ -514,20 +516,20 @@
 func (l *Limiter) able(now int64, q *request) []*server {
 	out, usable := l.usableSums(now, q)
 	out += q.units
-	room := l.room * l.ease(now, q) * usable / max(float64(l.index.ready), 1)
-	room *= 1 - cheapLess*(1-q.class.Value/l.dearest.Value)
+	room := l.inFlightLimit * l.limitFactor(now, q) * usable / max(float64(l.index.ready), 1)
+	room *= 1 - cheapLess*(1-q.class.Value/l.highestValue.Value)
 	if l.busy = out > room/2; out > room && out > q.units {
 		return nil
 	}
-	able, near, circle := l.fitting[:0], 0, l.circle()
+	able, near, circle := l.fitting[:0], 0, l.subsetSize()
 	for _, s := range l.order {
 		if !l.usable(now, q, s) {
 			continue
 		}
 		if near++; near > circle && len(able) > 0 {
-			break // it is another's; those beyond the circle come in one by one where no other has room
+			break // it is another's; those beyond the subset come in one by one where no other has room
 		}
-		if now >= s.fullTill && (len(s.attempts) == 0 || s.out+q.units <= s.limit*l.warmth(now, s)) {
+		if now >= s.fullTill && (len(s.attempts) == 0 || s.out+q.units <= s.limit*l.slowStartWeight(now, s)) {
 			able = append(able, s)
 		}
 	}
@@ -535,15 +537,15 @@
 	return able
 }
 
-// ease widens the room while load reports show that requests, of whatever limiter, stay at the servers for
-// well inside the target latency: what they hold over what they do a second is that stay. One limiter among
+// limitFactor raises the limit while load reports show that requests, of whatever limiter, stay at the servers
+// for well inside the target latency: what they hold over what they do a second is that stay. One limiter among
 // many cannot tell a few heavy requests of its own from servers that fill up. Old reports say nothing.
-func (l *Limiter) ease(now int64, q *request) float64 {
+func (l *Limiter) limitFactor(now int64, q *request) float64 {
 	if l.reported == 0 || now-l.reported > q.class.Target {
 		return 1
 	}
-	target := min(q.class.Target, l.dearest.Target) // no class may fill the servers for a dearer one
-	return max(1, seconds(target)/wellInside/math.Exp(l.stay))
+	target := min(q.class.Target, l.highestValue.Target) // no class may fill the servers for a dearer one
+	return max(1, seconds(target)/wellInside/math.Exp(l.meanStay))
 }
 
 // pick takes the next in the weighted rotation; those that hold more than their share of what is out pass.
@@ -557,10 +559,11 @@
 	turn := 0.0
 	for _, s := range able {
 		w := l.weight(now, s)
-		if l.warmth(now, s) < 1 {
+		if l.slowStartWeight(now, s) < 1 {
 			// Where no other has room, or in a small group, a cold one gets no more than its turns either.
-			s.turns = math.Min(1, s.turns+w/max(l.whole, w, math.SmallestNonzeroFloat64))
-			if s.turns < 1 && sum < l.whole*narrow {
+			whole := max(l.subsetWeight, w, math.SmallestNonzeroFloat64)
+			s.slowStartTurns = math.Min(1, s.slowStartTurns+w/whole)
+			if s.slowStartTurns < 1 && sum < l.subsetWeight*fewUsable {
 				continue
 			}
 		}
@@ -573,23 +576,23 @@
 		}
 	}
 	if best != nil {
-		best.credit, best.turns = best.credit-turn, best.turns-1
+		best.credit, best.slowStartTurns = best.credit-turn, best.slowStartTurns-1
 	}
 	return best
 }
 
-// crowded is the retry-after of a request for which no server has room: about when work now out will be done.
-func (l *Limiter) crowded() int64 {
+// retryAfterRoom is the retry-after of a request for which no server has room: when work out will be done.
+func (l *Limiter) retryAfterRoom() int64 {
 	if l.reported > 0 {
-		return max(l.beat, nanos(math.Exp(l.stay)))
+		return max(l.tickInterval, nanos(math.Exp(l.meanStay)))
 	}
-	return max(l.beat, l.set.DialTimeout)
+	return max(l.tickInterval, l.set.DialTimeout)
 }
 
 func (l *Limiter) reject(now int64, q *request, after int64, cause Cause) {
 	l.move(q, Rejected)
 	// Clients that were told the same time would come back together.
-	after = max(l.set.Granularity, after) + int64(l.rng.Float64()*float64(l.beat))
+	after = max(l.set.Granularity, after) + int64(l.rng.Float64()*float64(l.tickInterval))
 	l.effects.Reject(q.id, min(after, l.set.MostAdvice), cause)
 	l.drop(now, q)
 }
@@ -605,7 +608,7 @@
 			return
 		}
 	}
-	l.reject(now, q, l.crowded(), ForAttempts)
+	l.reject(now, q, l.retryAfterRoom(), ForAttempts)
 }
 
 // Answer takes the end of an attempt.
@@ -624,7 +627,7 @@
 	}
 	if r.Outcome == Succeeded && r.Final && !q.ended() {
 		if !att.late { // well spent: where some servers are bad and others good, more may follow
-			l.spare += float64(len(q.attempts) - 1)
+			l.retryBudget += float64(len(q.attempts) - 1)
 		}
 		l.move(q, Served)
 	}
@@ -642,7 +645,7 @@
 
 // again sends a further attempt where the class, the time, the attempts left and the pressure allow it.
 func (l *Limiter) again(now int64, q *request) bool {
-	if q.end <= now || len(q.attempts) >= l.set.MostAttempts || l.spare < 1 || q.open > 0 {
+	if q.end <= now || len(q.attempts) >= l.set.MostAttempts || l.retryBudget < 1 || q.open > 0 {
 		return false
 	}
 	for _, att := range q.attempts {
@@ -654,7 +657,7 @@
 	if s == nil {
 		return false
 	}
-	l.spare--
+	l.retryBudget--
 	l.send(now, q, s)
 	return true
 }
@@ -665,18 +668,19 @@
 	if !att.late && now-att.at > att.request.class.Target/wellInside {
 		att.late = true
 		att.server.limit = max(att.server.limit-att.request.units*late/grow, l.part)
-		l.narrow(att.request)
+		l.lowerLimit(att.request)
 	}
 }
 
-// narrow takes from the room at all servers for an attempt that is late or full. One limiter among hundreds
+// lowerLimit takes from the in-flight limit for an attempt that is late or full. One limiter among hundreds
 // sees a server too seldom to learn its limit in time; all together soon tell that they fill up. Where
 // answers are prompt the rest are silent, not overrun, and it takes no more than a prompt answer adds.
-func (l *Limiter) narrow(q *request) {
-	l.room = max(l.room-q.units*max(1, math.Min(lateAll, l.slow/slowLeast))/grow, l.least())
+func (l *Limiter) lowerLimit(q *request) {
+	times := max(1, math.Min(lateAll, l.overloadRatio/overloadLeast))
+	l.inFlightLimit = max(l.inFlightLimit-q.units*times/grow, l.least())
 }
 
-// least is the room that is always there: the largest request at each server, over all limiters.
+// least is the in-flight limit that is always there: the largest request at each server, over all limiters.
 func (l *Limiter) least() float64 { return l.part * float64(len(l.order)) }
 
 // learn keeps the record of the server that an attempt was sent to.
@@ -688,67 +692,67 @@
 	switch r.Outcome {
 	case Succeeded:
 		s.heard, s.bad = now, s.bad*(1-badStep)
-		if s.standing == aside || s.standing == trial && s.bad < badMost/2 {
+		if s.health == ejected || s.health == trial && s.bad < badMost/2 {
 			l.log("server %s answers again", s.id)
-			s.standing, s.rest = fit, 0
+			s.health, s.rest = healthy, 0
 		}
 		if told := r.stay(); told > 0 {
 			stay := math.Log(told) // a few servers that are stuck do not make a mean of logarithms
 			if l.reported == 0 {
-				l.stay = stay
+				l.meanStay = stay
 			}
-			l.stay, l.reported = l.stay+(stay-l.stay)/stayFade, now
+			l.meanStay, l.reported = l.meanStay+(stay-l.meanStay)/stayFade, now
 		}
 		took := seconds(r.Took)
 		s.took, s.did = s.took*(1-1.0/fade)+took, s.did*(1-1.0/fade)+u
-		l.took, l.did = l.took*(1-0.1/fade)+took, l.did*(1-0.1/fade)+u
-		if l.slow -= l.slow / slowFade; att.late {
-			l.slow += 1.0 / slowFade
+		l.timeTaken, l.unitsDone = l.timeTaken*(1-0.1/fade)+took, l.unitsDone*(1-0.1/fade)+u
+		if l.overloadRatio -= l.overloadRatio / overloadFade; att.late {
+			l.overloadRatio += 1.0 / overloadFade
 			break
 		}
 		if s.out+u > s.limit/2 || l.busy {
 			s.limit += u / grow
 		}
-		// The room is what can come together by chance, not the load: few requests out swing the most.
-		if l.room < l.load+swing*math.Sqrt(l.load*l.set.MostUnits) {
-			l.room += u / grow
+		// The limit is what can come together by chance, not the load: few requests out swing the most.
+		if l.inFlightLimit < l.meanInFlight+burstDeviations*math.Sqrt(l.meanInFlight*l.set.MostUnits) {
+			l.inFlightLimit += u / grow
 		}
 	case Full:
-		s.heard, s.fullTill = now, now+l.beat
+		s.heard, s.fullTill = now, now+l.tickInterval
 		s.limit = math.Min(s.limit, s.out)
-		l.slow += (1 - l.slow) / slowFade
-		l.narrow(att.request)
+		l.overloadRatio += (1 - l.overloadRatio) / overloadFade
+		l.lowerLimit(att.request)
 	case Broke, Unconnected, Reset, Cancelled:
 		// A server that fails is quick at it: its answers say nothing of its pace, or it would draw all
 		// requests. One that takes no connection is not tried three times: each of many limiters would do so.
 		if s.bad += badStep * (1 - s.bad); s.bad > badMost || r.Outcome == Unconnected {
-			l.setAside(now, s, "fails")
+			l.eject(now, s, "fails")
 		}
 	}
 	s.limit = max(s.limit, l.part)
 	l.note(now, s)
 }
 
-// setAside keeps new requests from a server until it shows life. A shared cause must not take all of them.
-func (l *Limiter) setAside(now int64, s *server, why string) {
-	if s.standing == aside || float64(l.index.away()+1) > float64(l.index.ready)*asideMost {
+// eject keeps new requests from a server until it shows life. A shared cause must not take all of them.
+func (l *Limiter) eject(now int64, s *server, why string) {
+	if s.health == ejected || float64(l.index.away()+1) > float64(l.index.ready)*ejectedMost {
 		return
 	}
-	l.log("server %s %s, set aside", s.id, why)
-	s.rest = min(max(2*s.rest, l.beat*beats), l.set.WarmWithin)
-	s.standing, s.probes, s.next = aside, 0, now+s.rest
+	l.log("server %s %s, ejected", s.id, why)
+	s.rest = min(max(2*s.rest, l.tickInterval*ticksPerTarget), l.set.WarmWithin)
+	s.health, s.probes, s.next = ejected, 0, now+s.rest
 	l.note(now, s)
 }
 
-// look is the regular look at the servers in use: it finds the silent ones and lets others come back. Those
+// tick is the regular tick at the servers in use: it finds the silent ones and lets others come back. Those
 // that are gone are let go of: a fleet that is replaced again and again would fill the memory.
-func (l *Limiter) look(now int64) {
+func (l *Limiter) tick(now int64) {
 	l.letGo()
-	l.load -= l.load / beats
-	l.whole = 0
-	for i, near := 0, l.circle(); i < len(l.order) && near > 0; i++ {
-		if s := l.order[i]; s.listing == Ready && s.standing != aside {
-			l.whole, near = l.whole+l.weight(now, s), near-1
+	l.meanInFlight -= l.meanInFlight / ticksPerTarget
+	l.subsetWeight = 0
+	for i, near := 0, l.subsetSize(); i < len(l.order) && near > 0; i++ {
+		if s := l.order[i]; s.listing == Ready && s.health != ejected {
+			l.subsetWeight, near = l.subsetWeight+l.weight(now, s), near-1
 		}
 	}
 	active := l.index.inOrder()
@@ -756,34 +760,34 @@
 		for _, att := range s.attempts {
 			l.overdue(now, att)
 		}
-		if s.listing == Ready && s.standing == aside {
+		if s.listing == Ready && s.health == ejected {
 			l.tryAgain(now, s)
 		} else if s.listing == Ready {
-			l.load += s.out / beats
+			l.meanInFlight += s.out / ticksPerTarget
 			l.listen(now, s)
 		}
 	}
 	for _, s := range active {
 		for _, att := range slices.Clone(s.attempts) {
-			l.callOff(now, att)
+			l.cancelLost(now, att)
 		}
 	}
 }
 
-// tryAgain probes a server that is aside, or lets it come back where there are no probes, when it has rested.
+// tryAgain probes an ejected server, or reinstates it where there are no probes, when it has rested.
 func (l *Limiter) tryAgain(now int64, s *server) {
 	if now < s.next {
 		return
 	}
 	if !l.set.Probes {
-		l.comeBack(now, s)
+		l.reinstate(now, s)
 		return
 	}
 	l.effects.Probe(s.id)
 	s.next = now + max(s.rest, l.set.DialTimeout)
 }
 
-// listen sets a server aside that has been silent for too long.
+// listen ejects a server that has been silent for too long.
 func (l *Limiter) listen(now int64, s *server) {
 	if len(s.attempts) == 0 {
 		return
@@ -794,12 +798,12 @@
 		wait = wait * 2 / 3
 	}
 	if now-max(s.heard, first.at) > wait {
-		l.setAside(now, s, "is silent")
+		l.eject(now, s, "is silent")
 	}
 }
 
-// callOff cancels an attempt whose answer is lost, or whose server is aside or gone: others may do better.
-func (l *Limiter) callOff(now int64, att *attempt) {
+// cancelLost cancels an attempt whose answer is lost, or whose server is ejected or gone.
+func (l *Limiter) cancelLost(now int64, att *attempt) {
 	s, q, lost := att.server, att.request, l.lost(now, att)
 	if q.state != Out || q.class.Effect == NonIdempotent || !l.set.Cancelling {
 		return
@@ -810,10 +814,10 @@
 		l.effects.Cancel(q.id, att.number)
 		return
 	}
-	if s.standing != aside && s.listing != Gone && !lost || now-att.at > q.class.Target {
+	if s.health != ejected && s.listing != Gone && !lost || now-att.at > q.class.Target {
 		return
 	}
-	if l.spare >= 1 && len(l.able(now, q)) > 0 {
+	if l.retryBudget >= 1 && len(l.able(now, q)) > 0 {
 		l.effects.Cancel(q.id, att.number) // it is sent again once its end is known
 	}
 }
@@ -822,28 +826,28 @@
 // for many times as long as a request of its size takes there, while the answers that do come are prompt.
 func (l *Limiter) lost(now int64, att *attempt) bool {
 	s := att.server
-	return s.did > 0 && l.slow < lateAll*slowLeast &&
+	return s.did > 0 && l.overloadRatio < lateAll*overloadLeast &&
 		now-att.at > max(nanos(lostAfter*att.request.units*s.took/s.did), att.request.class.Target/lostLeast)
 }
 
-// comeBack lets a server that was set aside have one request at a time. One that failed may be a new process
+// reinstate lets a server that was ejected have one request at a time. One that failed may be a new process
 // that the list does not tell of yet, so it is taken as cold.
-func (l *Limiter) comeBack(now int64, s *server) {
-	if s.standing, s.heard = trial, now; s.bad > badMost {
-		s.warmFrom, s.turns = now, l.rng.Float64()
+func (l *Limiter) reinstate(now int64, s *server) {
+	if s.health, s.heard = trial, now; s.bad > badMost {
+		s.warmFrom, s.slowStartTurns = now, l.rng.Float64()
 	}
 }
 
 // Probed takes what a probe found.
 func (l *Limiter) Probed(now int64, id string, outcome Outcome) {
 	s := l.servers[id]
-	if s == nil || s.standing != aside {
+	if s == nil || s.health != ejected {
 		return
 	}
 	if s.probes++; outcome != Succeeded {
 		s.probes = 0
 	} else if s.probes >= 2 {
-		l.comeBack(now, s)
+		l.reinstate(now, s)
 	}
 }
 
@@ -859,12 +863,12 @@
 func (l *Limiter) Closing(now int64) {
 	for _, id := range slices.Sorted(maps.Keys(l.accounts)) {
 		a := l.accounts[id]
-		if a.owed != 0 {
+		if a.pendingAdjustment != 0 {
 			l.turn(now, a) // what is owed to a window that has passed fades with it
 		}
-		if a.owed != 0 && l.set.CounterWait > 0 {
-			l.count(&request{account: a, name: a.name()}, a.owed, true)
-			a.owed = 0
+		if a.pendingAdjustment != 0 && l.set.CounterWait > 0 {
+			l.count(&request{account: a, name: a.name()}, a.pendingAdjustment, true)
+			a.pendingAdjustment = 0
 		}
 	}
 }
@@ -872,9 +876,9 @@
 // Woken takes a timer that was asked for.
 func (l *Limiter) Woken(now, token int64) {
 	if token == 0 {
-		l.look(now)
+		l.tick(now)
 		l.forget(now)
-		l.effects.Wake(now+l.beat, 0)
+		l.effects.Wake(now+l.tickInterval, 0)
 		return
 	}
 	if q := l.timers[token]; q != nil && now >= q.end {
@@ -927,7 +931,7 @@
 		a.slice.level = math.Min(a.slice.depth, a.slice.fill(now)+q.charge)
 		a.ceiling.level = math.Min(a.ceiling.depth, a.ceiling.fill(now)+q.units)
 		if !q.reserved && a.quota.rate > 0 && q.name == a.name() {
-			a.owed -= q.charge * q.weight
+			a.pendingAdjustment -= q.charge * q.weight
 		}
 		l.release(now, q, q.charge)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -61,9 +61,9 @@
 	})
 	t.Run("goes by the slice while the counter is silent", func(t *testing.T) {
 		l, d := made()
-		l.asks = 0
+		l.samplingRate = 0
 		l.Request(0, arrival("j", "read", "plain"))
-		if expect(t, d, "send j a"); l.requests["j"].account.owed != 2 {
+		if expect(t, d, "send j a"); l.requests["j"].account.pendingAdjustment != 2 {
 			t.Fatal("its units are not owed")
 		}
 	})
@@ -74,9 +74,9 @@
 		l, d := made()
 		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
 		a.plan.BeyondCosts, a.plan.Value = 1, 1
-		l.asks, a.quota.level, a.slice.level, a.known = 0.999, 0, -9, true
+		l.samplingRate, a.quota.level, a.slice.level, a.known = 0.999, 0, -9, true
 		l.turn(0, a)
-		a.owed = owed
+		a.pendingAdjustment = owed
 		l.Request(0, arrival("j", "read", "plain"))
 		return d
 	}
@@ -104,19 +104,19 @@
 	l, _ := made()
 	end(l, Succeeded, 10)
 	end(l, Unconnected, 40)
-	if l.asks != askLeast {
-		t.Fatal("while it is down it is asked", l.asks)
+	if l.samplingRate != samplingLeast {
+		t.Fatal("while it is down it is asked", l.samplingRate)
 	}
-	if end(l, Succeeded, 4); l.asks != askLess {
-		t.Fatal("after four answers it is asked", l.asks)
+	if end(l, Succeeded, 4); l.samplingRate != samplingLess {
+		t.Fatal("after four answers it is asked", l.samplingRate)
 	}
 	l, _ = made()
 	for range 40 {
 		end(l, TimedOut, 1)
 		end(l, Succeeded, 4)
 	}
-	if l.asks > 0.3 {
-		t.Fatal("one that leaves a fifth unanswered is asked", l.asks)
+	if l.samplingRate > 0.3 {
+		t.Fatal("one that leaves a fifth unanswered is asked", l.samplingRate)
 	}
 }
 
@@ -144,8 +144,8 @@
 		l, d := made()
 		q := reserving(l, "read", "plain")
 		l.Counted(0, q.name, Broke, 0)
-		if expect(t, d, "send j a"); l.asks != 1 || q.account.unsure != 2 {
-			t.Fatal("asks", l.asks, "unsure", q.account.unsure)
+		if expect(t, d, "send j a"); l.samplingRate != 1 || q.account.unsure != 2 {
+			t.Fatal("asks", l.samplingRate, "unsure", q.account.unsure)
 		}
 	})
 	t.Run("late for a request whose client has left, it is added back", func(t *testing.T) {
@@ -159,13 +159,13 @@
 		l, d := made()
 		q := reserving(l, "read", "plain")
 		l.Counted(0, q.name, TimedOut, 0)
-		if expect(t, d, "send j a"); q.account.owed != 2 {
-			t.Fatal("owed", q.account.owed)
+		if expect(t, d, "send j a"); q.account.pendingAdjustment != 2 {
+			t.Fatal("owed", q.account.pendingAdjustment)
 		}
 		l.reserve(0, &request{id: "k", account: q.account, units: 2, charge: 2, class: q.class})
 		l.Counted(0, q.name, Succeeded, 6)
-		if expect(t, d, "count 4", "send k b"); q.account.owed != -2 {
-			t.Fatal("owed", q.account.owed)
+		if expect(t, d, "count 4", "send k b"); q.account.pendingAdjustment != -2 {
+			t.Fatal("owed", q.account.pendingAdjustment)
 		}
 	})
 	t.Run("a total that has fallen frees nothing", func(t *testing.T) {
@@ -204,15 +204,15 @@
 		expect(t, d, "count 2", "reject j")
 		l.reserve(0, &request{id: "k", account: q.account, units: 1, charge: 1, class: q.class})
 		l.Counted(0, q.name, Succeeded, 3)
-		if q.account.owed != -2 {
-			t.Fatal("owed", q.account.owed)
+		if q.account.pendingAdjustment != -2 {
+			t.Fatal("owed", q.account.pendingAdjustment)
 		}
 	})
 	t.Run("a reservation that carries more to add back than it adds still decides its request", func(t *testing.T) {
 		l, d := made()
 		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
 		l.turn(0, a)
-		a.owed = -9
+		a.pendingAdjustment = -9
 		q := reserving(l, "read", "plain")
 		l.Counted(0, q.name, Succeeded, -7)
 		expect(t, d, "count -7", "send j a")
@@ -245,11 +245,11 @@
 		l, _ := made()
 		sent(l, "read")
 		l.Members(0, true, nil)
-		if l.look(0); len(l.order) != 1 || l.servers["a"] == nil || l.servers["b"] != nil {
+		if l.tick(0); len(l.order) != 1 || l.servers["a"] == nil || l.servers["b"] != nil {
 			t.Fatal(len(l.order), "kept")
 		}
 		l.Answer(1, Reply{Request: "j", Outcome: Succeeded, Took: 1, Final: true})
-		if l.look(1); len(l.order)+len(l.servers) > 0 {
+		if l.tick(1); len(l.order)+len(l.servers) > 0 {
 			t.Fatal(len(l.order), "kept")
 		}
 	})
@@ -262,10 +262,10 @@
 	t.Run("a new process starts with a clean record but for what is out", func(t *testing.T) {
 		l, _ := made()
 		sent(l, "read")
-		l.setAside(0, l.servers["a"], "")
+		l.eject(0, l.servers["a"], "")
 		l.Members(second, false, []Entry{{ID: "a", Since: second}})
-		if a := l.servers["a"]; a.standing != fit || a.out != 2 || l.warmth(second, a) != l.set.ColdFrom {
-			t.Fatal("standing", a.standing, "out", a.out)
+		if a := l.servers["a"]; a.health != healthy || a.out != 2 || l.slowStartWeight(second, a) != l.set.ColdFrom {
+			t.Fatal("standing", a.health, "out", a.out)
 		}
 	})
 }
@@ -336,7 +336,7 @@
 	})
 	t.Run("keeps a customer with units out, for the true ones are settled with its account", func(t *testing.T) {
 		l, d := made()
-		l.asks = 0 // the slice decides, and what it sends is owed
+		l.samplingRate = 0 // the slice decides, and what it sends is owed
 		l.Request(second, arrival("j", "read", "plain"))
 		a := l.requests["j"].account
 		for now := second; now < 200*second; now += second {
@@ -374,7 +374,7 @@
 		set  func(l *Limiter, q *request)
 	}{
 		{"no attempt is left", func(l *Limiter, q *request) { l.set.MostAttempts = 1 }},
-		{"no second attempt is in hand", func(l *Limiter, q *request) { l.spare = 0 }},
+		{"no second attempt is in hand", func(l *Limiter, q *request) { l.retryBudget = 0 }},
 		{"an attempt is out", func(l *Limiter, q *request) {}},
 		{"its time is over", func(l *Limiter, q *request) { q.end = 0 }},
 	} {
@@ -414,7 +414,7 @@
 		sent(l, "read")
 		l.servers["a"].bad = badMost
 		l.Answer(1, Reply{Request: "j", Outcome: Broke, Took: 1})
-		if s := l.servers["a"]; s.standing != aside || s.did > 0 {
+		if s := l.servers["a"]; s.health != ejected || s.did > 0 {
 			t.Fatal("not set aside, or its pace is counted")
 		}
 	})
@@ -462,7 +462,7 @@
 	t.Run("passes a server on trial for non-idempotent requests, and for others while one is out", func(t *testing.T) {
 		l, _ := made()
 		a := l.servers["a"]
-		a.standing = trial
+		a.health = trial
 		reindex(l, 0)
 		free, nonIdempotent := l.usable(0, probe, a), l.usable(0, &request{class: l.set.Classes["write"]}, a)
 		l.send(0, &request{class: probe.class}, a)
@@ -504,9 +504,9 @@
 		sent(l, "read")
 		out(l, "k", l.servers["a"]).state = Served
 		l.set.Cancelling = true
-		l.look(second * 3 / 4)
+		l.tick(second * 3 / 4)
 		expect(t, d, "cancel j 0")
-		if l.servers["a"].standing != aside {
+		if l.servers["a"].health != ejected {
 			t.Fatal("not set aside")
 		}
 	})
@@ -514,19 +514,19 @@
 		l, d := made()
 		a := l.servers["a"]
 		out(l, "k", a)
-		l.look(second * 3 / 4)
-		early := a.standing
-		l.look(second * 5 / 4)
-		if expect(t, d, "send k a"); early != fit || a.standing != aside {
-			t.Fatal("standing", early, "then", a.standing)
+		l.tick(second * 3 / 4)
+		early := a.health
+		l.tick(second * 5 / 4)
+		if expect(t, d, "send k a"); early != healthy || a.health != ejected {
+			t.Fatal("standing", early, "then", a.health)
 		}
 	})
 	t.Run("its attempt is called off, then sent again", func(t *testing.T) {
 		l, d := made()
 		l.set.Cancelling = true
 		sent(l, "read")
-		l.setAside(0, l.servers["a"], "")
-		l.look(second / 2)
+		l.eject(0, l.servers["a"], "")
+		l.tick(second / 2)
 		expect(t, d, "cancel j 0")
 		l.Answer(second/2, Reply{Request: "j", Outcome: Cancelled, Took: second / 2})
 		expect(t, d, "send j b")
@@ -536,9 +536,9 @@
 		a := l.servers["a"]
 		out(l, "k", a)
 		before := a.limit
-		l.look(second * 6 / 10)
+		l.tick(second * 6 / 10)
 		once := a.limit
-		l.look(second * 7 / 10)
+		l.tick(second * 7 / 10)
 		if once >= before || a.limit != once {
 			t.Fatal("limit", before, once, a.limit)
 		}
@@ -546,9 +546,9 @@
 	t.Run("at least a quarter of the servers stays", func(t *testing.T) {
 		l, _ := made()
 		for _, s := range l.order {
-			l.setAside(0, s, "")
+			l.eject(0, s, "")
 		}
-		if l.servers["a"].standing != aside || l.servers["b"].standing != fit {
+		if l.servers["a"].health != ejected || l.servers["b"].health != healthy {
 			t.Fatal("none is left, or none is set aside")
 		}
 	})
@@ -556,12 +556,12 @@
 		l, _ := made()
 		a := l.servers["a"]
 		a.bad = 1
-		l.setAside(0, a, "")
+		l.eject(0, a, "")
 		l.Probed(second, "a", Succeeded)
-		once := a.standing
+		once := a.health
 		l.Probed(second, "a", Succeeded)
-		if once != aside || a.standing != trial || l.warmth(second, a) != l.set.ColdFrom {
-			t.Fatal("standing", once, "then", a.standing, "warmth", l.warmth(second, a))
+		if once != ejected || a.health != trial || l.slowStartWeight(second, a) != l.set.ColdFrom {
+			t.Fatal("standing", once, "then", a.health, "warmth", l.slowStartWeight(second, a))
 		}
 	})
 }
@@ -569,7 +569,7 @@
 func TestAble(t *testing.T) {
 	t.Run("the room holds for all servers together", func(t *testing.T) {
 		l, _ := made()
-		l.room = 4
+		l.inFlightLimit = 4
 		l.servers["a"].out = 3
 		reindex(l, 0)
 		if able := l.able(0, &request{units: 2, class: &Class{}}); able != nil {
@@ -603,7 +603,7 @@
 func TestSlice(t *testing.T) {
 	t.Run("among many limiters it still holds the largest request", func(t *testing.T) {
 		l, d := made()
-		l.asks = 0
+		l.samplingRate = 0
 		a := arrival("j", "read", "plain")
 		a.Spread = 200
 		l.Request(0, a)
@@ -643,14 +643,14 @@
 		least             float64
 	}{{300, 180, 14}, {3, 9, 36}} {
 		l, _ := made()
-		l.set.Limiters, l.part, l.room, l.servers, l.order = c.limiters, l.set.MostUnits/float64(c.limiters), 0, map[string]*server{}, nil
+		l.set.Limiters, l.part, l.inFlightLimit, l.servers, l.order = c.limiters, l.set.MostUnits/float64(c.limiters), 0, map[string]*server{}, nil
 		l.index = serverIndex{}
 		var entries []Entry
 		for i := range c.servers {
 			entries = append(entries, Entry{ID: fmt.Sprint(i), Hint: 1})
 		}
-		if l.Members(0, true, entries); l.room < l.least()+swing*math.Sqrt(l.least()*l.set.MostUnits) || l.room < c.least {
-			t.Fatalf("%d limiters begin with room for %v units at %d servers", c.limiters, l.room, c.servers)
+		if l.Members(0, true, entries); l.inFlightLimit < l.least()+burstDeviations*math.Sqrt(l.least()*l.set.MostUnits) || l.inFlightLimit < c.least {
+			t.Fatalf("%d limiters begin with room for %v units at %d servers", c.limiters, l.inFlightLimit, c.servers)
 		}
 	}
 }
@@ -660,25 +660,25 @@
 		l, _ := made()
 		q := sent(l, "read")
 		l.overdue(second, q.attempts[0])
-		if l.room != 20-1 {
-			t.Fatal("it is", l.room)
+		if l.inFlightLimit != 20-1 {
+			t.Fatal("it is", l.inFlightLimit)
 		}
-		if l.room = 4.5; l.room < l.least() {
+		if l.inFlightLimit = 4.5; l.inFlightLimit < l.least() {
 			t.Fatal("the least is", l.least())
 		}
-		l.narrow(q)
-		if l.room != 4 {
-			t.Fatal("it is", l.room)
+		l.lowerLimit(q)
+		if l.inFlightLimit != 4 {
+			t.Fatal("it is", l.inFlightLimit)
 		}
 	})
 	t.Run("a further attempt that was answered promptly is paid back", func(t *testing.T) {
 		l, _ := made()
 		q := sent(l, "read")
-		l.spare = 1
+		l.retryBudget = 1
 		l.again(0, q)
 		l.Answer(1, Reply{Request: "j", Attempt: 1, Outcome: Succeeded, Took: 1, Final: true})
-		if l.spare != 1 {
-			t.Fatal("in hand", l.spare)
+		if l.retryBudget != 1 {
+			t.Fatal("in hand", l.retryBudget)
 		}
 	})
 }
@@ -721,7 +721,7 @@
 	all, share := fleet(limiters, entries), map[string]int{}
 	circles := make([]map[string]bool, limiters)
 	for i, l := range all {
-		circles[i] = ids(l.order[:l.circle()])
+		circles[i] = ids(l.order[:l.subsetSize()])
 		for id := range circles[i] {
 			share[id]++
 		}
@@ -741,18 +741,18 @@
 		}
 	})
 	t.Run("those beyond it come in for each that cannot be used, and one at a time where none has room", func(t *testing.T) {
-		if n := both(able(), circles[7]); n != l.circle() || len(able()) != n {
+		if n := both(able(), circles[7]); n != l.subsetSize() || len(able()) != n {
 			t.Fatal(n, "servers")
 		}
-		for _, s := range l.order[:l.circle()/2] {
-			s.standing = aside
+		for _, s := range l.order[:l.subsetSize()/2] {
+			s.health = ejected
 		}
 		reindex(l, 0)
-		if n := len(able()); n != l.circle() {
+		if n := len(able()); n != l.subsetSize() {
 			t.Fatal(n, "servers with half of them aside")
 		}
-		for _, s := range l.order[:2*l.circle()] {
-			s.standing, s.fullTill = fit, 1
+		for _, s := range l.order[:2*l.subsetSize()] {
+			s.health, s.fullTill = healthy, 1
 		}
 		reindex(l, 0)
 		if n := len(able()); n != 1 {
@@ -762,8 +762,8 @@
 	t.Run("a limiter that is not told its place uses all servers", func(t *testing.T) {
 		l, _ := made()
 		l.set.Limiters, l.set.Position = limiters, -1
-		if l.Members(0, true, entries); l.circle() != len(l.order) {
-			t.Fatal(l.circle(), "of", len(l.order))
+		if l.Members(0, true, entries); l.subsetSize() != len(l.order) {
+			t.Fatal(l.subsetSize(), "of", len(l.order))
 		}
 	})
 	t.Run("a server that goes moves no limiter by more than two others", func(t *testing.T) {
@@ -771,7 +771,7 @@
 			l.Members(1, false, []Entry{{ID: "s33", Listing: Gone}})
 			l.Woken(1, 0)
 			l.Members(1, false, nil)
-			if kept := both(ids(l.order[:l.circle()]), circles[i]); kept < len(circles[i])-3 {
+			if kept := both(ids(l.order[:l.subsetSize()]), circles[i]); kept < len(circles[i])-3 {
 				t.Fatalf("limiter %d kept %d of %d", i, kept, len(circles[i]))
 			}
 		}
@@ -820,11 +820,11 @@
 				att := &attempt{request: &request{class: l.set.Classes["read"], units: 1}, server: l.servers["a"]}
 				l.learn(1, att, Reply{Outcome: Succeeded, Held: 10 * stay, Pace: 10})
 			}
-			l.room = 2.5
+			l.inFlightLimit = 2.5
 			l.servers["a"].out = 3
 			reindex(l, c.age)
 			if able := l.able(c.age, &request{class: l.set.Classes["read"], units: 1}); len(able) > 0 != c.able {
-				t.Fatalf("able %v with a room of %v eased by %v", able, l.room, l.ease(c.age, &request{class: l.set.Classes["read"]}))
+				t.Fatalf("able %v with a room of %v eased by %v", able, l.inFlightLimit, l.limitFactor(c.age, &request{class: l.set.Classes["read"]}))
 			}
 		})
 	}
@@ -835,13 +835,13 @@
 		l, _ := made()
 		a := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
 		a.phase, a.plan.BeyondCosts, a.plan.Value = phase, costs, 1
-		l.asks, l.stake = 0.5, 1
+		l.samplingRate, l.overQuotaCost = 0.5, 1
 		n := 0
 		for range 100 {
-			if l.asked(a) {
+			if l.sampled(a) {
 				n++
 			}
-			l.stake = 1
+			l.overQuotaCost = 1
 		}
 		return n
 	}
@@ -867,9 +867,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l, _ := made()
-			l.slow = c.slow
-			if l.narrow(&request{units: 2}); l.room != c.left {
-				t.Fatal("left", l.room)
+			l.overloadRatio = c.slow
+			if l.lowerLimit(&request{units: 2}); l.inFlightLimit != c.left {
+				t.Fatal("left", l.inFlightLimit)
 			}
 		})
 	}
@@ -880,19 +880,19 @@
 		l, _ := made()
 		q := sent(l, "read")
 		l.learn(0, q.attempts[0], Reply{Outcome: Unconnected})
-		if s := l.servers["a"]; s.standing != aside || s.next != second {
-			t.Fatal("standing", s.standing, "until", s.next)
+		if s := l.servers["a"]; s.health != ejected || s.next != second {
+			t.Fatal("standing", s.health, "until", s.next)
 		}
 	})
 	t.Run("the room grows to what chance brings together and no further", func(t *testing.T) {
 		l, _ := made()
 		q := sent(l, "read")
-		l.load, l.room = 4, 19.9 // the load and four deviations of it are 20
+		l.meanInFlight, l.inFlightLimit = 4, 19.9 // the load and four deviations of it are 20
 		for range 3 {
 			l.learn(0, q.attempts[0], Reply{Outcome: Succeeded, Took: 1})
 		}
-		if l.room != 20.15 {
-			t.Fatal("it is", l.room)
+		if l.inFlightLimit != 20.15 {
+			t.Fatal("it is", l.inFlightLimit)
 		}
 	})
 }
@@ -942,8 +942,8 @@
 		l.Counted(0, q.name, Succeeded, 1)
 		d.did = nil
 		l.Answer(1, Reply{Request: "j", Outcome: Succeeded, Took: 1, Final: true, Units: 4})
-		if len(d.did) != 0 || q.account.owed != 0 {
-			t.Fatalf("did %q, owes %v", d.did, q.account.owed)
+		if len(d.did) != 0 || q.account.pendingAdjustment != 0 {
+			t.Fatalf("did %q, owes %v", d.did, q.account.pendingAdjustment)
 		}
 	})
 }
@@ -966,11 +966,11 @@
 			l, d := made()
 			l.set.Cancelling = true
 			q := sent(l, c.class)
-			l.slow = c.slow
+			l.overloadRatio = c.slow
 			for _, s := range l.order {
 				s.took, s.did = 0.02, 2 // 10 ms a unit
 			}
-			if l.look(c.at); c.want == "reject j" {
+			if l.tick(c.at); c.want == "reject j" {
 				expect(t, d, "reject j", "cancel j 0")
 				return
 			}
@@ -988,9 +988,9 @@
 func TestColdTurns(t *testing.T) {
 	l, _ := made()
 	l.Members(second, true, []Entry{{ID: "a", Zone: "x", Hint: 1}, {ID: "b", Zone: "y", Hint: 1, Since: second}})
-	l.look(second)
+	l.tick(second)
 	a, b := l.servers["a"], l.servers["b"]
-	a.fullTill, b.turns = 1<<62, 0
+	a.fullTill, b.slowStartTurns = 1<<62, 0
 	got := 0
 	for range 100 { // the warm one has no room: the cold one gets its turns and no more
 		if s := l.pick(second, &request{units: 1, class: l.set.Classes["read"]}); s == b {
@@ -1007,14 +1007,14 @@
 	l, _ := made()
 	l.set.ColdFrom = 0
 	l.Members(second, true, []Entry{{ID: "a", Zone: "x", Hint: 1, Since: second}, {ID: "b", Zone: "y", Hint: 1, Since: second}})
-	l.look(second)
+	l.tick(second)
 	l.pick(second, &request{units: 1, class: l.set.Classes["read"]})
 	l.Members(second, false, []Entry{{ID: "a", Zone: "x", Hint: 1, Since: 1}}) // a was a mistake: it is warm
 	a, b := l.servers["a"], l.servers["b"]
-	a.warmFrom, a.fullTill, b.turns = 0, 1<<62, math.Min(b.turns, 0)
+	a.warmFrom, a.fullTill, b.slowStartTurns = 0, 1<<62, math.Min(b.slowStartTurns, 0)
 	reindex(l, second)
 	now := 2 * second // b is warm for a tenth
-	l.look(now)
+	l.tick(now)
 	got := 0
 	for range 110 { // its part of both is one in eleven
 		if s := l.pick(now, &request{units: 1, class: l.set.Classes["read"]}); s == b {
@@ -1030,31 +1030,31 @@
 func TestColdAgain(t *testing.T) {
 	l, _ := made()
 	a, b := l.servers["a"], l.servers["b"]
-	l.look(0)
+	l.tick(0)
 	for range 500 {
 		l.pick(0, &request{units: 1, class: l.set.Classes["read"]})
 	}
 	b.bad = 1
-	l.comeBack(second, b)
+	l.reinstate(second, b)
 	a.fullTill, b.bad = 1<<62, 0
 	for range 40 {
 		if l.pick(second, &request{units: 1, class: l.set.Classes["read"]}) == b {
 			return
 		}
 	}
-	t.Fatal("it gets none of 40, and owes", -b.turns)
+	t.Fatal("it gets none of 40, and owes", -b.slowStartTurns)
 }
 
 func TestValue(t *testing.T) {
 	l, _ := made()
 	dear := &Class{Target: second / 2, Value: 5}
-	l.set.Classes["dear"], l.room = dear, 4
+	l.set.Classes["dear"], l.inFlightLimit = dear, 4
 	l = func() *Limiter {
 		n := New(0, l.set, 1, &effects{})
 		n.Members(0, true, []Entry{{ID: "a"}, {ID: "b"}})
 		return n
 	}()
-	l.room = 4
+	l.inFlightLimit = 4
 	l.servers["a"].out = 2
 	reindex(l, 0)
 	if len(l.able(0, &request{units: 2, class: dear})) == 0 {
@@ -1063,8 +1063,8 @@
 	if len(l.able(0, &request{units: 2, class: l.set.Classes["read"]})) != 0 {
 		t.Fatal("a cheap class's requests get as much room")
 	}
-	l.reported, l.stay = 1, math.Log(0.2)
-	if e := l.ease(1, &request{class: l.set.Classes["read"]}); math.Abs(e-1.25) > 1e-9 { // by half a second, not one
+	l.reported, l.meanStay = 1, math.Log(0.2)
+	if e := l.limitFactor(1, &request{class: l.set.Classes["read"]}); math.Abs(e-1.25) > 1e-9 { // by half a second, not one
 		t.Fatal("a longer target latency widens the room by", e)
 	}
 }
@@ -1088,10 +1088,10 @@
 func TestSettleWhileCrowded(t *testing.T) {
 	l, d := made()
 	q := sent(l, "read")
-	l.asks = 0.5
+	l.samplingRate = 0.5
 	l.Answer(1, Reply{Request: "j", Outcome: Succeeded, Took: 1, Final: true, Units: 4})
-	if expect(t, d, "count 2", "send j a"); q.account.owed < 1.99 || q.account.owed > 2.01 {
-		t.Fatal("owes", q.account.owed)
+	if expect(t, d, "count 2", "send j a"); q.account.pendingAdjustment < 1.99 || q.account.pendingAdjustment > 2.01 {
+		t.Fatal("owes", q.account.pendingAdjustment)
 	}
 }
 
@@ -1138,12 +1138,12 @@
 			t.Errorf("seen at %v it holds %v and fills by %v", c.seen, a.slice.level, a.slice.rate)
 		}
 	}
-	l.asks, l.set.CounterWait = 0, 0
-	l.reported, l.stay = 1, math.Log(0.1)
+	l.samplingRate, l.set.CounterWait = 0, 0
+	l.reported, l.meanStay = 1, math.Log(0.1)
 	slow := l.accountOf(0, arrival("", "read", "plain"), l.set.Plans["plain"])
 	slow.slice.level, slow.slice.rate = -9, 0.1
 	l.Request(0, arrival("j", "read", "plain"))
-	if expect(t, d, "reject j"); d.after > second/10+l.beat { // another limiter may have the units
+	if expect(t, d, "reject j"); d.after > second/10+l.tickInterval { // another limiter may have the units
 		t.Fatal("told to wait", d.after)
 	}
 }
@@ -1156,7 +1156,7 @@
 	for range 3 {
 		l.reserve(0, &request{id: "k", account: q.account, class: q.class, charge: 1})
 		l.Counted(0, q.name, Succeeded, 1)
-		at = append(at, l.asks)
+		at = append(at, l.samplingRate)
 	}
 	if at[0] != 0.75+1.0/256 || at[1] != at[0]+2.0/256 || at[2] != at[1]+3.0/256 {
 		t.Fatal("asks rise by", at)
--- a/choice/index.go
+++ b/choice/index.go
@@ -35,7 +35,7 @@
 		return active
 	case s.listing != Ready:
 		return unlisted
-	case s.standing != fit || s.warmFrom > now:
+	case s.health != healthy || s.warmFrom > now:
 		return active
 	case s.warmFrom == 0 || now >= s.warmFrom+warmWithin:
 		return idle
@@ -110,10 +110,10 @@
 	return x.visiting
 }
 
-// away is the number of ready servers that are set aside.
+// away is the number of ready servers that are ejected.
 func (x *serverIndex) away() (servers int) {
 	for _, s := range x.active {
-		if s.listing == Ready && s.standing == aside {
+		if s.listing == Ready && s.health == ejected {
 			servers++
 		}
 	}
@@ -223,7 +223,7 @@
 // note has the index take in a change of a server.
 func (l *Limiter) note(now int64, s *server) { l.index.note(now, l.set.WarmWithin, s) }
 
-// usableSums are the units out at all servers that may get the request, and the warmth of these together. It
+// usableSums are the units out at all servers that may get the request, and the slow-start weight of these together. It
 // looks at those in use one by one; the others are all usable but where only a group drops a repeat.
 func (l *Limiter) usableSums(now int64, q *request) (out, warmth float64) {
 	l.index.warmUp(now, l.set.WarmWithin)
@@ -232,16 +232,16 @@
 		among = l.order
 	} else {
 		cold, age := l.index.warmingAge(now)
-		warmth = float64(l.index.idle) + float64(cold)*l.warmthAt(age)
+		warmth = float64(l.index.idle) + float64(cold)*l.slowStartWeightAt(age)
 		for _, att := range q.attempts {
 			if att.server.group == idle || att.server.group == warming {
-				warmth -= l.warmth(now, att.server)
+				warmth -= l.slowStartWeight(now, att.server)
 			}
 		}
 	}
 	for _, s := range among {
 		if l.usable(now, q, s) {
-			out, warmth = out+s.out, warmth+l.warmth(now, s)
+			out, warmth = out+s.out, warmth+l.slowStartWeight(now, s)
 		}
 	}
 	return out, warmth
--- a/choice/index_test.go
+++ b/choice/index_test.go
@@ -19,17 +19,17 @@
 		if !l.usable(now, q, s) {
 			continue
 		}
-		warmth := l.warmth(now, s)
+		warmth := l.slowStartWeight(now, s)
 		out, usable, near = out+s.out, usable+warmth, near+1
-		if near > l.circle() && len(able) > 0 {
+		if near > l.subsetSize() && len(able) > 0 {
 			continue
 		}
 		if now >= s.fullTill && (len(s.attempts) == 0 || s.out+q.units <= s.limit*warmth) {
 			able = append(able, s)
 		}
 	}
-	room := l.room * l.ease(now, q) * usable / max(ready, 1)
-	room *= 1 - cheapLess*(1-q.class.Value/l.dearest.Value)
+	room := l.inFlightLimit * l.limitFactor(now, q) * usable / max(ready, 1)
+	room *= 1 - cheapLess*(1-q.class.Value/l.highestValue.Value)
 	if out > room && out > q.units {
 		return nil
 	}
@@ -171,7 +171,7 @@
 		if s.listing == Ready {
 			ready++
 		}
-		inUse := len(s.attempts) > 0 || s.listing == Ready && (s.standing != fit || s.out > 0)
+		inUse := len(s.attempts) > 0 || s.listing == Ready && (s.health != healthy || s.out > 0)
 		if s.position != i || inUse && (s.group != active || l.index.active[s.slot] != s) {
 			t.Fatalf("server %s at %d: position %d, group %d", s.id, i, s.position, s.group)
 		}
@@ -222,7 +222,7 @@
 				}
 			}
 			if n%5 == 0 {
-				l.look(now)
+				l.tick(now)
 			}
 			check(t, l, now)
 		}
@@ -241,7 +241,7 @@
 	want := 0.0
 	for _, s := range l.order {
 		if s.listing == Ready {
-			want += l.warmth(now, s)
+			want += l.slowStartWeight(now, s)
 		}
 	}
 	if _, got := l.usableSums(now, &request{units: 1, class: l.set.Classes["read"]}); math.Abs(got-want) > 1e-6 {
--- a/choice/owed_test.go
+++ b/choice/owed_test.go
@@ -22,11 +22,11 @@
 	} {
 		for _, slice := range []bool{false, true} {
 			l, d := made()
-			l.spare = 9
+			l.retryBudget = 9
 			l.Members(0, false, []Entry{{ID: "c", Zone: "y", Hint: 1}})
 			opens(l, "hard", second)
 			if slice {
-				l.asks = 0
+				l.samplingRate = 0
 			}
 			l.Request(second, arrival("j", "read", "hard"))
 			q := l.requests["j"]
@@ -34,7 +34,7 @@
 			if !slice {
 				l.Counted(second, q.name, Succeeded, 2)
 			}
-			level, owed := a.slice.level, a.owed
+			level, owed := a.slice.level, a.pendingAdjustment
 			for i, o := range c.outcomes {
 				if c.gone && i == len(c.outcomes)-1 {
 					l.Left(second, "j")
@@ -49,8 +49,8 @@
 				}
 			}
 			switch want := c.back; {
-			case slice && a.owed != owed+want, !slice && (counted != 0) != (want != 0), a.slice.level != level-want:
-				t.Errorf("%s, slice %v: did %q, owed %v before and %v, slice %v before and %v", c.name, slice, d.did, owed, a.owed,
+			case slice && a.pendingAdjustment != owed+want, !slice && (counted != 0) != (want != 0), a.slice.level != level-want:
+				t.Errorf("%s, slice %v: did %q, owed %v before and %v, slice %v before and %v", c.name, slice, d.did, owed, a.pendingAdjustment,
 					level, a.slice.level)
 			case (a.ceiling.level == 4) != (want < 0): // it held 4 before the request
 				t.Errorf("%s, slice %v: the ceiling's part holds %v", c.name, slice, a.ceiling.level)
@@ -68,7 +68,7 @@
 	for id, owed := range map[uint64]float64{7: 2, 3: -1, 5: 0} {
 		a := l.accountOf(0, Arrival{Customer: id, Spread: 1}, l.set.Plans["plain"])
 		l.turn(0, a)
-		a.owed = owed
+		a.pendingAdjustment = owed
 	}
 	l.Closing(0)
 	expect(t, d, "count -1", "count 2")
@@ -76,7 +76,7 @@
 	if len(d.did) != 2 {
 		t.Fatalf("did %q", d.did)
 	}
-	l.accounts[7].owed, l.accounts[3].owed = 2, -1
+	l.accounts[7].pendingAdjustment, l.accounts[3].pendingAdjustment = 2, -1
 	l.Closing(4 * l.span(l.accounts[7]))
 	if len(d.did) != 3 {
 		t.Fatalf("did %q: what was owed back to a window that has passed is not added", d.did)
--- a/choice/state.go
+++ b/choice/state.go
@@ -48,28 +48,28 @@
 }
 
 type server struct {
-	id       string
-	place    uint64 // on the ring of all servers, the same at all limiters
-	zone     string
-	cell     int64
-	listing  Listing
-	hint     float64
-	warmFrom int64 // when it began to warm up, 0 for long ago
-	standing standing
-	attempts []*attempt
-	out      float64 // units out
-	limit    float64 // units that may be out
-	took     float64 // fading sums of time and units over its answers
-	did      float64
-	heard    int64   // its last sign of life
-	bad      float64 // the fading share of its attempts that came to nothing
-	probes   int     // probes answered in a row
-	next     int64   // when it is probed or tried next
-	rest     int64
-	fullTill int64   // it has turned a request away and gets none until then
-	credit   float64 // its claim on the next turn
-	turns    float64 // while it is cold: the turns that it is owed
-	position int     // in the order of the ring, from this limiter's place on
+	id             string
+	place          uint64 // on the ring of all servers, the same at all limiters
+	zone           string
+	cell           int64
+	listing        Listing
+	hint           float64
+	warmFrom       int64 // when it began to warm up, 0 for long ago
+	health         health
+	attempts       []*attempt
+	out            float64 // units out
+	limit          float64 // units that may be out
+	took           float64 // fading sums of time and units over its answers
+	did            float64
+	heard          int64   // its last sign of life
+	bad            float64 // the fading share of its attempts that came to nothing
+	probes         int     // probes answered in a row
+	next           int64   // when it is probed or tried next
+	rest           int64
+	fullTill       int64   // it has turned a request away and gets none until then
+	credit         float64 // its claim on the next turn
+	slowStartTurns float64 // while it is cold: the turns that it is owed
+	position       int     // in the order of the ring, from this limiter's place on
 	indexRecord
 }
 
@@ -82,12 +82,12 @@
 	leaving bool  // it is in gone
 }
 
-type standing uint8
+type health uint8
 
 const (
-	fit standing = iota
+	healthy health = iota
 	trial
-	aside
+	ejected
 )
 
 // store is a bucket of units.
@@ -98,23 +98,23 @@
 }
 
 type account struct {
-	id      uint64
-	plan    *Plan
-	phase   int64
-	window  int64   // the window that total belongs to
-	total   float64 // the window's last seen total
-	quota   store   // the customer's store as far as the totals have shown it
-	known   bool    // a total has been seen
-	looked  int64   // and when last
-	slice   store   // this limiter's part of it: decides when no total comes
-	part    float64 // the number of limiters that share the customer
-	most    float64 // the most that one request can take from its store
-	owed    float64 // what is still to be added to the counter, weighted as of its time
-	unsure  float64 // what calls without an answer may have added
-	idle    float64 // the part of them that was never sent
-	ceiling store   // this limiter's part of the hard ceiling
-	used    int64
-	held    int // its requests that are known
+	id                uint64
+	plan              *Plan
+	phase             int64
+	window            int64   // the window that total belongs to
+	total             float64 // the window's last seen total
+	quota             store   // the customer's store as far as the totals have shown it
+	known             bool    // a total has been seen
+	looked            int64   // and when last
+	slice             store   // this limiter's part of it: decides when no total comes
+	part              float64 // the number of limiters that share the customer
+	most              float64 // the most that one request can take from its store
+	pendingAdjustment float64 // what is still to be added to the counter, weighted as of its time
+	unsure            float64 // what calls without an answer may have added
+	idle              float64 // the part of them that was never sent
+	ceiling           store   // this limiter's part of the hard ceiling
+	used              int64
+	held              int // its requests that are known
 }
 
 type call struct {
