--- a/internal/coldstart/advice.go
+++ b/internal/coldstart/advice.go
@@ -48,7 +48,7 @@
 	Stated bool    // by the operator, and not implied by the settings
 	Even   bool    // limiters know their places; else they ask at instants drawn by chance, and Calls is a mean
 	All    int64   // nanoseconds until all limiters have asked, and between the calls of one after news
-	Late   int64   // so much later than it counts as told can news come, in nanoseconds; 0 where it cannot
+	Late   int64   // so much later than it counts as told can news come, behind failed calls too, in nanoseconds; 0 where it cannot
 	Enough float64 // calls a second with which it could not
 	Sharer float64 // new connections a second that one limiter opens to one server of so many, 0 for no bound
 }
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -37,8 +37,10 @@
 	spreadFrom  = 1. / 2 // one call that is turned away changes nothing,
 	spreadMost  = 4      // after further ones in a row the next instant is drawn from so many rounds at most,
 	spreadLess  = 7. / 8 // and from so much less with each call that is answered
+	toldWait    = 3      // what a call that may wait missed counts as told this part of told after its wait, if that is later
+	early       = 8      // a call is given up this part of what a held one comes back before an instant before that instant
 	missedMost  = 4      // after so many instants slept through a limiter calls however late it is
-	resume      = 2      // a held call comes back this part of a dial time-out before the next instant, or a quarter
+	resume      = 1      // a held call comes back this part of a dial time-out before the next instant, or a quarter
 	resumeMost  = 4      // of a round if that is less, so that the next call goes on with the watch
 	mostHold    = 60e9   // the protocol holds no call for longer
 	queue       = 8      // dial time-outs for which a call is waited for beyond its hold: it stands in a queue
@@ -101,7 +103,8 @@
 	listed  bool     // some list is held
 	heard   bool     // the service has answered since the start
 	next    int64    // the instant of the next call
-	last    int64    // the instant of the latest call
+	last    int64    // the instant of the latest call, the start before there is one
+	retry   bool     // no answer has come since a call failed
 	calls   int      // that have ended
 	missed  int      // instants in a row that were slept through
 	spread  float64  // the rounds from which the next instant is drawn
@@ -115,7 +118,7 @@
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	s := &Start{set: set, round: set.Round(), began: now, share: 1, spread: spreadFrom, last: math.MinInt64}
+	s := &Start{set: set, round: set.Round(), began: now, share: 1, spread: spreadFrom, last: now - 1}
 	if s.offset = int64(set.fraction() * float64(s.round)); set.AskEvery == 0 {
 		s.next = now // the agent is asked at no cost
 		return s, nil
@@ -181,7 +184,7 @@
 			s.silent = now + hold + more
 		}
 	case Answered:
-		s.heard, s.silent, s.spread = true, 0, max(spreadFrom, s.spread*spreadLess)
+		s.heard, s.silent, s.spread, s.retry = true, 0, max(spreadFrom, s.spread*spreadLess), false
 		s.take(e)
 		s.next = s.after(now)
 	case Turned:
@@ -202,20 +205,32 @@
 	if s.silent = min(s.silent, now); s.silent == 0 {
 		s.silent = now
 	}
+	s.retry = true
 	s.next = s.after(now)
 }
 
+// retryRounds is the number of rounds within which a call behind a failed one has to go out, 1 at least: then what the service has
+// when it can be reached again is here before it counts as told, unless the settings are Late.
+func (s *Settings) retryRounds() int64 {
+	return max(1, (s.Told-answerTime*s.DialTimeout)/s.Round())
+}
+
 // after is when the next call goes out behind one that has ended. Where lists are asked for that is an instant of this
 // limiter's behind that of the latest call. Calls that are turned away again and again say that the service bears less than
 // was stated or implied: then it is drawn from several rounds, by place, so that fewer limiters ask in a round, and others
-// in each.
+// in each. Where a budget is stated that is from no more rounds than keep the deadline of what the service has.
 func (s *Start) after(now int64) int64 {
 	if s.set.AskEvery == 0 {
 		return now
 	}
 	s.calls++
 	_, part := math.Modf(s.set.fraction() + float64(s.calls)*math.Phi)
-	return s.instant(max(now, s.last+1)) + int64(part*s.spread)*s.round
+	at, spread := s.instant(max(now, s.last+1)), s.spread
+	if s.set.Budget > 0 {
+		rounds := (s.last+s.set.retryRounds()*s.round-at)/s.round + 1
+		spread = min(spread, float64(max(1, rounds)))
+	}
+	return at + int64(part*spread)*s.round
 }
 
 // take draws a list in. A server of which a later start is known than the list tells keeps that.
@@ -312,14 +327,34 @@
 
 // Wait is how long a call that goes out at now lets the service hold it, and how long after that it is given up.
 // It is held up to the last instant of this limiter within ask-every, or to the next one if that is later: news comes at
-// once meanwhile, and where there is none the next call goes on with the watch.
+// once meanwhile, and where there is none the next call goes on with the watch. A retry is held within the deadline of what the
+// service has when it can be reached again.
 func (s *Start) Wait(now int64) (hold, more int64) {
 	if s.set.AskEvery == 0 || !s.listed {
 		return 0, queue * s.set.DialTimeout
 	}
-	until := s.instant(now + 1 + max(0, s.set.AskEvery-s.round))
-	lead := min(s.set.DialTimeout/resume, s.round/resumeMost)
-	return max(0, min(until-now-lead, mostHold)), queue * s.set.DialTimeout
+	within := s.set.AskEvery
+	if s.retry && s.set.Budget > 0 {
+		within = min(within, s.set.Told-answerTime*s.set.DialTimeout)
+	}
+	until := s.instant(now + 1 + max(0, within-s.round))
+	return max(0, min(until-now-s.lead(), mostHold)), queue * s.set.DialTimeout
+}
+
+// lead is how long before an instant a held call comes back.
+func (s *Start) lead() int64 { return min(s.set.DialTimeout/resume, s.round/resumeMost) }
+
+// GiveUp is after how long a call that goes out at now and may wait for hold is given up if it is still unanswered: just before the
+// last instant from which the next call brings what this one missed before it counts as told, or before the first instant behind the
+// hold where that one is too late as well.
+func (s *Start) GiveUp(now, hold int64) int64 {
+	told := now + s.set.Told
+	if hold > 0 && !s.retry {
+		told = max(told, now+hold+s.set.Told/toldWait)
+	}
+	spare := s.lead() / early
+	last := s.instant(told-answerTime*s.set.DialTimeout+1) - s.round
+	return max(last, s.instant(now+hold+spare+1)) - spare - now
 }
 
 // ReadyAt is when the limiter says that it is ready, as things stand. With a list, however old, it waits for its parts of the
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -109,7 +109,7 @@
 		if w.fetched {
 			wait, _ = l.start.rules.Wait(l.now)
 		}
-		limit = w.pace.Held(l.now, !w.fetched, wait)
+		limit = l.start.rules.GiveUp(l.now, wait)
 	}
 	l.start.asked()
 	if w.checks && wait > 0 {
@@ -216,6 +216,8 @@
 	}
 	if !w.told {
 		w.l.start.failed(w.last)
+	} else if end != Unused {
+		w.pace.Lost(w.l.now)
 	}
 	if w.l.start.budgeted() {
 		w.next()
--- /dev/null
+++ b/internal/pollpacer/deadline_test.go
@@ -0,0 +1,166 @@
+package pollpacer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const second = int64(1e9)
+
+// attempt is one way in which a try to reach discovery fails.
+type attempt uint8
+
+const (
+	refused     attempt = iota // the dial is refused at once
+	unanswered                 // the dial is never answered
+	turnedAway                 // 503 at once
+	turnedSlow                 // 503 after two seconds
+	reset                      // broken off one second behind the call
+	silentWatch                // a call that may wait is given up
+	silentFetch                // a call for the whole list is given up
+	attempts
+)
+
+// fail plays one failed attempt that begins at now, and tells when and how it ends.
+func (a attempt) fail(p *Pacer, now int64) (ends int64, end End) {
+	call := func(whole bool) int64 { _, limit := p.Ask(now, whole); return limit }
+	switch a {
+	case unanswered:
+		return now + p.Dial(), Broke
+	case turnedAway:
+		call(false)
+		return now, Turned
+	case turnedSlow:
+		call(false)
+		return now + 2e9, Turned
+	case reset:
+		return now + min(1e9, call(false)), Broke
+	case silentWatch:
+		return now + call(false), Broke
+	case silentFetch:
+		return now + call(true), Broke
+	}
+	return now, Broke
+}
+
+// back is the earliest time from which discovery can have been back without answering the attempt: a 503 is an answer, anything
+// else may have been lost as it began.
+func (a attempt) back(begins, ends int64) int64 {
+	if a == turnedAway || a == turnedSlow {
+		return ends
+	}
+	return begins
+}
+
+// TestNotificationDeadline: whatever attempts fail in whatever order, at each place, the next attempt behind each of them, its dial
+// and its answer are over 6 s after discovery can have come back.
+func TestNotificationDeadline(t *testing.T) {
+	const places, failures = 24, 5
+	begins := map[string]func(p *Pacer){
+		"at the start":    func(*Pacer) {},
+		"behind a list":   func(p *Pacer) { p.Answered(0) },
+		"behind a move":   func(p *Pacer) { p.Answered(0); p.Moved(0) },
+		"behind a broken": func(p *Pacer) { p.Answered(0); p.Ask(0, false); p.Lost(p.Dial()) },
+	}
+	for _, dial := range []int64{50e6, 250e6, 500e6, 5e9} {
+		for name, begin := range begins {
+			t.Run(fmt.Sprintf("%s, dial %d ms", name, dial/1e6), func(t *testing.T) {
+				t.Parallel()
+				longest := int64(0)
+				for position := range places {
+					for n := range sequences(failures) {
+						p := New(0, dial, position, every)
+						begin(p)
+						longest = max(longest, slowest(t, p, n, failures, name == "behind a broken"))
+					}
+				}
+				t.Logf("at most %.3f s", float64(longest)/1e9)
+			})
+		}
+	}
+}
+
+// sequences is the number of orders of so many failures.
+func sequences(failures int) int {
+	n := 1
+	for range failures {
+		n *= int(attempts)
+	}
+	return n
+}
+
+// slowest plays the order of failures with number n and gives the longest time from when discovery can have come back to the end of
+// the next attempt. A watch that falls silent before any failure may be held for its whole wait: only what follows is measured.
+func slowest(t *testing.T, p *Pacer, n, failures int, retried bool) (longest int64) {
+	now := int64(0)
+	for i := range failures {
+		a := attempt(n % int(attempts))
+		n /= int(attempts)
+		ends, end := a.fail(p, now)
+		pause := p.Next(ends, end)
+		told := ends + pause + 2*p.Dial() + margin - a.back(now, ends)
+		if i > 0 || retried || a != silentWatch {
+			if told > toldAfter {
+				t.Fatalf("failure %d, way %d: begun at %d, over at %d, a pause of %d: told after %d", i, a, now, ends, pause, told)
+			}
+			longest = max(longest, told)
+		}
+		now = ends + pause
+	}
+	return longest
+}
+
+// TestRetryWaits: a call behind a failed one waits for 4 s at most, so that it is over in time if it falls silent, and an answer
+// ends that. What ends within a dial time-out of its answer is closed behind each answer, and waits for as long as before.
+func TestRetryWaits(t *testing.T) {
+	held := func(prepare func(p *Pacer)) int64 {
+		p := New(0, unit, 3, every)
+		p.Answered(0)
+		p.Ask(0, false)
+		prepare(p)
+		hold, _ := p.Ask(late, false)
+		return hold
+	}
+	const retry = toldAfter - toldWait
+	require.Equal(t, every, held(func(*Pacer) {}), "no failure")
+	require.Equal(t, int64(retry), held(func(p *Pacer) { p.Next(late, Broke) }), "no answer")
+	require.Equal(t, int64(retry), held(func(p *Pacer) { p.Next(late, Turned) }), "turned away")
+	require.Equal(t, int64(retry), held(func(p *Pacer) { p.Lost(unit) }), "broken off")
+	require.Equal(t, every, held(func(p *Pacer) { p.Lost(unit - 1) }), "closed behind its answer")
+	require.Equal(t, every, held(func(p *Pacer) { p.Next(late, Broke); p.Answered(late) }), "an answer")
+	often := New(0, unit, 3, second)
+	often.Next(0, Broke)
+	hold, _ := often.Ask(0, false)
+	require.Equal(t, second, hold, "asked more often than that")
+}
+
+// TestTurnedAwayRate: what a fleet of 300 asks of a discovery that turns all calls away, second by second, once the pauses have
+// grown to their longest. The pauses are as long as the notification deadline allows, and no fleet asks in step.
+func TestTurnedAwayRate(t *testing.T) {
+	const limiters, from, until = 300, 60, 120
+	for _, c := range []struct {
+		dial int64
+		mean float64 // calls a second: limiters by the mean of the longest pauses, three quarters of LongestPause
+	}{{250e6, 77.7}, {500e6, 90.9}} {
+		calls, inSecond := 0, [until]int{}
+		for i := range limiters {
+			p := New(0, c.dial, i, every)
+			p.Answered(0)
+			for now := p.Next(0, Turned); now < until*second; now += p.Next(now, Turned) {
+				if inSecond[now/second]++; now >= from*second {
+					calls++
+				}
+			}
+		}
+		most := 0
+		for _, n := range inSecond[from:] {
+			most = max(most, n)
+		}
+		mean := float64(calls) / (until - from)
+		t.Logf("dial %d ms: %.1f calls a second, at most %d", c.dial/1e6, mean, most)
+		require.InEpsilon(t, c.mean, mean, 0.02)
+		require.LessOrEqual(t, float64(most), 1.35*mean, "calls in one second")
+	}
+}
--- a/internal/pollpacer/pollpacer.go
+++ b/internal/pollpacer/pollpacer.go
@@ -39,6 +39,9 @@
 	margin   = 100e6 // what all that is not waiting takes together
 )
 
+// noCall stands for the time of a call where none is out.
+const noCall = math.MaxInt64
+
 // Pacer is one limiter's way of asking. The zero value is not of use; see New.
 type Pacer struct {
 	dial     int64   // a dial time-out
@@ -50,6 +53,8 @@
 	waits    int64   // until when the latest call may wait
 	told     int64   // from when on what is missed counts as told, 0 while nothing is
 	early    bool    // one call may come early for that
+	retry    bool    // the next call is a retry: no answer has come since a call failed
+	asked    int64   // when the call that is out was made, noCall while none is
 	resume   int64   // when the next call would have come without that one, 0 where there was none
 }
 
@@ -57,7 +62,7 @@
 // settings' longest time between calls where discovery tells only those that ask, and 0 where it tells all.
 func New(now, dialTimeout int64, position int, every int64) *Pacer {
 	_, place := math.Modf(float64(position) * math.Phi)
-	return &Pacer{dial: min(dialTimeout, mostDial), place: place, every: every, pause: mostPause, known: now}
+	return &Pacer{dial: min(dialTimeout, mostDial), place: place, every: every, pause: mostPause, known: now, asked: noCall}
 }
 
 // Within takes the settings' grace: how late what is told may be acted on, 0 where they do not say.
@@ -84,27 +89,35 @@
 // answer.
 func (p *Pacer) room() int64 { return 3*p.dial + p.dial/brokeFirst*3/2 + margin }
 
+// LongestPause is the longest pause behind a failed call that keeps the notification deadline. Discovery may come back just after
+// a dial that it will never answer: that dial's time-out, the pause, and the dial and the answer of the next call come before
+// what discovery has counts as told.
+func (p *Pacer) LongestPause() int64 { return toldAfter - 3*p.dial - margin }
+
 // Ask tells how long a call that is made now is to wait for news, and after how long it is given up if it is still
 // unanswered. A call for the whole list does not wait. To give one up that stands in discovery's queue and ask again
-// adds to the queue, so where it is asked it is held for as long as leaves room before news counts as told.
+// adds to the queue, so where it is asked it is held for as long as leaves room before news counts as told. A retry waits for
+// less, so that it is over within the deadline for what discovery has when it can be reached again.
 func (p *Pacer) Ask(now int64, whole bool) (hold, limit int64) {
 	switch {
 	case whole:
+	case p.every > 0 && p.retry:
+		hold = min(p.every, toldAfter-toldWait)
 	case p.every > 0:
 		hold = p.every
 	default:
 		hold = holds * p.dial
 	}
-	return hold, p.Held(now, whole, hold)
+	return hold, p.limit(now, whole, hold)
 }
 
-// Held is the same for a call whose wait is given; it tells after how long that is given up.
-func (p *Pacer) Held(now int64, whole bool, hold int64) (limit int64) {
+// limit is after how long a call with this wait is given up.
+func (p *Pacer) limit(now int64, whole bool, hold int64) (limit int64) {
 	told := now + toldAfter
 	if whole && p.told-p.room()-now >= p.dial {
 		told = min(told, p.told)
 	}
-	p.waits = now + hold
+	p.waits, p.asked = now+hold, now
 	limit = max(told, p.waits+toldWait) - now - p.room()
 	if whole {
 		limit = told - now - p.room()
@@ -118,6 +131,15 @@
 // Answered notes a list: nothing is missed.
 func (p *Pacer) Answered(now int64) {
 	p.failures, p.known, p.told, p.early, p.resume = 0, now, 0, true, 0
+	p.retry, p.asked = false, noCall
+}
+
+// Lost notes that a connection that has served ended from the other side with a call out. The call is made again at once, as a
+// retry. A connection that ends within a dial time-out of its latest answer is one that discovery closes behind each answer.
+func (p *Pacer) Lost(now int64) {
+	if p.asked != noCall && now-p.asked >= p.dial {
+		p.retry = true
+	}
 }
 
 // Moved notes that discovery is at a new address, from which nothing has come yet. As at the start, all limiters ask it
@@ -135,11 +157,29 @@
 			p.told = max(p.told, min(now, p.waits)+toldWait)
 		}
 	}
+	asked := p.asked
+	p.retry, p.asked = true, noCall
+	if left := p.resume - now; left > 0 {
+		p.resume = 0
+		return left
+	}
+	span := p.span(end)
+	p.failures++
+	_, part := math.Modf(p.place + float64(p.failures)*math.Phi)
+	pause := p.apart(span, p.longest(now, asked, end), part)
+	if left := p.told - now - 2*p.dial - margin; p.early && pause > left && left > 0 {
+		p.early, p.resume = false, now+pause
+		return left/4 + int64(part*float64(left*3/4))
+	}
+	return pause
+}
+
+// span is the mean pause behind a failed call where the notification deadline leaves it, longer with each failure in a row.
+func (p *Pacer) span(end End) int64 {
 	span, most := p.dial/brokeFirst, brokeMost*p.dial
 	switch {
 	case p.every == 0:
-		span = min(span, p.pause)
-		most = span
+		return min(span, p.pause)
 	case end == Turned:
 		span, most = turnedFirst*p.dial, turnedMost*p.dial
 	}
@@ -148,16 +188,27 @@
 			break
 		}
 	}
-	if left := p.resume - now; left > 0 {
-		p.resume = 0
-		return left
+	return span
+}
+
+// longest is the longest pause behind a call that was made at asked and ends now. A call without an answer may have been lost as
+// discovery came back, so the next one is over within the deadline from when that one was made; it is never sooner than
+// the first pause of all. A call that was turned away has had an answer: discovery was not back before that.
+func (p *Pacer) longest(now, asked int64, end End) int64 {
+	longest := p.LongestPause()
+	if end == Broke && asked != noCall {
+		longest = min(longest, asked+toldAfter-2*p.dial-margin-now)
 	}
-	p.failures++
-	_, part := math.Modf(p.place + float64(p.failures)*math.Phi)
-	pause := span/2 + int64(part*float64(span))
-	if left := p.told - now - 2*p.dial - margin; p.early && pause > left && left > 0 {
-		p.early, p.resume = false, now+pause
-		return left/4 + int64(part*float64(left*3/4))
+	return max(longest, p.dial/brokeFirst*3/2)
+}
+
+// apart draws a pause from between half and one and a half of a span, or from the upper half of what is allowed where that
+// would be longer. Half of the draw is the limiter's place then: pauses of one mean would keep a fleet in step for good. part is
+// in [0, 1).
+func (p *Pacer) apart(span, longest int64, part float64) int64 {
+	least, most := span/2, span/2+span
+	if most > longest {
+		least, most, part = longest/2, longest, (part+p.place)/2
 	}
-	return pause
+	return least + int64(part*float64(most-least))
 }
--- a/internal/pollpacer/pollpacer_test.go
+++ b/internal/pollpacer/pollpacer_test.go
@@ -100,13 +100,16 @@
 // all at once; where changes are pushed the agent on the own machine is asked within a small part of the grace.
 func TestOutage(t *testing.T) {
 	for _, end := range []End{Turned, Broke} {
-		tenths := [10]int{}
+		tenths, inSecond := [10]int{}, [61]int{}
 		// calls are how many of a limiter come within a minute, and when the last one does before its news counts.
 		calls := func(p *Pacer) (n int, last int64) {
 			for now := int64(0); now < late; n++ {
 				if now <= 6e9-2*unit {
 					last = now
 				}
+				if p.every > 0 {
+					inSecond[min(now/1e9, 60)]++
+				}
 				now += p.Next(now, end)
 			}
 			return n, last
@@ -115,11 +118,14 @@
 			p, without := New(0, unit, i, every), New(0, unit, i, every)
 			p.Answered(0)
 			n, last := calls(p)
-			if most, _ := calls(without); n > most+1 || last < 2e9 {
+			counted := inSecond
+			most, _ := calls(without)
+			if inSecond = counted; n > most+1 || last < 2e9 {
 				t.Fatalf("limiter %d: %d calls, without the early one %d, the last at %d", i, n, most, last)
 			}
 			tenths[last/6e8]++
 		}
+		t.Logf("end %d: calls of 300 limiters in each second of a minute: %v", end, inSecond[:60])
 		for _, n := range tenths {
 			require.True(t, end != Turned || n <= 150, "last calls in tenths of the time: %v", tenths)
 		}
@@ -146,7 +152,7 @@
 			askers[i].pace = New(0, unit, i, every)
 			askers[i].at = askers[i].pace.First()
 		}
-		calls, left := 0, limiters
+		calls, left, took := 0, limiters, int64(0)
 		for busy, now := int64(0), int64(0); left > 0; now += int64(1e6) {
 			if now > 40e9 {
 				t.Fatalf("%d of %d limiters have no list after 40 s and %d calls", left, limiters, calls)
@@ -162,9 +168,10 @@
 					continue
 				}
 				busy += cost - cost/4
-				a.has, left = now+1, left-1
+				a.has, left, took = now+1, left-1, now
 			}
 		}
+		t.Logf("%d limiters: %d calls, all have their list after %.1f s", limiters, calls, float64(took)/1e9)
 		if calls > 5*limiters/4+2 {
 			t.Fatalf("%d calls of %d limiters", calls, limiters)
 		}
