--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -9,7 +9,6 @@
 	"container/heap"
 	"container/list"
 	"log"
-	"slices"
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/buffer"
@@ -102,9 +101,10 @@
 	timers   timers
 	order    int64
 	pools    map[string]*pool
-	servers  []*pool
-	backends int   // connections to servers
-	keep     int64 // how long a connection to a server may be idle and be used again
+	met      int64     // servers that were ever listed
+	backends int       // connections to servers
+	idle     list.List // those that are idle, the one used last at the end
+	keep     int64     // how long a connection to a server may be idle and be used again
 	clients  int
 	// Clients' connections that have brought no request yet, the oldest first, and the others, the one used last at the end.
 	strangers, regulars list.List
@@ -209,7 +209,7 @@
 		l.at(at, l.readyNow)
 	} else if !l.ready {
 		l.ready = true
-		log.Printf("event=ready servers=%d generation=%d", len(l.servers), l.watch.version)
+		log.Printf("event=ready servers=%d generation=%d", len(l.pools), l.watch.version)
 	}
 }
 
@@ -323,9 +323,7 @@
 
 // sweep closes connections that have been idle, before the other side does.
 func (l *Limiter) sweep() {
-	for _, p := range slices.Clone(l.servers) { // closing may let go of one
-		p.sweep()
-	}
+	l.closeIdle()
 	l.counter.sweep()
 	if l.start != nil {
 		l.start.tick()
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -557,7 +557,7 @@
 		l, w := made(t)
 		w.say(l, 0, watching, httpAnswer(known))
 		w.say(l, 0, watching, httpAnswer(`{"generation":8,"reset":true,"instances":[{"instanceId":"s","lifecycle":"odd"}]}`))
-		if l.watch.version != 7 || len(l.servers) != 1 || !slices.Contains(w.closed, watching) {
+		if l.watch.version != 7 || len(l.pools) != 1 || !slices.Contains(w.closed, watching) {
 			t.Fatalf("version %d, closed %v", l.watch.version, w.closed)
 		}
 		w.pass(l, second/10)
@@ -588,8 +588,8 @@
 	w.say(l, 0, watching, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 	dialled := len(w.dialed)
 	w.pass(l, second/2)
-	if len(w.dialed) != dialled || !slices.Contains(w.closed, watching) || len(l.servers) != 1 {
-		t.Fatalf("it is asked again at once: dialled %v, closed %v, %d servers", w.dialed, w.closed, len(l.servers))
+	if len(w.dialed) != dialled || !slices.Contains(w.closed, watching) || len(l.pools) != 1 {
+		t.Fatalf("it is asked again at once: dialled %v, closed %v, %d servers", w.dialed, w.closed, len(l.pools))
 	}
 	t.Run("but at once where it has moved", func(t *testing.T) {
 		l, w := madeTo(t, 10*second, 0)
@@ -673,7 +673,7 @@
 		l.Step(0, moved(l))
 		watch := l.watch.c.id
 		l.Step(0, Event{Kind: Connected, Conn: watch})
-		if w.dialed[watch] != "disco 2" || !slices.Contains(w.closed, watching) || len(l.servers) != 1 {
+		if w.dialed[watch] != "disco 2" || !slices.Contains(w.closed, watching) || len(l.pools) != 1 {
 			t.Fatalf("dialled %v, closed %v", w.dialed, w.closed)
 		}
 		expect(t, w.wrote[watch], "GET /discovery/hosts HTTP/1.1\r\nHost: disco 2\r\n\r\n")
@@ -721,13 +721,13 @@
 	t.Run("idle connections go at once, one in use once it is answered", func(t *testing.T) {
 		l, w, id := sent(t, "read")
 		w.say(l, 0, watching, gone)
-		if len(l.servers) != 1 || slices.Contains(w.closed, id) {
-			t.Fatalf("%d servers, closed %v", len(l.servers), w.closed)
+		if len(l.pools) != 1 || slices.Contains(w.closed, id) {
+			t.Fatalf("%d servers, closed %v", len(l.pools), w.closed)
 		}
 		w.say(l, 0, id, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
 		expect(t, w.wrote[visitor], "$1\r\nv\r\n")
-		if len(l.servers) != 0 || len(l.pools) != 0 || !slices.Contains(w.closed, id) || l.backends != 0 {
-			t.Fatalf("%d servers, closed %v, %d connections", len(l.servers), w.closed, l.backends)
+		if len(l.pools) != 0 || !slices.Contains(w.closed, id) || l.backends != 0 {
+			t.Fatalf("%d servers, closed %v, %d connections", len(l.pools), w.closed, l.backends)
 		}
 	})
 	t.Run("at another address the same server gets connections of its own", func(t *testing.T) {
@@ -740,8 +740,8 @@
 	})
 	t.Run("a list that does not name it", func(t *testing.T) {
 		l, w := made(t)
-		if w.say(l, 0, watching, httpAnswer(`{"generation":8,"reset":true,"instances":[]}`)); len(l.pools)+len(l.servers) > 0 {
-			t.Fatalf("%d servers", len(l.servers))
+		if w.say(l, 0, watching, httpAnswer(`{"generation":8,"reset":true,"instances":[]}`)); len(l.pools)+len(l.pools) > 0 {
+			t.Fatalf("%d servers", len(l.pools))
 		}
 	})
 }
@@ -980,7 +980,7 @@
 	l, w, id := sent(t, "read")
 	w.say(l, 0, id, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
 	l.now = l.set.IdleClose/idleShare + 1
-	l.pools["s"].sweep()
+	l.closeIdle()
 	if !slices.Contains(w.closed, id) {
 		t.Fatalf("an idle connection was kept: closed %v", w.closed)
 	}
--- /dev/null
+++ b/internal/limiter/scale_bench_test.go
@@ -0,0 +1,96 @@
+package limiter
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"strings"
+	"testing"
+
+	"ospreycroft/choice"
+	"ospreycroft/internal/coldstart"
+	"ospreycroft/internal/discovery"
+	"ospreycroft/internal/settings"
+)
+
+// The benchmarks measure what lists and idle connections cost the reducer, by how many servers there are.
+
+const benchConnections = 250 // to servers, about the subset of one limiter of 550 before 8,500 servers
+
+// benchList is a list of servers from one number to another, all in one state.
+func benchList(b *testing.B, from, to int, whole bool, state string) *discovery.List {
+	var text strings.Builder
+	fmt.Fprintf(&text, `{"generation":8,"reset":%v,"instances":[`, whole)
+	for i := from; i < to; i++ {
+		if i > from {
+			text.WriteString(",")
+		}
+		fmt.Fprintf(&text, `{"instanceId":"server-%d","hostPort":"127.0.0.1:9","lifecycle":%q,"weight":1}`, i, state)
+	}
+	text.WriteString("]}")
+	list, err := discovery.Decode([]byte(text.String()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return list
+}
+
+// benchLimiter is a limiter before so many servers, with idle connections to some of them.
+func benchLimiter(b *testing.B, servers int) *Limiter {
+	log.SetOutput(io.Discard)
+	b.Cleanup(func() { log.SetOutput(os.Stderr) })
+	w := &wire{dialed: map[ID]string{}, wrote: map[ID]string{}, kernel: map[ID]int64{}}
+	l, err := New(0, &settings.Config{Discovery: "disco", Counter: "counter", Memory: 1 << 27, Sockets: 1024, Known: []byte("null"),
+		Settings: &settings.Settings{IdleClose: 15 * second, Settings: &choice.Settings{
+			Classes: map[string]*choice.Class{"read": {Target: second}}, Plans: map[string]*choice.Plan{"plain": {Rate: 5, Burst: 100}},
+			CounterWait: second / 20, MostUnits: 8, LongestLease: 60 * second, Limiters: 550, Position: 3, ColdFrom: 0.25,
+			WarmWithin: 10 * second, DialTimeout: second / 4, MostAttempts: 3, MostAdvice: second, Granularity: second / 250,
+		}}}, w)
+	if err != nil {
+		b.Fatal(err)
+	}
+	l.watch.apply(benchList(b, 0, servers, true, "in_service"), coldstart.Answered)
+	for i := range min(benchConnections, servers) {
+		connection := l.pools[fmt.Sprintf("server-%d", i*servers/min(benchConnections, servers))].backend()
+		connection.c = l.dial(connection, connection.to, second)
+		l.Step(0, Event{Kind: Connected, Conn: connection.c.id})
+	}
+	return l
+}
+
+func BenchmarkApply(b *testing.B) {
+	for _, servers := range []int{20, 1000, 8500} {
+		for _, change := range []struct {
+			name string
+			list *discovery.List
+		}{
+			{"whole-unchanged", benchList(b, 0, servers, true, "in_service")},
+			{"quarter-draining", benchList(b, 0, servers/4, false, "terminating")},
+			{"quarter-gone", benchList(b, 0, servers/4, false, "terminated")},
+			{"whole-without-half", benchList(b, servers/2, servers, true, "in_service")},
+		} {
+			b.Run(fmt.Sprintf("%s/servers=%d", change.name, servers), func(b *testing.B) {
+				for range b.N {
+					b.StopTimer()
+					l := benchLimiter(b, servers)
+					b.StartTimer()
+					l.watch.apply(change.list, coldstart.Answered)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkSweep(b *testing.B) {
+	for _, servers := range []int{20, 1000, 8500} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			l := benchLimiter(b, servers)
+			b.ResetTimer()
+			for range b.N {
+				l.sweep()
+				l.timers = l.timers[:0]
+			}
+		})
+	}
+}
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"errors"
 	"math"
 	"slices"
@@ -18,8 +19,10 @@
 	id      string
 	address string
 	place   place
+	number  int64            // in the order in which the limiter met its servers
+	listed  int64            // the latest whole list that names it
+	open    []*backend       // its connections, idle or not, in the order in which they were dialled
 	idle    []*backend       // the one used last at the end
-	held    int              // connections, idle or not
 	leaving bool             // it drains or is gone: no connection to it is kept
 	gone    bool             // it is let go of once there is none
 	bucket  coldstart.Bucket // of new connections, without bound where none is stated
@@ -32,10 +35,11 @@
 	to      string // the address
 	c       *conn
 	attempt *attempt
-	probe   *timer // until when the probe that is out must be answered, nil if none is
-	half    *timer // until when an answer that has begun must be whole
-	rested  int64  // how long it had been idle before the command that is out, 0 where it is new
-	wrote   int64  // when that was written
+	probe   *timer        // until when the probe that is out must be answered, nil if none is
+	half    *timer        // until when an answer that has begun must be whole
+	rested  int64         // how long it had been idle before the command that is out, 0 where it is new
+	wrote   int64         // when that was written
+	resting *list.Element // in the limiter's list of idle connections, nil while it is in use
 }
 
 var (
@@ -55,7 +59,7 @@
 		if b.rested = l.now - b.c.since; b.rested > l.keep {
 			break
 		} else if b.rested >= rest {
-			p.idle = slices.Delete(p.idle, i, i+1)
+			b.wake()
 			return b
 		}
 	}
@@ -63,22 +67,19 @@
 		return nil
 	}
 	l.backends++
-	p.held++
-	return &backend{pool: p, to: p.address}
+	b := &backend{pool: p, to: p.address}
+	p.open = append(p.open, b)
+	return b
 }
 
 // freeBackend closes the connection to a server that has been idle longest.
 func (l *Limiter) freeBackend() bool {
-	var oldest *conn
-	for _, p := range l.servers {
-		if len(p.idle) > 0 && (oldest == nil || p.idle[0].c.since < oldest.since) {
-			oldest = p.idle[0].c
-		}
-	}
-	if oldest != nil {
-		l.over(oldest, Unused)
+	oldest := l.idle.Front()
+	if oldest == nil {
+		return false
 	}
-	return oldest != nil
+	l.over(oldest.Value.(*backend).c, Unused)
+	return true
 }
 
 // use takes a connection for a command that begin puts on it: at once where it is open, else when it comes up.
@@ -162,11 +163,29 @@
 func (b *backend) rest() {
 	if b.pool.leaving || b.to != b.pool.address {
 		b.pool.l.over(b.c, Unused)
-	} else {
-		b.pool.idle = append(b.pool.idle, b)
+		return
+	}
+	b.pool.idle = append(b.pool.idle, b)
+	b.resting = b.pool.l.idle.PushBack(b)
+}
+
+// wake takes the connection out of the idle ones, if it is one.
+func (b *backend) wake() {
+	b.pool.idle = without(b.pool.idle, b)
+	if b.resting != nil {
+		b.pool.l.idle.Remove(b.resting)
+		b.resting = nil
 	}
 }
 
+// without is a list of connections without one of them.
+func without(all []*backend, one *backend) []*backend {
+	if i := slices.Index(all, one); i >= 0 {
+		return slices.Delete(all, i, i+1)
+	}
+	return all
+}
+
 // read takes the answer to the command that is out.
 func (b *backend) read(bytes []byte) (int, error) {
 	if len(bytes) == 0 {
@@ -258,11 +277,9 @@
 func (b *backend) ended(end End, written int64) {
 	l, att := b.pool.l, b.attempt
 	l.backends--
-	b.pool.held--
+	b.pool.open = without(b.pool.open, b)
 	l.timers.drop(b.half)
-	if i := slices.Index(b.pool.idle, b); i >= 0 {
-		b.pool.idle = slices.Delete(b.pool.idle, i, i+1)
-	}
+	b.wake()
 	if (att != nil || b.probe != nil) && end != Refused && end != Garbled {
 		// What is still idle may be as dead, where a machine has vanished and says nothing: a command on it might
 		// have run for all we know, while one for which no connection comes up has not. One that writes nonsense
@@ -289,11 +306,10 @@
 }
 
 // prune lets go of a server that is gone once nothing is open to it: on a day on which all servers are replaced,
-// again and again, they would fill the memory, and each loop over them would get longer.
+// again and again, they would fill the memory.
 func (p *pool) prune() {
-	if l := p.l; p.gone && p.held == 0 && l.pools[p.id] == p {
+	if l := p.l; p.gone && len(p.open) == 0 && l.pools[p.id] == p {
 		delete(l.pools, p.id)
-		l.servers = slices.DeleteFunc(l.servers, func(o *pool) bool { return o == p })
 	}
 }
 
@@ -301,9 +317,9 @@
 // not up yet is taken back: by the time it is up the grace may be over.
 func (p *pool) retire() {
 	p.retireIdle()
-	for _, c := range p.l.byID() {
-		if b, is := c.party.(*backend); is && b.pool == p && !c.open {
-			p.l.over(c, CalledOff)
+	for _, b := range slices.Clone(p.open) {
+		if p.l.conns[b.c.id] == b.c && !b.c.open {
+			p.l.over(b.c, CalledOff)
 		}
 	}
 }
@@ -317,5 +333,10 @@
 	}
 }
 
-// sweep closes what has been idle for long: a command that crosses with the server's closing counts as sent.
-func (p *pool) sweep() { p.retireBefore(p.l.now - p.l.keep) }
+// closeIdle closes the connections to servers that have been idle for long: a command that crosses with the server's closing
+// counts as sent.
+func (l *Limiter) closeIdle() {
+	for e := l.idle.Front(); e != nil && e.Value.(*backend).c.since < l.now-l.keep; e = l.idle.Front() {
+		l.over(e.Value.(*backend).c, Unused)
+	}
+}
--- a/internal/limiter/start.go
+++ b/internal/limiter/start.go
@@ -161,7 +161,7 @@
 	phase := s.rules.Phase()
 	if phase != coldstart.Waking && !l.ready {
 		l.ready = true
-		log.Printf("event=ready servers=%d generation=%d", len(l.servers), l.watch.version)
+		log.Printf("event=ready servers=%d generation=%d", len(l.pools), l.watch.version)
 	}
 	if phase != s.phase {
 		log.Printf("event=start phase=%s share=%.2f tossed=%d", phase, s.rules.Share(), s.rules.Tossed)
--- a/internal/limiter/start_test.go
+++ b/internal/limiter/start_test.go
@@ -163,7 +163,7 @@
 		old := *last
 		old.Discovery = c.disco
 		w.wrote = map[ID]string{}
-		require.Len(t, life(&old, c.known).servers, c.servers, c.name)
+		require.Len(t, life(&old, c.known).pools, c.servers, c.name)
 		require.Contains(t, w.wrote[watching], c.from, c.name)
 	}
 	old := *last
--- a/internal/limiter/watch.go
+++ b/internal/limiter/watch.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log"
@@ -24,6 +25,7 @@
 	l       *Limiter
 	c       *conn
 	version int64
+	wholes  int64  // whole lists that were taken in
 	fetched bool   // a list is held whose version discovery knows: what is newer is enough
 	limit   *timer // until when the call that is out must be answered
 	told    bool   // the connection has brought an answer
@@ -277,20 +279,16 @@
 	w.version = list.Version
 	entries := make([]choice.Entry, len(list.Entries))
 	var retiring []*pool
-	if list.Whole { // what it does not name is gone
-		retiring = l.missing(list)
-		for _, p := range retiring {
-			p.leaving, p.gone = true, true
-		}
+	if list.Whole {
+		w.wholes++
 	}
 	for i, e := range list.Entries {
 		entries[i] = e.Entry
 		p := l.pools[e.ID]
 		if p == nil {
-			p = &pool{l: l, id: e.ID, bucket: l.start.bucket(max(len(list.Entries), len(l.servers)+1))}
-			l.pools[e.ID] = p
-			l.servers = append(l.servers, p)
+			p = l.meet(e.ID, max(len(list.Entries), len(l.pools)+1))
 		}
+		p.listed = w.wholes
 		p.leaving, p.gone = e.Listing != choice.Ready, e.Listing == choice.Gone
 		if p.leaving || e.Address != p.address {
 			retiring = append(retiring, p)
@@ -301,6 +299,9 @@
 		p.place = place{e.Zone, e.Cell}
 		p.retireBefore(e.Since) // to the process before this one: where its machine vanished, nothing has said so
 	}
+	if list.Whole {
+		retiring = append(l.missing(w.wholes), retiring...)
+	}
 	if len(entries) > 0 || list.Whole {
 		log.Printf("event=list generation=%d whole=%v entries=%d", list.Version, list.Whole, len(entries))
 		l.logic.Members(l.now, list.Whole, entries)
@@ -315,11 +316,22 @@
 	}
 }
 
-// missing are the servers that a list does not name.
-func (l *Limiter) missing(list *discovery.List) []*pool {
-	named := map[string]bool{}
-	for _, e := range list.Entries {
-		named[e.ID] = true
+// meet makes the pool of a server that was not listed yet, one of so many.
+func (l *Limiter) meet(id string, servers int) *pool {
+	l.met++
+	p := &pool{l: l, id: id, number: l.met, bucket: l.start.bucket(servers)}
+	l.pools[id] = p
+	return p
+}
+
+// missing are the servers that a whole list does not name, which are gone, in the order in which they were met.
+func (l *Limiter) missing(whole int64) (missing []*pool) {
+	for _, p := range l.pools {
+		if p.listed != whole {
+			p.leaving, p.gone = true, true
+			missing = append(missing, p)
+		}
 	}
-	return slices.DeleteFunc(slices.Clone(l.servers), func(p *pool) bool { return named[p.id] })
+	slices.SortFunc(missing, func(a, b *pool) int { return cmp.Compare(a.number, b.number) })
+	return missing
 }
