--- a/internal/sockets/close.go
+++ b/internal/sockets/close.go
@@ -36,8 +36,9 @@
 	return l.written.Load()
 }
 
-// Leave is an effect. From the look at what has come until the sending has ended the poller reads nothing: it holds the lock as
-// long as bytes are out of the kernel and not posted. Both directions end when the client has ended its own, or after a time
+// Leave is an effect. What lies unread in the kernel is read first: the process may have had no processor for a while. From the
+// look at what has come until the sending has ended the poller reads nothing: it holds the lock as long as bytes are out of the
+// kernel and not posted. Both directions end when the client has ended its own, or after a time
 // unless its machine still lacks bytes: to close over what was not read breaks the connection off, and takes these along.
 func (s *Sockets) Leave(id limiter.ID, after, most int64) bool {
 	l := s.links[id]
@@ -48,12 +49,12 @@
 		return false
 	}
 	defer l.reading.Unlock()
-	if l.posted > l.told.Load() {
+	c := l.conn.Load()
+	if l.posted > l.told.Load() || asks(c, syscall.TIOCINQ) > 0 {
 		return false
 	}
 	delete(s.links, id)
 	l.unasked.Store(true)
-	c := l.conn.Load()
 	if !shut(c, syscall.SHUT_WR) {
 		return true
 	}
