--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -18,6 +18,9 @@
 	"ospreycroft/internal/resp"
 )
 
+// lateAnswerWait is how long past a request's cut-off its client waits: an answer up to half a second late counts as late, not lost.
+const lateAnswerWait = 600 * time.Millisecond
+
 // Driver sends the load of one experiment to the limiters at the addresses it is given.
 type Driver struct {
 	e     *experiment.Experiment
@@ -232,7 +235,7 @@
 	}
 	job.Sent = d.clock.Now()
 	job.CutOff = job.Sent + int64(cutOff)
-	wait := cutOff + 200*time.Millisecond // long enough to see an answer that comes late
+	wait := cutOff + lateAnswerWait
 	if giveUp {
 		wait = cutOff / 2
 	}
--- a/internal/lab/mutants/mutants.go
+++ b/internal/lab/mutants/mutants.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 	Over  = "over"  // it takes whatever comes (rule 5)
 	Crash = "crash" // it ends by itself after two seconds
 	Stay  = "stay"  // it does not end at SIGTERM while clients hold on to it
+	Busy  = "busy"  // it turns every request away (an outage)
+	Mute  = "mute"  // it answers PING and nothing else (lost requests, an outage)
+	Late  = "late"  // it answers 100 ms after a request's time is up (late requests)
+	Await = "await" // it is not ready before discovery has answered it
 )
 
 // Name is how a program must be named to be this one in a mode, such as "mutant-drop".
@@ -79,6 +84,9 @@
 	if mode == Deaf {
 		go hear(config.Discovery, config.Known.Generation)
 	}
+	if mode == Await {
+		awaitList(config.Discovery)
+	}
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -113,6 +121,35 @@
 	}
 }
 
+// awaitList waits until discovery has given its whole list.
+func awaitList(discovery string) {
+	for {
+		answer, err := http.Get("http://" + discovery + "/discovery/hosts")
+		if err == nil {
+			_ = answer.Body.Close()
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// lateBy is how long after a request's time is up a limiter of mode Late answers it.
+const lateBy = 100 * time.Millisecond
+
+// timeOf is how long a request's client waits, 0 where the request tells none.
+func timeOf(words [][]byte) time.Duration {
+	if len(words) < 4 {
+		return 0
+	}
+	for part := range strings.SplitSeq(string(words[3]), ",") {
+		if text, is := strings.CutPrefix(part, "d="); is {
+			ms, _ := strconv.Atoi(text)
+			return time.Duration(ms) * time.Millisecond
+		}
+	}
+	return 0
+}
+
 // turns deals jobs round the servers.
 var turns atomic.Int64
 
@@ -123,6 +160,17 @@
 			_, err := c.Write([]byte("+PONG\r\n"))
 			return err == nil
 		}
+		switch mode {
+		case Busy:
+			_, err := c.Write([]byte("-BUSY 100\r\n"))
+			return err == nil
+		case Mute:
+			return true
+		case Late:
+			time.Sleep(timeOf(words) + lateBy)
+			_, err := c.Write([]byte("-ERR late\r\n"))
+			return err == nil
+		}
 		value, turn, tries, wait := "-ERR no server\r\n", int(turns.Add(1)), 1, 2*time.Second
 		if mode == Again {
 			tries, wait = 3, 300*time.Millisecond
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -146,11 +146,19 @@
 	return template.HTML(text), nil // #nosec: drawn here, not taken from a record
 }
 
+// late is how long after its cut-off an answer may come by the rules, in nanoseconds.
+const late = 50e6
+
 // Section is what the page shows of one run.
 type Section struct {
 	Label     string
 	Line      string
 	Breaches  []rules.Breach
+	Service   rules.Service
+	Late      int // requests answered late, and lost
+	Lost      int
+	OutShare  float64 // of limiters that had an outage, and the gate for it
+	OutGate   float64
 	Latencies []row
 	Events    []record.Event
 	Plots     []template.HTML
@@ -184,7 +192,9 @@
 func section(l Labelled) (Section, error) {
 	s := Bucket(l.Run)
 	sec := Section{Label: l.Label, Line: l.Verdict.Line(), Breaches: l.Verdict.Breaches, Latencies: latencies(l.Run),
-		Events: l.Run.Events}
+		Events: l.Run.Events, Service: rules.ServiceOf(l.Run, rules.Terms{Late: late}), OutGate: rules.OutageGate}
+	sec.Late, sec.Lost = sec.Service.Missed()
+	sec.OutShare = sec.Service.OutageShare()
 	var outcomes []line
 	for _, o := range []record.Outcome{record.Done, record.Rejected, record.WrittenOff, record.Unanswered,
 		record.Late, record.Broken, record.GaveUp, record.NotTaken} {
@@ -264,6 +274,12 @@
 {{range .Sections}}<h2>{{.Label}}</h2><p>{{.Line}}</p>
 {{if .Breaches}}<h3 class="fail">Broken rules</h3><table><tr><th>rule</th><th>at s</th><th>what</th><th>detail</th></tr>
 {{range .Breaches}}<tr><td>{{.Rule}}</td><td>{{seconds .At}}</td><td>{{.What}}</td><td>{{.Detail}}</td></tr>{{end}}</table>{{end}}
+<h3>Requests without an answer when their time was up</h3><p>{{.Late}} late, {{.Lost}} lost</p>
+{{if .Service.Unanswered}}<table><tr><th>limiter</th><th>cause</th><th>late</th><th>lost</th></tr>
+{{range .Service.Unanswered}}<tr><td>{{.Limiter}}</td><td>{{.Cause}}</td><td>{{.Late}}</td><td>{{.Lost}}</td></tr>{{end}}</table>{{end}}
+<h3>Processes that served nobody</h3><p{{if gt .OutShare .OutGate}} class="fail"{{end}}>{{.Service.LimitersOut}} of {{.Service.Limiters}} limiters, a share of {{printf "%.3f" .OutShare}}; the gate on calm days and in rolling restarts is {{printf "%.3f" .OutGate}}</p>
+{{if .Service.Outages}}<table><tr><th>limiter</th><th>life</th><th>kind</th><th>from s</th><th>until s</th><th>requests</th></tr>
+{{range .Service.Outages}}<tr><td>{{.Limiter}}</td><td>{{.Life}}</td><td>{{.Kind}}</td><td>{{seconds .From}}</td><td>{{seconds .Until}}</td><td>{{.Requests}}</td></tr>{{end}}</table>{{end}}
 <h3>Answer times of done jobs (ms)</h3><table><tr><th>track</th><th>done</th><th>p50</th><th>p90</th><th>p99</th><th>max</th></tr>
 {{range .Latencies}}<tr><td>{{.Track}}</td><td>{{.Count}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P90}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .Max}}</td></tr>{{end}}</table>
 {{range .Plots}}{{.}}{{end}}
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -68,3 +69,36 @@
 		t.Error("an XML head inside the page")
 	}
 }
+
+// TestPageTellsOfService: requests without an answer and processes that served nobody are on the page, and so is that
+// there were none.
+func TestPageTellsOfService(t *testing.T) {
+	out := run()
+	out.Limiters = 4
+	for i := range 20 {
+		at := int64(i) * 300e6
+		out.Jobs = append(out.Jobs, record.Job{ID: fmt.Sprint("away", i), Customer: "c1", Plan: "house", Track: "fetch", Limiter: 2,
+			Sent: at, Answered: at + 1e6, CutOff: at + 1e9, Outcome: record.Rejected})
+	}
+	out.Jobs = append(out.Jobs, record.Job{ID: "lost", Customer: "c1", Plan: "house", Track: "fetch", Limiter: 3, Sent: 1,
+		Answered: 12e8, CutOff: 1e9, Outcome: record.Unanswered})
+	for _, c := range []struct {
+		run  *record.Run
+		want []string
+	}{
+		{out, []string{"0 late, 1 lost", "<td>3</td><td>alive</td><td>0</td><td>1</td>", "2 of 4 limiters, a share of 0.500",
+			`<p class="fail">2 of 4`, "rolling restarts is 0.100", "<td>2</td><td>1</td><td>rejecting</td><td>0.000</td><td>5.701</td><td>20</td>",
+			"<td>3</td><td>1</td><td>silent</td>"}},
+		{run(), []string{"0 late, 0 lost", "<p>0 of 0 limiters"}},
+	} {
+		var b bytes.Buffer
+		if err := Write(&b, []Labelled{{"main", c.run, &rules.Verdict{}}}); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range c.want {
+			if !strings.Contains(b.String(), want) {
+				t.Errorf("page lacks %q", want)
+			}
+		}
+	}
+}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -39,6 +39,7 @@
 	Shots    int                    `json:"shots"`
 	Breaches []Breach               `json:"breaches"`
 	Counts   [6]int                 `json:"counts"` // breaches by rule, 1 to 5; at 0, limiters that failed by themselves
+	Service  Service                `json:"service"`
 }
 
 // Line is the verdict in one line, as the tool prints it.
@@ -113,6 +114,7 @@
 	}
 	falls(v, r, byID)
 	ceilings(v, shots, byID, set, t)
+	v.Service = ServiceOf(r, t)
 	v.Pass = v.Counts == [6]int{}
 	return v
 }
@@ -152,7 +154,7 @@
 // stoppedOn tells whether a job was under way while its limiter was stopped: a stopped process cannot answer. What it
 // sends on once it goes on is judged as ever.
 func stoppedOn(j record.Job, stops map[string][]down) bool {
-	for _, d := range stops[fmt.Sprintf("limiter:%d", j.Limiter)] {
+	for _, d := range stops[limiterTarget(j.Limiter)] {
 		if d.from <= j.Answered && d.until >= j.Sent {
 			return true
 		}
@@ -186,7 +188,7 @@
 		}
 		return
 	}
-	for _, d := range kills[fmt.Sprintf("limiter:%d", j.Limiter)] {
+	for _, d := range kills[limiterTarget(j.Limiter)] {
 		if d.from <= j.Answered && d.until >= j.Sent { // what a dead limiter held, or was sent, is lost
 			v.Killed++
 			return
--- a/internal/lab/rules/told.go
+++ b/internal/lab/rules/told.go
@@ -144,7 +144,7 @@
 		}
 	}
 	told := min(written, latest)
-	for _, s := range c.stops[fmt.Sprintf("limiter:%d", limiter)] {
+	for _, s := range c.stops[limiterTarget(limiter)] {
 		if s.from <= told && told < s.until {
 			told = s.until
 		}
--- /dev/null
+++ b/internal/lab/runner/restart_test.go
@@ -0,0 +1,144 @@
+package runner
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"ospreycroft/internal/lab/experiment"
+	"ospreycroft/internal/lab/mutants"
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/lab/rules"
+)
+
+const (
+	// discoverySlow is the fault of discovery in examples/lab/restart.toml; the other cases have theirs in its place.
+	discoverySlow = "kind = \"slow\"\ntarget = \"discovery\"\nfrom = 1.5\nfactor = 3000.0\n"
+	discoveryDown = "kind = \"down\"\ntarget = \"discovery\"\nfrom = 1.5\n"
+	// slowPlan is a plan whose ceiling takes a new process of 20 limiters 12 s to fill for the largest request.
+	slowPlan = `[[settings.tariffs]]
+name = "slow"
+rate = 8.0
+most-at-once = 60.0
+value-factor = 1.0
+beyond-costs = 0.5
+hard-rate = 10.0
+never-over-depth = 150.0
+
+[settings.family-info]`
+)
+
+// restart is the experiment of examples/lab/restart.toml for a program, with some of its text replaced.
+func restart(t *testing.T, program string, replace ...string) *experiment.Experiment {
+	t.Helper()
+	text, err := os.ReadFile("../../../examples/lab/restart.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(replace); i += 2 {
+		if !strings.Contains(string(text), replace[i]) {
+			t.Fatalf("restart holds no %q", replace[i])
+		}
+	}
+	e, err := experiment.Parse(strings.NewReplacer(append(replace, "bin/ospreycroft", program)...).Replace(string(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// TestRestartedLimitersAreReady ends all of 20 limiters by SIGTERM, a tenth at a time, and starts them again with the list of
+// their first start, while discovery's answers come 3 s late or do not come at all: nine in ten are ready within 10 s of
+// their exec and none takes over 30 s, the rules hold, and at most one limiter in ten serves nobody for a while. The third case
+// has a plan whose ceiling fills for longer than that. With -short six limiters are restarted, half of them at a time.
+func TestRestartedLimitersAreReady(t *testing.T) {
+	t.Parallel()
+	program := build(t)
+	for _, c := range []struct {
+		name, fault string
+		length      float64
+		plan        string
+		short       bool // it is played with -short as well
+	}{
+		{"discovery slow", discoverySlow, 20, "[settings.family-info]", true},
+		{"discovery down", discoveryDown, 20, "[settings.family-info]", true},
+		{"discovery down, a ceiling that fills slowly", discoveryDown, 29, slowPlan, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			limiters := 20
+			replace := []string{discoverySlow, c.fault, "[settings.family-info]", c.plan}
+			if testing.Short() {
+				if !c.short {
+					t.Skip("29 s of load")
+				}
+				limiters, c.length = 6, 7
+				replace = append(replace, "share = 0.1", "share = 0.5")
+			}
+			r, _ := played(t, smaller(t, restart(t, program, replace...), limiters, c.length))
+			if !r.Verdict.Pass {
+				t.Errorf("%+v\n%v", r.Verdict.Breaches, r.Failures)
+			}
+			restarts := RestartsOf(r.Run)
+			t.Logf("%s: %d of %d restarted processes ready, %d within 10 s; ready p50 %s, p90 %s, max %s", c.name, restarts.Ready,
+				restarts.Count, restarts.Soon, seconds(restarts.P50), seconds(restarts.P90), seconds(restarts.Max))
+			if restarts.Count != limiters || !restarts.NineInTen() || restarts.Ready < limiters || restarts.Max > int64(readyWithin) {
+				t.Errorf("%+v of %d limiters", restarts, limiters)
+			}
+			s := &r.Verdict.Service
+			if late, lost := s.Missed(); late+lost > 0 || s.OutageShare() > rules.OutageGate {
+				t.Errorf("%d late, %d lost, outages %+v", late, lost, s.Outages)
+			}
+		})
+	}
+}
+
+// TestLimiterThatAwaitsDiscoveryIsCaught: a limiter that is not ready before discovery has answered is seen never to be
+// ready while discovery is down.
+func TestLimiterThatAwaitsDiscoveryIsCaught(t *testing.T) {
+	if testing.Short() {
+		t.Skip("6 s of load")
+	}
+	t.Parallel()
+	r, _ := played(t, smaller(t, restart(t, broken(t, mutants.Await), discoverySlow, discoveryDown, "share = 0.1", "share = 1.0"), 2, 6))
+	if restarts := RestartsOf(r.Run); restarts.Count != 2 || restarts.Ready > 0 || restarts.NineInTen() || restarts.P50 != -1 {
+		t.Errorf("%+v", restarts)
+	}
+	wantLines(t, r, "restarts count=2 ready=0 within_10s=0 ready50=never ready90=never ready100=never")
+}
+
+// TestRestartsOf reckons from records: first processes and those that were ended before they were ready do not count, and
+// those that were not ready at the run's end do.
+func TestRestartsOf(t *testing.T) {
+	const second = int64(1e9)
+	lives := []record.Life{{Limiter: 0, Started: 1, Ready: 25 * second}, {Limiter: 1, Started: 2, Ready: 25 * second}}
+	for i := range int64(10) {
+		lives = append(lives, record.Life{Limiter: int(i % 2), Started: 30 * second, Ready: (31 + i) * second})
+	}
+	ended := record.Life{Limiter: 1, Started: 30 * second, Ended: 31 * second}
+	never := record.Life{Limiter: 1, Started: 30 * second}
+	over := record.Life{Limiter: 1, Started: 30 * second, Ready: 40*second + 1}
+	for _, c := range []struct {
+		name      string
+		lives     []record.Life
+		want      Restarts
+		nineInTen bool
+	}{
+		{"all within 10 s", append(lives[:12:12], ended), Restarts{10, 10, 10, 5 * second, 9 * second, 10 * second}, true},
+		{"one of ten over 10 s", append(lives[:11:11], over), Restarts{10, 10, 9, 5 * second, 9 * second, 10*second + 1}, true},
+		{"the slowest one first", append(append(lives[:2:2], over), lives[2:11]...), Restarts{10, 10, 9, 5 * second, 9 * second, 10*second + 1}, true},
+		{"one of ten never", append(lives[:11:11], never), Restarts{10, 9, 9, 5 * second, 9 * second, -1}, true},
+		{"two of ten over 10 s", append(lives[:10:10], over, over), Restarts{10, 10, 8, 5 * second, 10*second + 1, 10*second + 1}, false},
+		{"none restarted", lives[:2], Restarts{0, 0, 0, -1, -1, -1}, true},
+	} {
+		got := RestartsOf(&record.Run{Lives: c.lives})
+		if got != c.want || got.NineInTen() != c.nineInTen {
+			t.Errorf("%s: %+v, nine in ten %v; want %+v", c.name, got, got.NineInTen(), c.want)
+		}
+		var line bytes.Buffer
+		if got.Write(&line); (line.Len() > 0) != (got.Count > 0) {
+			t.Errorf("%s: %q", c.name, line.String())
+		}
+	}
+}
--- a/internal/lab/runner/summary.go
+++ b/internal/lab/runner/summary.go
@@ -60,7 +60,10 @@
 	}
 	if len(r.Run.Lives) > 0 {
 		FleetOf(r.Run).Write(w, r.Run.Length)
+		restarts := RestartsOf(r.Run)
+		restarts.Write(w)
 	}
+	writeService(w, &r.Verdict.Service)
 	set, err := experiment.SettingsOnly(r.Run.Settings)
 	if err == nil {
 		uses := rules.Quotas(r.Run.Jobs, r.Run.Shots, set)
@@ -83,6 +86,22 @@
 	}
 }
 
+// writeService writes the requests without an answer and the processes that served nobody, also where there are none.
+func writeService(w io.Writer, s *rules.Service) {
+	late, lost := s.Missed()
+	_, _ = fmt.Fprintf(w, "  unanswered late=%d lost=%d\n", late, lost)
+	for _, u := range s.Unanswered {
+		_, _ = fmt.Fprintf(w, "    unanswered limiter=%d cause=%s late=%d lost=%d\n", u.Limiter, u.Cause, u.Late, u.Lost)
+	}
+	share := s.OutageShare()
+	_, _ = fmt.Fprintf(w, "  outages limiters=%d of=%d share=%.3f gate=%.3f held=%v\n", s.LimitersOut(), s.Limiters, share,
+		rules.OutageGate, share <= rules.OutageGate)
+	for _, o := range s.Outages {
+		_, _ = fmt.Fprintf(w, "    outage limiter=%d life=%d kind=%s from=%.3fs until=%.3fs requests=%d\n", o.Limiter, o.Life, o.Kind,
+			float64(o.From)/1e9, float64(o.Until)/1e9, o.Requests)
+	}
+}
+
 // counterFaults is when the counter's first fault began and its last one ended.
 func counterFaults(events []record.Event) (first, last int64, seen bool) {
 	for _, e := range events {
