--- /dev/null
+++ b/cmd/ospreycroft/descriptors_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/lab/testbed"
+)
+
+// reachedWithin is how soon after discovery's return its list has to be heard and used.
+const reachedWithin = 6 * time.Second
+
+// idlers are clients that take every connection that they are let have, say nothing, and come again when they are closed.
+func idlers(t *testing.T, address string, many int) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { cancel(); running.Wait() })
+	for range many {
+		running.Go(func() {
+			for ctx.Err() == nil {
+				idle(ctx, address)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// idle holds one connection until the limiter or the test ends it.
+func idle(ctx context.Context, address string) {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	_, _ = c.Read(make([]byte, 1))
+}
+
+// held is how many descriptors a process holds, and how many of them are sockets.
+func held(t *testing.T, process int) (all, sockets int) {
+	t.Helper()
+	dir := fmt.Sprintf("/proc/%d/fd", process)
+	list, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	for _, entry := range list {
+		if to, err := os.Readlink(filepath.Join(dir, entry.Name())); err == nil && strings.HasPrefix(to, "socket:") {
+			sockets++
+		}
+	}
+	return len(list), sockets
+}
+
+// listsOnce is a list service that tells of one server, and then of no news.
+type listsOnce struct {
+	server string
+	heard  chan time.Time
+}
+
+func (l *listsOnce) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("from") == "2" {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(time.Second):
+		}
+		_, _ = fmt.Fprint(w, `{"generation":2,"reset":false,"instances":[]}`)
+		return
+	}
+	select {
+	case l.heard <- time.Now():
+	default:
+	}
+	_, _ = fmt.Fprintf(w, `{"generation":2,"reset":true,"instances":[{"instanceId":"s","hostPort":%q,"lifecycle":"in_service","weight":1}]}`, l.server)
+}
+
+// limited starts the program with so many descriptors, of which its configuration says another number, and no server.
+func limited(t *testing.T, descriptors, configured int, discovery string) (address string, program *exec.Cmd, log *os.File) {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address = free.Addr().String()
+	_ = free.Close()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	config := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"ff","limits":{"memory_mb":192,"sockets":%d},
+		"known":{"generation":1,"reset":true,"instances":[]},
+		"settings":{"balancers":1,"classes":[{"name":"read","aim":2,"effect":"free","group":"all"}],"tariffs":[{"name":"plain"}],
+		"family-info":{"has-counter":false,"units-top":16},"contract":{"cold-from":0.3,"warm-within":10},
+		"permissions":{"attempts-cap":3,"dial-timeout":1,"idle-close":15,"retry-after":true,"max-retry-after":2},
+		"granularity":0.004}}`, address, discovery, configured)
+	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
+	log, err = os.Create(filepath.Join(dir, "log"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = log.Close() })
+	program = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, descriptors), os.Args[0])
+	program.Env = append(os.Environ(), "OSPREYCROFT_IS_THE_PROGRAM=1", "GW_CONFIG="+path)
+	program.Stderr = log
+	require.NoError(t, program.Start())
+	t.Cleanup(func() {
+		_ = program.Process.Kill()
+		_ = program.Wait()
+	})
+	return address, program, log
+}
+
+// TestIdleClientsInOutage: idle clients take every descriptor that they are let have while discovery refuses. Once it is back its list
+// is heard, and a request on a client's connection that was open all the while is served, in time. The second case is a process that
+// may hold fewer descriptors than its configuration says.
+func TestIdleClientsInOutage(t *testing.T) {
+	for _, c := range []struct{ descriptors, configured int }{{96, 96}, {64, 1024}} {
+		t.Run(fmt.Sprintf("%d descriptors, %d configured", c.descriptors, c.configured), func(t *testing.T) {
+			reserved, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			discovery := reserved.Addr().String()
+			require.NoError(t, reserved.Close())
+			address, program, log := limited(t, c.descriptors, c.configured, discovery)
+			asks := func(client *testbed.Conn, id string) string {
+				client.Say(t, testbed.Request(id, "read", 1000))
+				return client.Answer(t)
+			}
+			require.Eventually(t, func() bool {
+				client, err := net.Dial("tcp", address)
+				if err == nil {
+					_ = client.Close()
+				}
+				return err == nil
+			}, testbed.Patience, 10*time.Millisecond)
+			open := (&testbed.Rig{Address: address}).Dial(t)
+			require.Regexp(t, "^-BUSY", asks(open, "first"))
+			idlers(t, address, 3*c.descriptors)
+			for begun, n := time.Now(), 0; time.Since(begun) < 3*time.Second; n++ { // it stays in use
+				require.Regexp(t, "^-BUSY", asks(open, fmt.Sprint("before", n)))
+				time.Sleep(20 * time.Millisecond)
+			}
+			all, sockets := held(t, program.Process.Pid)
+
+			server := testbed.Listen(t)
+			lists := &listsOnce{server: server.Address, heard: make(chan time.Time, 1)}
+			ln, err := net.Listen("tcp", discovery)
+			require.NoError(t, err)
+			back := time.Now()
+			service := &http.Server{Handler: lists}
+			go func() { _ = service.Serve(ln) }()
+			t.Cleanup(func() { _ = service.Close() })
+			var heard time.Time
+			for n := 0; heard.IsZero(); n++ {
+				require.Less(t, time.Since(back), reachedWithin, "the list is not heard")
+				select {
+				case heard = <-lists.heard:
+				default:
+					require.Regexp(t, "^-BUSY", asks(open, fmt.Sprint("again", n)))
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			time.Sleep(50 * time.Millisecond) // the list is read
+			sent := time.Now()
+			open.Say(t, testbed.Request("served", "read", 1000))
+			serving := server.Accept(t)
+			require.Equal(t, "served", serving.Command(t)[2])
+			serving.Serve(t, "value")
+			require.Equal(t, "$value", open.Answer(t))
+			require.Less(t, time.Since(back), reachedWithin)
+			text, err := os.ReadFile(log.Name())
+			require.NoError(t, err)
+			require.Less(t, len(text), 1<<16, "it floods its log")
+			t.Logf("%d descriptors held, %d sockets; the list was asked for %v after discovery's return, a request served in %v; %d bytes of log",
+				all, sockets, heard.Sub(back), time.Since(sent), len(text))
+		})
+	}
+}
--- a/internal/lab/simfleet/process.go
+++ b/internal/lab/simfleet/process.go
@@ -167,6 +167,12 @@
 	return s != nil && !s.over && !p.f.is(Reconnects)
 }
 
+// Gone is an effect.
+func (p *process) Gone(id limiter.ID) bool {
+	s := p.sides[id]
+	return s == nil || s.over
+}
+
 // Written is an effect.
 func (p *process) Written(id limiter.ID) int64 {
 	s := p.sides[id]
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -175,6 +175,16 @@
 
 func (cl *client) up() {}
 
+// open tells whether the connection has not ended, as far as the reducer was told.
+func (cl *client) open() bool { return cl.l.conns[cl.c.id] == cl.c }
+
+// endIfGone ends the connection of a client that has gone. The event that tells of it may be far behind others.
+func (cl *client) endIfGone() {
+	if cl.open() && cl.l.effects.Gone(cl.c.id) {
+		cl.l.over(cl.c, PeerClosed)
+	}
+}
+
 func (cl *client) ended(end End, _ int64) {
 	l := cl.l
 	l.clients--
@@ -200,7 +210,7 @@
 		return len(b), nil // it has gone, and waits for nothing: its end is told next
 	}
 	cl.reading = true
-	for n := 1; n > 0 && used < len(b) && !cl.deaf; used += n {
+	for n := 1; n > 0 && used < len(b) && !cl.deaf && cl.open(); used += n {
 		n = cl.next(b[used:])
 	}
 	if cl.deaf {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -52,6 +52,8 @@
 	// Alive tells whether a connection that is up has not ended, as far as the sockets know; of one that was dialled, also whether
 	// all that has come on it was told.
 	Alive(id ID) bool
+	// Gone tells whether a client has ended its connection, also where no event has told of that yet.
+	Gone(id ID) bool
 	// Written tells how many bytes the kernel has taken.
 	Written(id ID) int64
 	// Close ends the connection, if it has not ended yet; no event follows. It tells how many bytes the
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -24,6 +24,7 @@
 	kernel map[ID]int64 // what the kernel takes, where that is not all
 	closed []ID
 	dead   map[ID]bool
+	gone   map[ID]bool // clients that have ended their connection, which no event has told
 	coming string
 	wake   int64
 
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -128,6 +128,9 @@
 
 func (b *backend) up() {
 	l := b.pool.l
+	if att := b.attempt; att != nil && att.request.state == Taken {
+		att.request.client.endIfGone()
+	}
 	if att := b.attempt; att != nil && (att.request.state != Taken || l.now >= att.request.deadline || b.pool.leaving || att.stale()) {
 		// The request has ended while its connection came up, and nothing may be sent for it any more, or it is too late for this
 		// attempt: it was decided on before the process stood still.
--- a/internal/sockets/gate.go
+++ b/internal/sockets/gate.go
@@ -3,12 +3,23 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/lesismal/nbio"
 )
 
 // This file bounds how many clients' connections are open.
 
+// clientPlaces is how many connections of clients, of so many, there are places for: as many less as the process may hold fewer
+// descriptors than it should.
+func clientPlaces(clients, descriptors int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur >= uint64(descriptors) {
+		return clients // a limit that cannot be asked for shows when it is met
+	}
+	return max(clients*int(limit.Cur)/descriptors, 1)
+}
+
 // gate lets only so many connections in; the rest wait in the kernel, where they are not lost.
 type gate struct {
 	net.Listener
--- a/internal/sockets/leave_test.go
+++ b/internal/sockets/leave_test.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -26,16 +27,29 @@
 
 func driven(t *testing.T, descriptors int, server net.Listener) *drive {
 	t.Helper()
-	s, address := listening(t, descriptors/2)
-	entries := "[]"
-	if server != nil {
-		entries = `[{"instanceId":"s","hostPort":"` + server.Addr().String() + `","lifecycle":"in_service"}]`
+	if server == nil {
+		return drivenBy(t, configured(descriptors))
 	}
-	config := &settings.Config{Discovery: "127.0.0.1:1", Memory: 1 << 27, Sockets: descriptors,
-		Known: []byte(`{"generation":1,"instances":` + entries + `}`),
+	return drivenBy(t, configured(descriptors, server))
+}
+
+// configured is a configuration of a limiter for these servers, which has nobody to ask for others.
+func configured(descriptors int, servers ...net.Listener) *settings.Config {
+	entries := make([]string, len(servers))
+	for i, server := range servers {
+		entries[i] = fmt.Sprintf(`{"instanceId":"s%d","hostPort":%q,"lifecycle":"in_service"}`, i, server.Addr())
+	}
+	return &settings.Config{Discovery: "127.0.0.1:1", Memory: 1 << 27, Sockets: descriptors,
+		Known: []byte(`{"generation":1,"instances":[` + strings.Join(entries, ",") + `]}`),
 		Settings: &settings.Settings{IdleClose: 15e9, Settings: &choice.Settings{
 			Classes: map[string]*choice.Class{"c": {Target: 1e9, Value: 1}}, Plans: map[string]*choice.Plan{"p": {}},
 			MostUnits: 64, Limiters: 1, MostAttempts: 1, WarmWithin: 1, DialTimeout: 25e7, Granularity: 4e6}}}
+}
+
+// drivenBy is a limiter of this configuration.
+func drivenBy(t *testing.T, config *settings.Config) *drive {
+	t.Helper()
+	s, address := listeningFor(t, config.Sockets/2, max(config.Sockets, 256))
 	d := &drive{t: t, s: s, address: address, now: 1e15}
 	var err error
 	d.l, err = limiter.New(d.now, config, s)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -50,14 +50,15 @@
 	left  []*link // connections that were left and may not be closed yet
 }
 
-// Listen opens the address for clients; at most so many of their connections are held at once.
+// Listen opens the address for clients; at most so many of their connections are held at once, and fewer where the process may
+// hold fewer descriptors than it should: the connections to discovery and to servers need theirs.
 func Listen(address string, clients, descriptors int) (*Sockets, error) {
 	logging.SetLevel(logging.LevelError)
 	// nbio keeps a table of all descriptors there could be.
 	nbio.MaxOpenFiles = 2 * descriptors
 	s := &Sockets{waking: make(chan struct{}, 1), links: map[limiter.ID]*link{}}
 	s.drained.L = &s.mutex
-	gate := &gate{free: make(chan struct{}, clients)}
+	gate := &gate{free: make(chan struct{}, clientPlaces(clients, descriptors))}
 	s.gate = gate
 	s.engine = nbio.NewEngine(nbio.Config{
 		Name: "ospreycroft", Network: "tcp", Addrs: []string{address}, NPoller: 1,
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -20,7 +20,10 @@
 const patience = 5 * time.Second
 
 // listening is a Sockets that takes so many clients, and its address.
-func listening(t *testing.T, clients int) (*Sockets, string) {
+func listening(t *testing.T, clients int) (*Sockets, string) { return listeningFor(t, clients, 256) }
+
+// listeningFor is the same for so many descriptors.
+func listeningFor(t *testing.T, clients, descriptors int) (*Sockets, string) {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,7 +31,7 @@
 	}
 	address := free.Addr().String()
 	_ = free.Close()
-	s, err := Listen(address, clients, 256)
+	s, err := Listen(address, clients, descriptors)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sockets/write.go
+++ b/internal/sockets/write.go
@@ -105,6 +105,12 @@
 	return err == syscall.EAGAIN
 }
 
+// Gone is an effect. The kernel knows of the end before the poller has read up to it, and before the reducer is told.
+func (s *Sockets) Gone(id limiter.ID) bool {
+	l := s.links[id]
+	return l == nil || ended(l.conn.Load())
+}
+
 // Written is an effect.
 func (s *Sockets) Written(id limiter.ID) int64 {
 	if l := s.links[id]; l != nil {
