--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -185,7 +185,7 @@
 		}
 	}
 	s.Run(clock, l, stop, renewed)
-	l.LogTolls()
+	l.LogOutcomes()
 	log.Printf("event=stopped name=%s", config.Name)
 	return nil
 }
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -16,19 +16,19 @@
 
 // client is a connection that a client holds. Answers go out in the order of its commands.
 type client struct {
-	l       *Limiter
-	c       *conn
-	answers []*answer
-	closing bool          // it is closed once it is answered
-	parting bool          // that is looked at again soon
-	deaf    bool          // what it sent was malformed, and what comes behind that is not read
-	reading bool          // what has come is being read: its answers go out together behind that
-	since   int64         // when it connected
-	wrote   int64         // when it was last written to
-	used    int64         // when its present command began, or its last one was answered
-	half    bool          // a command has begun and is not whole
-	regular bool          // it has brought a request
-	place   *list.Element // among the strangers or the regulars
+	l            *Limiter
+	c            *conn
+	answers      []*answer
+	closing      bool          // it is closed once it is answered
+	parting      bool          // that is looked at again soon
+	deaf         bool          // what it sent was malformed, and what comes behind that is not read
+	reading      bool          // what has come is being read: its answers go out together behind that
+	since        int64         // when it connected
+	wrote        int64         // when it was last written to
+	used         int64         // when its present command began, or its last one was answered
+	half         bool          // a command has begun and is not whole
+	hasRequested bool          // it has brought a request
+	place        *list.Element // in newClients or usedClients
 }
 
 type answer struct {
@@ -39,7 +39,7 @@
 func (l *Limiter) accept(id ID) {
 	c := &conn{id: id, open: true, since: l.now}
 	cl := &client{l: l, c: c, since: l.now, used: l.now}
-	cl.place = l.strangers.PushBack(cl)
+	cl.place = l.newClients.PushBack(cl)
 	c.party, l.conns[id] = cl, c
 	l.clients++
 	l.makeRoom()
@@ -56,7 +56,7 @@
 // one and had time to, then the one idle longest.
 func (l *Limiter) makeRoom() {
 	since := l.now - l.set.DialTimeout/settled
-	for l.crowded() && (l.partIdlest(&l.strangers, since) || l.partIdlest(&l.regulars, since)) {
+	for l.crowded() && (l.partIdlest(&l.newClients, since) || l.partIdlest(&l.usedClients, since)) {
 	}
 }
 
@@ -84,19 +84,19 @@
 // visit looks at the clients at intervals. One that says nothing or half a command is closed: it would hold its place
 // for good.
 func (l *Limiter) visit() {
-	for _, clients := range []*list.List{&l.strangers, &l.regulars} {
+	for _, clients := range []*list.List{&l.newClients, &l.usedClients} {
 		for e := clients.Front(); e != nil; {
 			cl := e.Value.(*client)
 			e = e.Next()
 			switch idle := l.now - cl.used; {
 			case len(cl.answers) > 0 || cl.deaf || idle < mayClose:
 			case cl.half:
-				l.seen.silent++
+				l.faulty.silent++
 				cl.refuse("too slow")
 			case !cl.idle(): // an answer is on its way into the kernel
-			case !cl.regular, idle > l.set.IdleClose/idleShare:
+			case !cl.hasRequested, idle > l.set.IdleClose/idleShare:
 				if cl.part() {
-					l.seen.silent++
+					l.faulty.silent++
 				}
 			}
 		}
@@ -109,11 +109,11 @@
 	l.at(l.now+every, l.visit)
 }
 
-// touch notes that a regular is in use.
+// touch notes that a client that has brought a request is in use.
 func (cl *client) touch() {
-	if cl.regular {
+	if cl.hasRequested {
 		cl.used = cl.l.now
-		cl.l.regulars.MoveToBack(cl.place)
+		cl.l.usedClients.MoveToBack(cl.place)
 	}
 }
 
@@ -127,7 +127,7 @@
 		l.at(max(cl.since+mayClose, l.now+l.set.DialTimeout), func() {
 			for len(cl.answers) > 0 && l.conns[cl.c.id] == cl.c {
 				q := cl.answers[0].request
-				l.owed = append(l.owed, owed{left: q.id})
+				l.pendingResults = append(l.pendingResults, pendingResult{left: q.id})
 				l.move(q, Failed, failed)
 			}
 		})
@@ -188,18 +188,18 @@
 func (cl *client) ended(end End, _ int64) {
 	l := cl.l
 	l.clients--
-	if cl.regular {
-		l.regulars.Remove(cl.place)
+	if cl.hasRequested {
+		l.usedClients.Remove(cl.place)
 	} else {
-		l.strangers.Remove(cl.place)
+		l.newClients.Remove(cl.place)
 	}
 	if end == Overrun {
-		l.seen.unread++
+		l.faulty.unread++
 	}
 	for _, a := range cl.answers {
 		if a.request != nil && a.request.state == Taken {
 			l.move(a.request, Left, nil)
-			l.owed = append(l.owed, owed{left: a.request.id})
+			l.pendingResults = append(l.pendingResults, pendingResult{left: a.request.id})
 		}
 	}
 }
@@ -237,7 +237,7 @@
 		err = resp.ErrTooLong
 	}
 	if err != nil {
-		cl.l.seen.malformed++
+		cl.l.faulty.malformed++
 		cl.refuse(err.Error())
 		return len(b)
 	}
@@ -281,7 +281,7 @@
 
 // fault answers a command that can never be right; -BUSY would say that it may be sent again.
 func (cl *client) fault(why string) {
-	cl.l.seen.faulty++
+	cl.l.faulty.faulty++
 	cl.own("-ERR " + why)
 }
 
@@ -313,9 +313,9 @@
 		return
 	}
 	arrival.Budget -= age
-	if !cl.regular {
-		l.strangers.Remove(cl.place)
-		cl.regular, cl.place = true, l.regulars.PushBack(cl)
+	if !cl.hasRequested {
+		l.newClients.Remove(cl.place)
+		cl.hasRequested, cl.place = true, l.usedClients.PushBack(cl)
 	}
 	cl.touch()
 	a := &answer{}
--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -144,7 +144,7 @@
 	}
 	c.told = true
 	k.l.timers.drop(c.limit)
-	k.l.owed = append(k.l.owed, owed{call: true, name: c.name, outcome: outcome, total: total})
+	k.l.pendingResults = append(k.l.pendingResults, pendingResult{call: true, name: c.name, outcome: outcome, total: total})
 	if down := k.l.now-k.heard > silentFor*k.l.set.CounterWait; down && !k.down {
 		k.down = true
 		log.Printf("event=counter answers=false")
@@ -168,7 +168,7 @@
 func (ln *line) read(b []byte) (int, error) {
 	kind, total, n, err := counterwire.Read(b)
 	if err != nil {
-		ln.counter.l.seen.spoilt++
+		ln.counter.l.faulty.spoilt++
 		return 0, err
 	}
 	if n == 0 {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -69,8 +69,8 @@
 	Wake(at int64)
 }
 
-// party is the other side of a connection.
-type party interface {
+// peer is the other side of a connection.
+type peer interface {
 	up()
 	// read takes from the bytes that have come and tells how many it has used up.
 	read(bytes []byte) (used int, err error)
@@ -79,7 +79,7 @@
 
 type conn struct {
 	id    ID
-	party party
+	party peer
 	open  bool
 	in    buffer.Buffer
 	sent  int64  // bytes that were written, whether the kernel has taken them or not
@@ -90,45 +90,45 @@
 
 // Limiter is one real limiter. It is not safe for concurrent use.
 type Limiter struct {
-	config   *settings.Config
-	set      *settings.Settings
-	effects  Effects
-	logic    *choice.Limiter
-	now      int64
-	conns    map[ID]*conn
-	requests map[string]*request
-	held     int64 // bytes of the commands in requests
-	buffered int64 // bytes of the connections' buffers
-	owed     []owed
-	timers   timers
-	order    int64
-	pools    map[string]*pool
-	met      int64     // servers that were ever listed
-	backends int       // connections to servers
-	idle     list.List // those that are idle, the one used last at the end
-	keep     int64     // how long a connection to a server may be idle and be used again
-	clients  int
+	config         *settings.Config
+	set            *settings.Settings
+	effects        Effects
+	logic          *choice.Limiter
+	now            int64
+	conns          map[ID]*conn
+	requests       map[string]*request
+	held           int64 // bytes of the commands in requests
+	buffered       int64 // bytes of the connections' buffers
+	pendingResults []pendingResult
+	timers         timers
+	order          int64
+	pools          map[string]*pool
+	met            int64     // servers that were ever listed
+	backends       int       // connections to servers
+	idle           list.List // those that are idle, the one used last at the end
+	keep           int64     // how long a connection to a server may be idle and be used again
+	clients        int
 	// Clients' connections that have brought no request yet, the oldest first, and the others, the one used last at the end.
-	strangers, regulars list.List
-	seen                seen
-	tolls               tolls
-	tolled              int64 // when it was last logged
-	counted             int64 // when seen was last logged
-	counter             counter
-	watch               watch
-	start               *start // nil where operators state nothing
-	ready               bool
-	readyBy             int64 // when it is ready at the latest, whatever the module wants
-	stopping            int64 // until when clients still come once the end was asked for, 0 before
-	wake                wake
-	settled             bool  // what is owed to the counter was added before the end
-	ended               int64 // when a request last ended
-	scratch             []byte
-	words               [][]byte
+	newClients, usedClients list.List
+	faulty                  faultyInput
+	outcomes                outcomeCounts
+	outcomesLogged          int64 // when it was last logged
+	counted                 int64 // when seen was last logged
+	counter                 counter
+	watch                   watch
+	start                   *start // nil where operators state nothing
+	ready                   bool
+	readyBy                 int64 // when it is ready at the latest, whatever the module wants
+	stopping                int64 // until when clients still come once the end was asked for, 0 before
+	wake                    wake
+	settled                 bool  // what is owed to the counter was added before the end
+	ended                   int64 // when a request last ended
+	scratch                 []byte
+	words                   [][]byte
 }
 
-// owed is what the module is told once its present call is over.
-type owed struct {
+// pendingResult is what the module is told once its present call is over.
+type pendingResult struct {
 	reply   choice.Reply
 	call    bool
 	name    uint64
@@ -139,29 +139,29 @@
 }
 
 const (
-	clientShare  = 2   // one descriptor in so many is for clients
-	clientRoom   = 4   // past one in so many, clients that are idle make room
-	serverShare  = 4   // and one in so many for servers
-	heldShare    = 8   // one byte of memory in so many may hold commands, as many parts of them, as many answers that wait
-	sweeps       = 32  // looks at idle connections in the time after which a server closes them
-	tollEvery    = 3   // what became of requests is logged so many times in it
-	crowdLooks   = 8   // looks at clients in a dial time-out while there are many
-	settled      = 4   // a client that said nothing for this part of a dial time-out may be closed to make room
-	mayClose     = 2e9 // a client's connection without an open request may be closed from then on
-	idleShare    = 2   // an idle connection is closed after this part of that time
-	lingers      = 500e6
-	lastLook     = 200e6 // so long after that no byte of a client is on its way to us
-	lateFrom     = 700e6 // what comes later than this after the word to stop is lost where SIGKILL finds it unanswered,
-	killFrom     = 3e9   // which may be so long after that,
-	killSpare    = 200e6 // less what it takes to answer
-	readyIn      = 9e9   // nine in ten have to be ready within 10 s, less what it takes to start and to be asked
-	holdFor      = lateFrom + killFrom - killSpare - lingers
-	keepLess     = 4    // that is shortened by this part when one turns out to have ended unsaid,
-	keepMore     = 16   // and lengthened by this part when one still serves near its end, and with each look
-	rests        = 8    // ticks of the clock for which one has to be idle before its next command
-	prompt       = 8    // an end within this part of a dial time-out is the answer to the command's first byte
-	mostID       = 64   // bytes of a request's id
-	mostPipeline = 1024 // commands that may wait on one client's connection
+	clientShare   = 2   // one descriptor in so many is for clients
+	clientRoom    = 4   // past one in so many, clients that are idle make room
+	serverShare   = 4   // and one in so many for servers
+	heldShare     = 8   // one byte of memory in so many may hold commands, as many parts of them, as many answers that wait
+	sweeps        = 32  // looks at idle connections in the time after which a server closes them
+	outcomesEvery = 3   // what became of requests is logged so many times in it
+	crowdLooks    = 8   // looks at clients in a dial time-out while there are many
+	settled       = 4   // a client that said nothing for this part of a dial time-out may be closed to make room
+	mayClose      = 2e9 // a client's connection without an open request may be closed from then on
+	idleShare     = 2   // an idle connection is closed after this part of that time
+	lingers       = 500e6
+	lastLook      = 200e6 // so long after that no byte of a client is on its way to us
+	lateFrom      = 700e6 // what comes later than this after the word to stop is lost where SIGKILL finds it unanswered,
+	killFrom      = 3e9   // which may be so long after that,
+	killSpare     = 200e6 // less what it takes to answer
+	readyIn       = 9e9   // nine in ten have to be ready within 10 s, less what it takes to start and to be asked
+	holdFor       = lateFrom + killFrom - killSpare - lingers
+	keepLess      = 4    // that is shortened by this part when one turns out to have ended unsaid,
+	keepMore      = 16   // and lengthened by this part when one still serves near its end, and with each look
+	rests         = 8    // ticks of the clock for which one has to be idle before its next command
+	prompt        = 8    // an end within this part of a dial time-out is the answer to the command's first byte
+	mostID        = 64   // bytes of a request's id
+	mostPipeline  = 1024 // commands that may wait on one client's connection
 )
 
 // New makes a limiter from its configuration. It knows the servers that the configuration lists.
@@ -285,8 +285,8 @@
 
 // tell tells the module what it is owed, in order; each call on it may bring more.
 func (l *Limiter) tell() {
-	for i := 0; i < len(l.owed); i++ {
-		switch o := l.owed[i]; {
+	for i := 0; i < len(l.pendingResults); i++ {
+		switch o := l.pendingResults[i]; {
 		case o.call:
 			l.logic.Counted(l.now, o.name, o.outcome, o.total)
 		case o.probed != "":
@@ -297,12 +297,12 @@
 			l.logic.Answer(l.now, o.reply)
 		}
 	}
-	l.owed = l.owed[:0]
+	l.pendingResults = l.pendingResults[:0]
 }
 
 // dial begins a connection for a party, which is told when it is up or has ended. It ends in time even where the
 // sockets say nothing.
-func (l *Limiter) dial(p party, address string, timeout int64) *conn {
+func (l *Limiter) dial(p peer, address string, timeout int64) *conn {
 	c := &conn{id: l.effects.Dial(address, timeout), party: p, since: l.now}
 	l.conns[c.id] = c
 	c.limit = l.at(l.now+timeout, func() { l.over(c, DialOver) })
@@ -331,20 +331,20 @@
 		l.start.tick()
 	}
 	l.keep = min(l.keep+l.keep/keepMore, l.set.IdleClose/idleShare)
-	if l.seen != (seen{}) && l.now-l.counted >= l.set.IdleClose {
-		log.Printf("event=turned-away malformed=%d faulty=%d silent=%d unread=%d garbled=%d spoilt=%d", l.seen.malformed,
-			l.seen.faulty, l.seen.silent, l.seen.unread, l.seen.garbled, l.seen.spoilt)
-		l.seen, l.counted = seen{}, l.now
+	if l.faulty != (faultyInput{}) && l.now-l.counted >= l.set.IdleClose {
+		log.Printf("event=turned-away malformed=%d faulty=%d silent=%d unread=%d garbled=%d spoilt=%d", l.faulty.malformed,
+			l.faulty.faulty, l.faulty.silent, l.faulty.unread, l.faulty.garbled, l.faulty.spoilt)
+		l.faulty, l.counted = faultyInput{}, l.now
 	}
-	if l.now-l.tolled >= l.set.IdleClose/tollEvery {
-		l.LogTolls()
-		l.tolled = l.now
+	if l.now-l.outcomesLogged >= l.set.IdleClose/outcomesEvery {
+		l.LogOutcomes()
+		l.outcomesLogged = l.now
 	}
 	l.at(l.now+l.set.IdleClose/sweeps, l.sweep)
 }
 
-// seen counts what is logged at intervals: a line for each would let whoever sends nonsense fill the log.
-type seen struct {
+// faultyInput counts what is logged at intervals: a line for each would let whoever sends nonsense fill the log.
+type faultyInput struct {
 	malformed int // clients' bytes that are no command
 	faulty    int // commands that can never be right
 	silent    int // clients that said nothing, or half a command
--- a/internal/limiter/requests.go
+++ b/internal/limiter/requests.go
@@ -80,7 +80,7 @@
 		q.words[i] = text[len(text)-len(w):]
 	}
 	q.before, q.past = q.words[3][:before], q.words[3][past:]
-	l.tolls.taken++
+	l.outcomes.taken++
 	l.held += q.size
 	l.requests[q.id], l.settled = q, false
 	return q
@@ -93,7 +93,7 @@
 	}
 	l.ended = l.now
 	if q.state = to; to == Succeeded {
-		l.tolls.succeeded++
+		l.outcomes.succeeded++
 	}
 	for _, att := range q.attempts {
 		// A command of which the kernel has only a part must not become whole after the request's end: this comes before the
@@ -124,21 +124,21 @@
 	return resp.AppendCommand(to, append(words, q.words[4:]...)...)
 }
 
-// tolls counts what became of requests since it was last logged.
-type tolls struct {
+// outcomeCounts counts what became of requests since it was last logged.
+type outcomeCounts struct {
 	taken, succeeded int
 	rejected         [choice.Causes]int
 }
 
-// LogTolls logs the counts since the last time, if there are any, in one line whatever their number.
-func (l *Limiter) LogTolls() {
-	if t := l.tolls; t != (tolls{}) {
+// LogOutcomes logs the counts since the last time, if there are any, in one line whatever their number.
+func (l *Limiter) LogOutcomes() {
+	if t := l.outcomes; t != (outcomeCounts{}) {
 		line := fmt.Sprintf("event=requests taken=%d succeeded=%d", t.taken, t.succeeded)
 		for c, n := range t.rejected {
 			line += fmt.Sprintf(" %s=%d", choice.Cause(c), n)
 		}
 		log.Print(line)
-		l.tolls = tolls{}
+		l.outcomes = outcomeCounts{}
 	}
 }
 
@@ -186,13 +186,13 @@
 	att.never = reply.Outcome == choice.Full || reply.Outcome == choice.Unconnected || reply.Outcome == choice.Moot
 	q.open--
 	reply.Request, reply.Attempt, reply.Took, reply.Final = q.id, att.number, l.now-att.at, q.state != Taken
-	l.owed = append(l.owed, owed{reply: reply})
+	l.pendingResults = append(l.pendingResults, pendingResult{reply: reply})
 	l.drop(q)
 }
 
 // Reject is an effect of the module.
 func (l *Limiter) Reject(id string, retryAfter int64, cause choice.Cause) {
-	l.tolls.rejected[cause]++
+	l.outcomes.rejected[cause]++
 	text := rejectedPlain
 	if retryAfter > 0 {
 		text = strconv.AppendInt([]byte("-BUSY "), (retryAfter+1e6-1)/1e6, 10)
--- a/internal/limiter/servers.go
+++ b/internal/limiter/servers.go
@@ -122,7 +122,7 @@
 		b.probe = l.at(l.now+l.set.DialTimeout, func() { l.over(b.c, TimeOver) })
 	}
 	if !l.pools[server].use(begin) {
-		l.owed = append(l.owed, owed{probed: server, outcome: NoRoom.outcome(false)})
+		l.pendingResults = append(l.pendingResults, pendingResult{probed: server, outcome: NoRoom.outcome(false)})
 	}
 }
 
@@ -222,7 +222,7 @@
 	if b.probe != nil {
 		l.timers.drop(b.probe)
 		b.probe = nil
-		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: choice.Succeeded})
+		l.pendingResults = append(l.pendingResults, pendingResult{probed: b.pool.id, outcome: choice.Succeeded})
 	} else {
 		reply, value := judge(v, l.set.MostTrue)
 		if early && reply.Outcome != choice.Full {
@@ -290,7 +290,7 @@
 		b.pool.retireIdle()
 	}
 	if end == Garbled {
-		l.seen.garbled++
+		l.faulty.garbled++
 	}
 	if (end == PeerReset || end == PeerClosed) && att != nil && b.rested > 0 && b.half == nil && l.now-b.wrote <= l.set.DialTimeout/prompt {
 		// It had ended before the command came, and nobody had said so: what is idle is not to be trusted for so long.
@@ -303,7 +303,7 @@
 	if b.probe != nil {
 		l.timers.drop(b.probe)
 		b.probe = nil
-		l.owed = append(l.owed, owed{probed: b.pool.id, outcome: end.outcome(written > 0)})
+		l.pendingResults = append(l.pendingResults, pendingResult{probed: b.pool.id, outcome: end.outcome(written > 0)})
 	}
 	b.pool.prune()
 }
