--- a/choice/choice.go
+++ b/choice/choice.go
@@ -251,7 +251,7 @@
 			// The ceiling's store stands as it was before we started, so our part of it starts empty: what
 			// all starts of all limiters send is then never more than the store has held and filled.
 			ceiling: store{depth: plan.CeilingBurst / part, rate: plan.CeilingRate / part, at: l.began}}
-		if l.slice(now, acc, burst); l.answered+l.sustainedRate == 0 {
+		if l.slice(now, acc, burst); l.set.CounterWait > 0 && l.answered+l.sustainedRate == 0 {
 			// The counter has not answered in this life: an earlier one may have spent the slice without it.
 			acc.slice.level = min(acc.slice.level, acc.most+acc.slice.rate*seconds(now-l.began))
 		}
