--- a/cmd/osplab/main.go
+++ b/cmd/osplab/main.go
@@ -28,7 +28,8 @@
 
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "osplab", Short: "the ospreycroft laboratory", SilenceUsage: true}
-	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand(), censusCommand())
+	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand(), censusCommand(),
+		scaleCommand(), scaleHostCommand())
 	return top
 }
 
--- /dev/null
+++ b/internal/lab/scale/clients_test.go
@@ -0,0 +1,78 @@
+package scale
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAnswers: one answer is read whole, whoever gives it, and no byte behind it.
+func TestAnswers(t *testing.T) {
+	const rest = "+rest\r\n"
+	for text, first := range map[string]byte{
+		"$5\r\nvalue\r\n": '$', "-BUSY 20\r\n": '-', "+PONG\r\n": '+',
+		"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n":       '$',
+		"*3\r\n$5\r\nvalue\r\n$3\r\na=1\r\n$-1\r\n": '$',
+	} {
+		near, far := net.Pipe()
+		go func() { _, _ = far.Write([]byte(text + rest)) }()
+		c := &clientConn{near, bufio.NewReader(near)}
+		got, err := c.answer()
+		require.NoError(t, err, text)
+		require.Equal(t, first, got, text)
+		line, err := c.in.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, rest, line, text)
+		_ = near.Close()
+		_ = far.Close()
+	}
+}
+
+// TestProcessorTime grows by what a process works, and by little while it sleeps.
+func TestProcessorTime(t *testing.T) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	before, err := processorTime(os.Getpid())
+	require.NoError(t, err)
+	for began := time.Now(); time.Since(began) < 100*time.Millisecond; {
+	}
+	after, err := processorTime(os.Getpid())
+	require.NoError(t, err)
+	require.Greater(t, after-before, 5*time.Millisecond)
+	held, err := resident(os.Getpid())
+	require.NoError(t, err)
+	require.Greater(t, held, 1e6)
+}
+
+func TestProcessThatEnded(t *testing.T) {
+	var missing *ProcError
+	_, err := processorTime(-1)
+	require.ErrorAs(t, err, &missing)
+	require.NotEmpty(t, missing.Hint())
+	_, err = resident(-1)
+	require.ErrorAs(t, err, &missing)
+}
+
+// TestLine: a row of the table tells the points, the slope, and whether it was reckoned.
+func TestLine(t *testing.T) {
+	h := &Harness{options: Options{Log: &strings.Builder{}}}
+	h.add(Series{Experiment: "e", Quantity: "q", Unit: "ms", Over: "servers", Mechanism: "m",
+		Points: []Point{{20, []float64{1, 2, 3}}, {8500, []float64{11, 12, 13}}}})
+	h.figure(Series{Experiment: "e", Quantity: "r", Unit: "1", Reckoned: true}, 12345678)
+	rows := h.report.Series
+	require.Contains(t, rows[0].line(), "e | q | ms | servers | 20: 2 (1..3), 8500: 12 (11..13) | 1.976 + 0.001179")
+	require.Contains(t, rows[0].line(), "residual 0.8165", "of all samples, not of their medians")
+	require.NotNil(t, rows[0].Line)
+	require.Nil(t, rows[1].Line)
+	require.Contains(t, rows[1].line(), "12.3M")
+	require.Contains(t, rows[1].line(), "reckoned")
+	var table strings.Builder
+	require.NoError(t, h.report.WriteTable(&table))
+	require.Contains(t, table.String(), rows[1].line())
+}
--- /dev/null
+++ b/internal/lab/scale/hollow.go
@@ -0,0 +1,160 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"runtime/pprof"
+	"time"
+
+	"ospreycroft/internal/lab/emulator"
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/limiter"
+	"ospreycroft/internal/settings"
+	"ospreycroft/internal/sockets"
+)
+
+// A hollow limiter is the limiter's own reducer, module and control clients over real connections, with no clients: many in
+// one process. HostMain is that process; it is told what to do in lines of JSON.
+
+// hostSpec is the first line that a host reads.
+type hostSpec struct {
+	Limiters   []limiterConfig `json:"limiters"`
+	Known      json.RawMessage `json:"known"`      // the list that all of them begin with; one copy for all
+	Processors int             `json:"processors"` // GOMAXPROCS
+	Memory     int64           `json:"memory"`     // the runtime's soft limit, bytes
+	Counter    bool            `json:"counter"`    // it runs a counter's stand-in instead
+}
+
+// hostCommand is a further line.
+type hostCommand struct {
+	Do      string  `json:"do"` // stats or profile
+	Seconds float64 `json:"seconds,omitempty"`
+	Path    string  `json:"path,omitempty"`
+}
+
+// hostAnswer is written once for the spec, when all limiters run, and for each command.
+type hostAnswer struct {
+	Error   string  `json:"error,omitempty"`
+	Address string  `json:"address,omitempty"` // of the counter
+	Heap    float64 `json:"heap"`              // bytes that are in use after a collection
+	Began   float64 `json:"began"`             // seconds that it took to make all limiters
+}
+
+// tableSize is how many descriptors each limiter's poller has places for: the table is the process's.
+const tableSize = 1 << 12
+
+// HostMain runs hollow limiters as in tells until it ends.
+func HostMain(in io.Reader, out io.Writer) error {
+	lines := bufio.NewReaderSize(in, 1<<20)
+	answers := json.NewEncoder(out)
+	var spec hostSpec
+	if err := readLine(lines, &spec); err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(spec.Processors)
+	debug.SetMemoryLimit(spec.Memory)
+	if spec.Counter {
+		return counterMain(lines, answers)
+	}
+	began := time.Now()
+	for _, config := range spec.Limiters {
+		if err := startHollow(config, spec.Known); err != nil {
+			_ = answers.Encode(hostAnswer{Error: err.Error()})
+			return err
+		}
+	}
+	if err := answers.Encode(hostAnswer{Began: time.Since(began).Seconds()}); err != nil {
+		return err
+	}
+	for {
+		var command hostCommand
+		if err := readLine(lines, &command); err != nil {
+			return nil // the harness has ended
+		}
+		if err := answers.Encode(obey(command)); err != nil {
+			return err
+		}
+	}
+}
+
+// counterMain runs a counter's stand-in until in ends.
+func counterMain(in *bufio.Reader, answers *json.Encoder) error {
+	k := emulator.NewCounter(record.NewClock(), &record.Book{}, nil, 1)
+	if err := k.Start(); err != nil {
+		return err
+	}
+	defer k.Close()
+	if err := answers.Encode(hostAnswer{Address: k.Address(0)}); err != nil {
+		return err
+	}
+	_, _ = in.ReadBytes('\n')
+	return nil
+}
+
+func readLine(in *bufio.Reader, into any) error {
+	text, err := in.ReadBytes('\n')
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, into)
+}
+
+// startHollow runs one limiter for as long as the process lives.
+func startHollow(config limiterConfig, known []byte) error {
+	text, err := configText(config)
+	if err != nil {
+		return err
+	}
+	read, err := settings.ReadConfig(text)
+	if err != nil {
+		return err
+	}
+	read.Known = known
+	s, err := sockets.Listen(read.Listen, limiter.MostClients(read), tableSize/2)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	clock := func() int64 { return start.UnixNano() + int64(time.Since(start)) }
+	l, err := limiter.New(clock(), read, s)
+	if err != nil {
+		return err
+	}
+	go s.Run(clock, l, nil, nil)
+	return nil
+}
+
+func obey(command hostCommand) hostAnswer {
+	switch command.Do {
+	case "stats":
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return hostAnswer{Heap: float64(m.HeapAlloc)}
+	case "profile":
+		if err := profile(command.Path, time.Duration(command.Seconds*float64(time.Second))); err != nil {
+			return hostAnswer{Error: err.Error()}
+		}
+		return hostAnswer{}
+	}
+	return hostAnswer{Error: fmt.Sprintf("command %q is not known", command.Do)}
+}
+
+func profile(path string, length time.Duration) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	time.Sleep(length)
+	pprof.StopCPUProfile()
+	return file.Close()
+}
--- /dev/null
+++ b/internal/lab/scale/idle.go
@@ -0,0 +1,128 @@
+package scale
+
+import (
+	"fmt"
+	"time"
+)
+
+// idle measures a limiter that no client uses: over the servers of its list, then over the customers that it has seen.
+func (h *Harness) idle() error {
+	if err := h.idleOverServers(); err != nil {
+		return err
+	}
+	return h.idleOverCustomers()
+}
+
+// The mechanisms that carry an idle limiter's cost.
+const (
+	tickMechanism  = "choice.go look and forget, each tick; limiter.go sweep"
+	watchMechanism = "watch.go ask: a watch a second (pollpacer holds); counter.go sweep: a ping each 40 waits"
+	stateMechanism = "choice state.go server; servers.go pool; config.Known"
+)
+
+// idleSeries are an idle limiter's figures over one size.
+type idleSeries struct{ core, resident, heap, bytes, messages []Point }
+
+// take adds the measurements at one size.
+func (s *idleSeries) take(x int, all []spent, heap float64) {
+	point := func(figure func(spent) float64) Point { return Point{float64(x), samples(all, figure)} }
+	s.core = append(s.core, point(func(o spent) float64 { return o.core * 100 }))
+	s.resident = append(s.resident, point(func(o spent) float64 { return o.resident / 1e6 }))
+	if heap > 0 {
+		s.heap = append(s.heap, Point{float64(x), []float64{heap / 1e6}})
+	}
+	s.bytes = append(s.bytes, point(func(o spent) float64 { return o.traffic.bytes() / o.seconds }))
+	s.messages = append(s.messages, point(func(o spent) float64 { return o.traffic.messages() / o.seconds }))
+}
+
+// report adds the series.
+func (s *idleSeries) report(h *Harness, experiment, over string) {
+	for _, one := range []Series{
+		{Quantity: "processor time", Unit: "% of a core", Points: s.core, Mechanism: tickMechanism},
+		{Quantity: "resident memory", Unit: "MB", Points: s.resident, Mechanism: stateMechanism},
+		{Quantity: "heap behind a collection", Unit: "MB", Points: s.heap, Mechanism: stateMechanism},
+		{Quantity: "control bytes", Unit: "B/s", Points: s.bytes, Mechanism: watchMechanism},
+		{Quantity: "control messages", Unit: "/s", Points: s.messages, Mechanism: watchMechanism},
+	} {
+		one.Experiment, one.Over = experiment, over
+		h.add(one)
+	}
+}
+
+func (h *Harness) idleOverServers() error {
+	var series idleSeries
+	for _, servers := range h.sizes([]int{20, 1000}, []int{20, 1000, 4000, Servers}) {
+		err := h.withReal(standsSpec{limiters: 1, servers: servers}, func(s *stands, l *realLimiter) error {
+			time.Sleep(h.window(2 * time.Second)) // what a start takes is over
+			all, err := watchProcess(l.process, s, h.window(3*time.Second), h.samples())
+			if err == nil {
+				series.take(servers, all, l.heap())
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	series.report(h, "idle", "servers")
+	return nil
+}
+
+// togetherSeen are the requests that are out at a time while customers make themselves known.
+const togetherSeen = 4
+
+func (h *Harness) idleOverCustomers() error {
+	var series idleSeries
+	for _, customers := range h.sizes([]int{20, 200}, []int{200, 5000, Tenants}) {
+		err := h.withReal(standsSpec{limiters: 1, servers: 20}, func(s *stands, l *realLimiter) error {
+			c := newClients(s.clock, l.address)
+			defer c.close()
+			began := time.Now()
+			if answered := c.each(customers, togetherSeen); answered < customers {
+				return &LoadError{Sent: customers, Served: answered}
+			}
+			h.logf("%d customers seen in %.1f s", customers, time.Since(began).Seconds())
+			time.Sleep(h.window(time.Second))
+			all, err := watchProcess(l.process, s, h.window(3*time.Second), h.samples())
+			if err == nil {
+				series.take(customers, all, l.heap())
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	series.report(h, "idle", "customers seen")
+	return nil
+}
+
+// LoadError is a load of which too little was served for its figures to mean anything.
+type LoadError struct{ Sent, Served int }
+
+func (e *LoadError) Error() string {
+	return fmt.Sprintf("%d of %d requests were served", e.Served, e.Sent)
+}
+
+// Hint says what to do about it.
+func (e *LoadError) Hint() string {
+	return "run with less beside it on the machine, and see the limiter's log in the run's folder"
+}
+
+// withReal runs one real limiter before stand-ins.
+func (h *Harness) withReal(spec standsSpec, do func(*stands, *realLimiter) error) error {
+	s, err := newStands(spec)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	l, err := h.startReal(s, 0, realSockets, s.known())
+	if err != nil {
+		return err
+	}
+	defer l.stop()
+	return do(s, l)
+}
+
+// realSockets is the descriptors that a limiter's configuration gives it.
+const realSockets = 1024
--- /dev/null
+++ b/internal/lab/scale/reckon_test.go
@@ -0,0 +1,114 @@
+package scale
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/lab/emulator"
+	"ospreycroft/internal/lab/record"
+	"ospreycroft/internal/settings"
+)
+
+func TestInstances(t *testing.T) {
+	require.Equal(t, 2, Instances(100, 100, 0.5))
+	require.Equal(t, 3, Instances(101, 100, 0.5), "rounded up")
+	require.Zero(t, Instances(100, 0, 0.5))
+}
+
+// TestLargestShare: one instance has all, and what one customer sends cannot be divided.
+func TestLargestShare(t *testing.T) {
+	require.InDelta(t, 1, LargestShare(100, 1, 0), 1e-9)
+	require.InDelta(t, 0.25, LargestShare(Tenants, 4, 0), 0.01)
+	largest := 0.0
+	for k := range 10 {
+		largest += 1 / float64(k+1)
+	}
+	require.GreaterOrEqual(t, LargestShare(10, 1000, 1), 1/largest)
+}
+
+// TestCountName: a customer's windows change once in a span, at a time of its own.
+func TestCountName(t *testing.T) {
+	const span = int64(30e9)
+	for customer := range uint64(20) {
+		names := map[uint64]bool{}
+		for at := int64(0); at < span; at += span / 100 {
+			names[countName(customer, at, span)] = true
+		}
+		require.LessOrEqual(t, len(names), 2, "in one span")
+		require.NotEqual(t, countName(customer, 0, span), countName(customer, span, span))
+		require.NotEqual(t, countName(customer, 0, span), countName(customer+1, 0, span))
+	}
+}
+
+// TestQuantile is by the nearest rank.
+func TestQuantile(t *testing.T) {
+	values := make([]float64, 100)
+	for i := range values {
+		values[i] = float64(i + 1)
+	}
+	require.EqualValues(t, 50, quantile(values, 0.5))
+	require.EqualValues(t, 99, quantile(values, 0.99))
+	require.EqualValues(t, 7, quantile([]float64{7}, 0.99))
+	p := Point{Samples: []float64{3, 1, 2}}
+	require.Equal(t, []float64{1, 2, 3}, []float64{p.Low(), p.Middle(), p.High()})
+}
+
+// TestAppliedTimes: a limiter goes by a generation once it calls again after the answer that told it.
+func TestAppliedTimes(t *testing.T) {
+	calls := []record.Call{
+		{Limiter: 0, At: 5, Done: 20, End: record.Answered, Generation: 7}, // was out at the change
+		{Limiter: 1, At: 6, Done: 21, End: record.Silent},
+		{Limiter: 1, At: 22, Done: 30, End: record.Answered, Generation: 6}, // an older list
+		{Limiter: 0, At: 25, Done: 40, End: record.Answered, Generation: 7},
+		{Limiter: 1, At: 31, Done: 35, End: record.Answered, Generation: 8},
+		{Limiter: 1, At: 39, Done: 45, End: record.Answered, Generation: 8},
+		{Limiter: 0, At: 41, Done: 50, End: record.Answered, Generation: 7},
+	}
+	require.Equal(t, []int64{25, 39}, appliedTimes(calls, 10, 7))
+	overlaps := []record.Call{ // of a life that has ended, and of the next one
+		{Limiter: 0, At: 11, Done: 60, End: record.Answered, Generation: 7}, {Limiter: 0, At: 45, Done: 50, End: record.Left}}
+	require.Empty(t, appliedTimes(overlaps, 10, 7))
+	require.Empty(t, appliedTimes(calls[:3], 10, 7), "told, and not called since")
+	require.Empty(t, appliedTimes(calls, 10, 9))
+}
+
+// TestWindow joins what a client, the counter and a server saw, and leaves out what it cannot join.
+func TestWindow(t *testing.T) {
+	const customer, offset = uint64(77), int64(1e18)
+	name := countName(customer, 1e6+offset, countSpan)
+	m := newMarks()
+	m.counts[name] = []emulator.Tally{
+		{Read: 0.5e6, Answered: 0.6e6}, // of an earlier request
+		{Read: 2e6, Answered: 3e6},
+	}
+	m.served["a"] = emulator.Handled{ID: "a", Read: 5e6, Answered: 10e6}
+	m.served["b"] = emulator.Handled{ID: "b", Read: 5e6, Answered: 10e6}
+	w := m.window([]sent{
+		{id: "a", customer: customer, began: 1e6, answered: 12e6, answer: '$'},
+		{id: "b", customer: customer + 1, began: 1e6, answered: 12e6, answer: '$'}, // no call of its customer
+		{id: "c", customer: customer, began: 1e6, answered: 12e6, answer: '-'},     // rejected
+	}, offset)
+	require.Equal(t, 2, w.lost)
+	require.Equal(t, []float64{1}, w.parts[toCounter])
+	require.Equal(t, []float64{1}, w.parts[atCounter])
+	require.Equal(t, []float64{2}, w.parts[toServer])
+	require.Empty(t, w.parts[toServerNew])
+	require.Equal(t, []float64{2}, w.parts[backToClient])
+	require.Equal(t, []float64{6}, w.added)
+}
+
+// TestConfig: a limiter takes the lab's configuration, and the lists that it is told.
+func TestConfig(t *testing.T) {
+	text, err := configText(configOf(549, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 1024, nil))
+	require.NoError(t, err)
+	config, err := settings.ReadConfig(text)
+	require.NoError(t, err)
+	require.Equal(t, 549, config.Settings.Position)
+	require.Equal(t, Limiters, config.Settings.Limiters)
+	seen := map[string]bool{}
+	for _, in := range instances(Servers, []string{"127.0.0.1:4", "127.0.0.1:5"}) {
+		require.False(t, seen[in.ID], "ids are told apart")
+		seen[in.ID] = true
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/renew.go
@@ -0,0 +1,78 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// renew measures what a change of the configuration costs a limiter today: a new file and SIGHUP.
+func (h *Harness) renew() error {
+	var processor, took []Point
+	for _, servers := range h.sizes([]int{20, 200}, []int{20, 1000, Servers}) {
+		err := h.withReal(standsSpec{limiters: 1, servers: servers}, func(_ *stands, l *realLimiter) error {
+			time.Sleep(h.window(2 * time.Second))
+			costs, times, err := l.renewals(renewSamples)
+			processor = append(processor, Point{float64(servers), costs})
+			took = append(took, Point{float64(servers), times})
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	mechanism := "settings ReadFile and Fixed, limiter.go renew; the known list is in the file"
+	h.add(Series{Experiment: "renew", Quantity: "processor time of a renewed configuration", Unit: "ms", Over: "servers",
+		Points: processor, Mechanism: mechanism})
+	h.add(Series{Experiment: "renew", Quantity: "from SIGHUP until the limiter says that it has read it", Unit: "ms", Over: "servers",
+		Points: took, Mechanism: mechanism, Note: "looked for every 2 ms"})
+	last := took[len(took)-1].Middle()
+	h.figure(Series{Experiment: "renew", Quantity: fmt.Sprintf("one by one through %d limiters, the signal alone", Limiters), Unit: "s",
+		Reckoned: true, Note: "without the copying of the file to each machine"}, last*Limiters/1e3)
+	return nil
+}
+
+const renewSamples = 5
+
+// renewals renews a limiter's configuration several times: the processor time and the time of each, ms.
+func (l *realLimiter) renewals(times int) (costs, took []float64, err error) {
+	for i := range times {
+		l.config.Limits.Cores = 1 // no key differs: what is measured is the reading
+		if err := l.write(); err != nil {
+			return nil, nil, err
+		}
+		before, err := processorTime(l.pid())
+		if err != nil {
+			return nil, nil, err
+		}
+		began := time.Now()
+		if err := l.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			return nil, nil, err
+		}
+		for l.said("event=config-read") <= i {
+			if time.Since(began) > clientWaits {
+				return nil, nil, &StartError{"a renewal", l.log, os.ErrDeadlineExceeded}
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		took = append(took, time.Since(began).Seconds()*1e3)
+		time.Sleep(200 * time.Millisecond) // and what it leaves behind
+		after, err := processorTime(l.pid())
+		if err != nil {
+			return nil, nil, err
+		}
+		costs = append(costs, (after-before).Seconds()*1e3)
+	}
+	return costs, took, nil
+}
+
+// said is how many lines of the limiter's log hold a text.
+func (l *realLimiter) said(text string) int {
+	log, err := os.ReadFile(l.log)
+	if err != nil {
+		return 0
+	}
+	return strings.Count(string(log), text)
+}
--- /dev/null
+++ b/internal/lab/scale/report.go
@@ -0,0 +1,152 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"strings"
+)
+
+// Point is what was measured at one size, once or several times.
+type Point struct {
+	X       float64   `json:"x"`
+	Samples []float64 `json:"samples"`
+}
+
+// Low, Middle and High are the least, the median and the largest sample.
+func (p Point) Low() float64    { return slices.Min(p.Samples) }
+func (p Point) High() float64   { return slices.Max(p.Samples) }
+func (p Point) Middle() float64 { return quantile(slices.Sorted(slices.Values(p.Samples)), 0.5) }
+
+// quantile is the value below which a part of the sorted values lies, by the nearest rank.
+func quantile(sorted []float64, part float64) float64 {
+	if len(sorted) == 0 {
+		return math.NaN()
+	}
+	rank := int(math.Ceil(part*float64(len(sorted)))) - 1
+	return sorted[min(max(rank, 0), len(sorted)-1)]
+}
+
+// Series is one quantity over one size, with its slope.
+type Series struct {
+	Experiment string  `json:"experiment"`
+	Quantity   string  `json:"quantity"`
+	Unit       string  `json:"unit"`
+	Over       string  `json:"over"` // the size, empty for a figure that stands alone
+	Points     []Point `json:"points"`
+	Line       *Line   `json:"line,omitempty"` // nil for fewer than two sizes
+	// Mechanism is what carries the quantity: the file and the function.
+	Mechanism string `json:"mechanism,omitempty"`
+	Note      string `json:"note,omitempty"`
+	Reckoned  bool   `json:"reckoned,omitempty"` // from other figures, not measured
+}
+
+// Report is what a run gives.
+type Report struct {
+	Command    string   `json:"command"`
+	Began      string   `json:"began"`
+	Took       float64  `json:"took_s"`
+	Short      bool     `json:"short"`
+	LoadBefore string   `json:"load_before"` // of the machine, its average over a minute
+	LoadAfter  string   `json:"load_after"`
+	Series     []Series `json:"series"`
+}
+
+// add fits a series and keeps it; one that nothing was measured for is left out.
+func (h *Harness) add(s Series) {
+	if len(s.Points) == 0 {
+		return
+	}
+	var x, y []float64
+	for _, p := range s.Points {
+		for _, sample := range p.Samples {
+			x, y = append(x, p.X), append(y, sample)
+		}
+	}
+	if line, err := FitLine(x, y); err == nil && s.Over != "" {
+		s.Line = &line
+	}
+	h.report.Series = append(h.report.Series, s)
+	h.logf("%s", s.line())
+}
+
+// figure keeps a quantity that stands alone.
+func (h *Harness) figure(s Series, samples ...float64) {
+	s.Points = []Point{{Samples: samples}}
+	h.add(s)
+}
+
+// short writes a number in four digits.
+func short(x float64) string {
+	switch size := math.Abs(x); {
+	case size >= 1e6:
+		return fmt.Sprintf("%.3gM", x/1e6)
+	case size >= 1e4:
+		return fmt.Sprintf("%.4gk", x/1e3)
+	}
+	return fmt.Sprintf("%.4g", x)
+}
+
+func (p Point) String() string {
+	text := short(p.Middle())
+	if len(p.Samples) > 1 {
+		text += fmt.Sprintf(" (%s..%s)", short(p.Low()), short(p.High()))
+	}
+	return text
+}
+
+// line is one row of the table: what was measured at each size, and the slope.
+func (s Series) line() string {
+	var cells []string
+	for _, p := range s.Points {
+		cell := p.String()
+		if s.Over != "" {
+			cell = fmt.Sprintf("%g: %s", p.X, cell)
+		}
+		cells = append(cells, cell)
+	}
+	text := fmt.Sprintf("%s | %s | %s | %s | %s", s.Experiment, s.Quantity, s.Unit, s.Over, strings.Join(cells, ", "))
+	if s.Line != nil {
+		text += fmt.Sprintf(" | %s + %s(+-%s) each, residual %s", short(s.Line.Intercept), short(s.Line.Slope),
+			short(s.Line.SlopeError), short(s.Line.Residual))
+	} else {
+		text += " |"
+	}
+	for _, more := range []string{s.Note, s.Mechanism} {
+		text += " | " + more
+	}
+	if s.Reckoned {
+		text += " | reckoned"
+	}
+	return text
+}
+
+// WriteTable prints the figures, a line each.
+func (r *Report) WriteTable(out io.Writer) error {
+	head := fmt.Sprintf("run: %s, %s, %.0f s, load %s to %s\n", r.Command, r.Began, r.Took, r.LoadBefore, r.LoadAfter)
+	if r.Short {
+		head += "short form: it shows that the lab works; its figures count for nothing\n"
+	}
+	head += "experiment | quantity | unit | over | measured: median (least..largest) | slope | note | mechanism\n"
+	if _, err := io.WriteString(out, head); err != nil {
+		return err
+	}
+	for _, s := range r.Series {
+		if _, err := fmt.Fprintln(out, s.line()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Save writes the report to a file as JSON.
+func (r *Report) Save(path string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o644)
+}
--- /dev/null
+++ b/internal/lab/scale/scale.go
@@ -0,0 +1,133 @@
+// Package scale measures how what a limiter spends grows with the size of the fleet around it: servers, customers, limiters and
+// load. Real limiter processes and hollow ones, hundreds in a process, run against the stand-ins of package emulator; each
+// experiment stands in a file of its own, and its figures are fitted to straight lines from which a size is reckoned.
+package scale
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Options say what to run.
+type Options struct {
+	Short   bool     // a few seconds for each experiment, small sizes: to see that it works
+	Out     string   // folder for the figures and the processes' logs; it is made
+	Program string   // the limiter's program
+	Host    []string // the command of a host of hollow limiters; HostVariable is set in its environment
+	Command string   // how the run was started, for the record
+	Log     io.Writer
+}
+
+// Experiment is one of those that this package knows.
+type Experiment struct {
+	Name, Title string
+	run         func(*Harness) error
+}
+
+// Experiments are all experiments in the order in which they are run.
+func Experiments() []Experiment {
+	return []Experiment{
+		{"profile", "processor profiles of one hollow limiter", (*Harness).profile},
+		{"idle", "an idle limiter over servers and customers seen", (*Harness).idle},
+		{"alike", "hollow limiters beside real ones", (*Harness).alike},
+		{"list", "a change of the list over servers", (*Harness).list},
+		{"fleet", "idle limiters by the hundred before discovery", (*Harness).fleet},
+		{"worst", "the worst minutes of all limiters before the whole list", (*Harness).worst},
+		{"request", "the processor time of a request over servers and load", (*Harness).request},
+		{"counter", "calls to the counter, and what one costs there", (*Harness).counter},
+		{"renew", "a change of the configuration by file and SIGHUP", (*Harness).renew},
+		{"latency", "what a limiter adds to a request, taken apart, over load", (*Harness).latency},
+		{"latency-sizes", "the same over servers and customers", (*Harness).latencySizes},
+	}
+}
+
+// UnknownError is for an experiment that there is not.
+type UnknownError struct{ Name string }
+
+func (e *UnknownError) Error() string { return fmt.Sprintf("no experiment is called %q", e.Name) }
+
+// Hint names those that there are.
+func (e *UnknownError) Hint() string {
+	var names []string
+	for _, one := range Experiments() {
+		names = append(names, one.Name)
+	}
+	return "name one of " + strings.Join(names, ", ") + ", or none for all"
+}
+
+// Harness runs experiments and gathers their figures.
+type Harness struct {
+	options Options
+	report  Report
+	runs    int // processes started so far, for their files' names
+}
+
+// Run runs the named experiments, all where there is no name, and gives their figures; what was measured before an error is
+// given with it.
+func Run(names []string, options Options) (*Report, error) {
+	h := &Harness{options: options}
+	if err := os.MkdirAll(options.Out, 0o755); err != nil {
+		return nil, err
+	}
+	for _, name := range names {
+		if !slices.ContainsFunc(Experiments(), func(e Experiment) bool { return e.Name == name }) {
+			return nil, &UnknownError{name}
+		}
+	}
+	h.report = Report{Command: options.Command, Began: time.Now().UTC().Format(time.RFC3339), LoadBefore: load(), Short: options.Short}
+	for _, one := range Experiments() {
+		if len(names) > 0 && !slices.Contains(names, one.Name) {
+			continue
+		}
+		h.logf("experiment %s: %s", one.Name, one.Title)
+		if err := one.run(h); err != nil {
+			return &h.report, fmt.Errorf("%s: %w", one.Name, err)
+		}
+	}
+	h.report.LoadAfter = load()
+	h.report.Took = time.Since(began(h.report.Began)).Seconds()
+	return &h.report, nil
+}
+
+func began(text string) time.Time {
+	at, _ := time.Parse(time.RFC3339, text)
+	return at
+}
+
+func (h *Harness) logf(form string, args ...any) {
+	fmt.Fprintf(h.options.Log, time.Now().UTC().Format("15:04:05 ")+form+"\n", args...)
+}
+
+// sizes are the short form's or the whole ones.
+func (h *Harness) sizes(short, whole []int) []int {
+	if h.options.Short {
+		return short
+	}
+	return whole
+}
+
+// window is how long a step of a whole run takes in this one.
+func (h *Harness) window(whole time.Duration) time.Duration {
+	if h.options.Short {
+		return min(whole, shortWindow)
+	}
+	return whole
+}
+
+// samples is how many samples are taken at one size.
+func (h *Harness) samples() int {
+	if h.options.Short {
+		return shortSamples
+	}
+	return wholeSamples
+}
+
+const (
+	shortWindow  = 300 * time.Millisecond
+	shortSamples = 2
+	wholeSamples = 3
+)
