--- /dev/null
+++ b/internal/distribution/distribution_test.go
@@ -0,0 +1,712 @@
+package distribution
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ospreycroft/internal/hint"
+)
+
+func put(kind Kind, scope, name, value string) Mutation {
+	return Mutation{Entry: Entry{Key{kind, scope, name}, value}}
+}
+
+func drop(kind Kind, scope, name string) Mutation {
+	return Mutation{Entry: Entry{Key: Key{kind, scope, name}}, Delete: true}
+}
+
+// opened is a source whose first epoch is open, with some entries.
+func opened(t *testing.T, mutations ...Mutation) *Source {
+	t.Helper()
+	s := NewSource(NewLog(Retention{}), Budget{})
+	_, err := s.Open(1, 1)
+	require.NoError(t, err)
+	for _, m := range mutations {
+		_, err := s.Publish(1, 1, nil, []Mutation{m})
+		require.NoError(t, err)
+	}
+	return s
+}
+
+// synced is a subscriber that has a source's state.
+func synced(t *testing.T, s *Source, applier Applier) *Subscriber {
+	t.Helper()
+	sub := NewSubscriber(1, SubscriberOptions{Name: "limiter", Applier: applier})
+	ask(t, sub, s, 1)
+	ask(t, sub, s, 1)
+	require.Equal(t, s.log.Head(), sub.Version())
+	return sub
+}
+
+// ask makes one call.
+func ask(t *testing.T, sub *Subscriber, s Server, now int64) {
+	t.Helper()
+	request := sub.Next(now)
+	if request.Piece != nil {
+		piece, err := s.Piece(now, *request.Piece)
+		require.NoError(t, err)
+		require.NoError(t, sub.TakePiece(now, piece))
+		return
+	}
+	delta, err := s.Changes(now, *request.Changes)
+	require.NoError(t, err)
+	require.NoError(t, sub.TakeChanges(now, delta))
+}
+
+func is[E hint.Error](err error) bool {
+	var e E
+	return errors.As(fmt.Errorf("above: %w", err), &e) && e.Hint() != "" && e.Error() != ""
+}
+
+// TestPublishRefused: each change that cannot be is refused by its type, and the log stays as it was.
+func TestPublishRefused(t *testing.T) {
+	fill := func(n int, value string) (all []Mutation) {
+		for i := range n {
+			all = append(all, put(KindPlans, "", fmt.Sprint(i), value))
+		}
+		return all
+	}
+	old := Version{1, 1}
+	for _, c := range []struct {
+		name      string
+		epoch     uint64
+		expected  *Version
+		mutations []Mutation
+		is        func(error) bool
+		want      string
+	}{
+		{"an unknown kind", 1, nil, []Mutation{put("wishes", "", "a", "")}, is[*KindError], "wishes"},
+		{"no name", 1, nil, []Mutation{put(KindPlans, "", "", "")}, is[*KeyError], "no name"},
+		{"a name that is not UTF-8", 1, nil, []Mutation{put(KindPlans, "", "\xff", "")}, is[*KeyError], "UTF-8"},
+		{"a value that is not UTF-8", 1, nil, []Mutation{put(KindPlans, "", "a", "\xff")}, is[*KeyError], "UTF-8"},
+		{"a scope with a comma", 1, nil, []Mutation{put(KindPlans, "a,b", "a", "")}, is[*KeyError], "scope"},
+		{"a scope with a comma within", 1, nil, []Mutation{put(KindPlans, "a@b", "a", "")}, is[*KeyError], "scope"},
+		{"a long name", 1, nil, []Mutation{put(KindPlans, "", strings.Repeat("n", 257), "")}, is[*TooLargeError], "257"},
+		{"a long scope", 1, nil, []Mutation{put(KindPlans, strings.Repeat("n", 65), "a", "")}, is[*TooLargeError], "65"},
+		{"an entry too large", 1, nil, []Mutation{put(KindPlans, "", "a", strings.Repeat("v", 65537))}, is[*TooLargeError], "65537"},
+		{"an unknown key deleted", 1, nil, []Mutation{drop(KindPlans, "", "none")}, is[*KeyError], "not held"},
+		{"a deletion with a value", 1, nil, []Mutation{{Entry: Entry{Key{KindPlans, "", "a"}, "x"}, Delete: true}}, is[*KeyError], "value"},
+		{"a key twice", 1, nil, []Mutation{put(KindPlans, "", "a", "1"), put(KindPlans, "", "a", "2")}, is[*KeyError], "twice"},
+		{"nothing", 1, nil, nil, is[*EmptyChangeError], "no mutations"},
+		{"too many", 1, nil, fill(257, ""), is[*TooLargeError], "257"},
+		{"too much", 1, nil, fill(5, strings.Repeat("v", 60000)), is[*TooLargeError], "a change"},
+		{"an epoch that went back", 0, nil, fill(1, ""), is[*FencedError], "0"},
+		{"an epoch that is not open", 2, nil, fill(1, ""), is[*FencedError], "2"},
+		{"another head expected", 1, &old, fill(1, ""), is[*ConflictError], "1.1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := opened(t, put(KindPlans, "", "a", "0"))
+			_, err := s.Publish(1, c.epoch, c.expected, c.mutations)
+			require.True(t, c.is(err), "%T: %v", err, err)
+			require.ErrorContains(t, err, c.want)
+			require.Equal(t, Version{1, 2}, s.log.Head())
+			require.Equal(t, 1, s.log.State().Len())
+		})
+	}
+	s := opened(t)
+	_, err := s.Open(1, 1)
+	require.True(t, is[*FencedError](err), "an epoch opened twice: %v", err)
+	head := s.log.Head()
+	_, err = s.Publish(1, 1, &head, fill(1, ""))
+	require.NoError(t, err)
+	_, err = s.Publish(1, 1, &head, fill(1, ""))
+	require.True(t, is[*ConflictError](err), "published again after a lost answer: %v", err)
+}
+
+// TestStateBound: the whole state is bounded, at the writer and at a subscriber that reads it in pieces.
+func TestStateBound(t *testing.T) {
+	s := opened(t)
+	value := strings.Repeat("v", MaxValueBytes)
+	var err error
+	for i := 0; err == nil; i += 3 {
+		require.Less(t, i, 1100)
+		_, err = s.Publish(1, 1, nil, []Mutation{put(KindPlans, "", fmt.Sprint(i), value), put(KindPlans, "", fmt.Sprint(i+1), value),
+			put(KindPlans, "", fmt.Sprint(i+2), value)})
+	}
+	require.True(t, is[*TooLargeError](err), "%v", err)
+	require.LessOrEqual(t, s.log.State().bytes, MaxStateBytes)
+	require.Greater(t, s.log.State().bytes, MaxStateBytes-4*MaxValueBytes)
+	sub := NewSubscriber(1, SubscriberOptions{Name: "n", Applier: &inForce{}})
+	for i := range 2000 {
+		piece := &Piece{Version: Version{1, 9}, Entries: []Entry{{Key{KindPlans, "", fmt.Sprintf("%09d", i)}, value}}}
+		if err = sub.TakePiece(1, piece); err != nil {
+			require.Less(t, i, 1100)
+			break
+		}
+	}
+	require.True(t, is[*TooLargeError](err), "%v", err)
+}
+
+// TestAnswerRefused: each answer that cannot be leaves what is in force as it was, and says by its type what is wrong.
+func TestAnswerRefused(t *testing.T) {
+	good := func(d *Delta) *Delta { return d }
+	for _, c := range []struct {
+		name  string
+		spoil func(*Delta) *Delta
+		is    func(error) bool
+		after Condition
+	}{
+		{"good", good, func(err error) bool { return err == nil }, Current},
+		{"a version that skips", func(d *Delta) *Delta {
+			d.Changes = d.Changes[1:]
+			return d
+		}, is[*SkipError], Current},
+		{"changes end too early", func(d *Delta) *Delta {
+			d.Changes = d.Changes[:1]
+			return d
+		}, is[*SkipError], Current},
+		{"from elsewhere", func(d *Delta) *Delta {
+			d.From.Number--
+			return d
+		}, is[*SkipError], Current},
+		{"an epoch that goes back", func(d *Delta) *Delta {
+			d.To.Epoch--
+			return d
+		}, is[*StaleAnswerError], Current},
+		{"an epoch that goes back on the way", func(d *Delta) *Delta {
+			d.Changes[0].Version.Epoch--
+			return d
+		}, is[*SkipError], Current},
+		{"an hour old", func(d *Delta) *Delta {
+			return &Delta{From: Version{1, 1}, To: Version{1, 2}, Changes: []Change{{Version: Version{1, 2}}}}
+		}, is[*StaleAnswerError], Current},
+		{"a digest that does not match", func(d *Delta) *Delta {
+			d.Digest[0]++
+			return d
+		}, is[*DigestError], Syncing},
+		{"an epoch that was changed on the way", func(d *Delta) *Delta {
+			d.To.Epoch++
+			d.Changes[len(d.Changes)-1].Version.Epoch++
+			return d
+		}, is[*DigestError], Syncing},
+		{"an entry of an unknown kind", func(d *Delta) *Delta {
+			d.Changes[0].Mutations[0].Kind = "wishes"
+			return d
+		}, is[*KindError], Current},
+		{"an entry too large", func(d *Delta) *Delta {
+			d.Changes[0].Mutations[0].Value = strings.Repeat("v", MaxValueBytes+1)
+			return d
+		}, is[*TooLargeError], Current},
+		{"an entry outside the scope", func(d *Delta) *Delta {
+			d.Changes[0].Mutations[0].Scope = "us"
+			return d
+		}, is[*KeyError], Current},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := opened(t, put(KindPlans, "", "a", "0"))
+			_, err := s.Open(1, 2)
+			require.NoError(t, err)
+			f := &inForce{state: entries{}}
+			sub := NewSubscriber(1, SubscriberOptions{Name: "limiter", Scope: Scope{Names: []string{"eu"}}, Applier: f})
+			ask(t, sub, s, 1)
+			ask(t, sub, s, 1)
+			before := sub.Version()
+			for _, value := range []string{"1", "2"} {
+				_, err = s.Publish(1, 2, nil, []Mutation{put(KindPlans, "eu", "a", value), put(KindRoutes, "", "r", value)})
+				require.NoError(t, err)
+			}
+			delta, err := s.Changes(2, *sub.Next(2).Changes)
+			require.NoError(t, err)
+			text, err := json.Marshal(delta) // as it comes over a wire, and apart from the log's own slices
+			require.NoError(t, err)
+			copied := &Delta{}
+			require.NoError(t, json.Unmarshal(text, copied))
+			err = sub.TakeChanges(2, c.spoil(copied))
+			require.True(t, c.is(err), "%T: %v", err, err)
+			require.Equal(t, c.after, sub.Status(2).Condition)
+			if err != nil {
+				require.Equal(t, before, sub.Version())
+				require.Equal(t, entries{{KindPlans, "", "a"}: "0"}, f.state)
+				require.Equal(t, f.state, entries(sub.State().values))
+			}
+			for range 3 { // and the next honest answers bring it up to date
+				ask(t, sub, s, 3)
+			}
+			require.Equal(t, s.log.Head(), sub.Version())
+			require.Equal(t, "2", f.state[Key{KindPlans, "eu", "a"}])
+		})
+	}
+}
+
+// TestPieceRefused: the same for pieces.
+func TestPieceRefused(t *testing.T) {
+	at := Version{3, 9}
+	first := func() *Piece {
+		return &Piece{Version: at, Entries: []Entry{{Key{KindPlans, "", "a"}, "1"}, {Key{KindPlans, "", "b"}, "1"}}}
+	}
+	for _, c := range []struct {
+		name  string
+		spoil func(*Piece)
+		is    func(error) bool
+	}{
+		{"an epoch that goes back", func(p *Piece) { p.Version.Epoch = 1 }, is[*StaleAnswerError]},
+		{"another epoch on the way", func(p *Piece) { p.Version.Epoch = 4 }, is[*SkipError]},
+		{"an entry again", func(p *Piece) {}, is[*KeyError]},
+		{"nothing, and not the last", func(p *Piece) { p.Entries = nil }, is[*SkipError]},
+		{"an unknown kind", func(p *Piece) { p.Entries[0].Kind = "wishes" }, is[*KindError]},
+		{"outside the scope", func(p *Piece) { p.Entries = []Entry{{Key{KindPlans, "us", "z"}, "1"}} }, is[*KeyError]},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sub := NewSubscriber(1, SubscriberOptions{Name: "n", Scope: Scope{Names: []string{"eu"}}, Applier: &inForce{}})
+			require.NoError(t, sub.Restore(Version{2, 3}, NewState(), 0))
+			sub.TakeError(&CompactedError{})
+			require.NoError(t, sub.TakePiece(1, first()))
+			require.NotNil(t, sub.Next(1).Piece.After)
+			piece := first()
+			c.spoil(piece)
+			err := sub.TakePiece(1, piece)
+			require.True(t, c.is(err), "%T: %v", err, err)
+			require.Equal(t, Version{2, 3}, sub.Version())
+			if next := sub.Next(1); next.Piece != nil {
+				require.Nil(t, next.Piece.After, "it begins anew")
+			}
+		})
+	}
+}
+
+// TestStates: a subscriber is syncing until it has a version, current while the source is heard, and unconfirmed with its
+// age behind a relay that is cut off; it goes on serving what it has.
+func TestStates(t *testing.T) {
+	s := opened(t, put(KindPlans, "", "a", "0"))
+	r := NewRelay(1, RelayOptions{Name: "r"})
+	sub := NewSubscriber(1, SubscriberOptions{Name: "n", Applier: &inForce{}})
+	_, err := r.Piece(1, *sub.Next(1).Piece)
+	require.True(t, is[*NotReadyError](err), "%v", err)
+	_, err = r.Changes(1, ChangesRequest{})
+	require.True(t, is[*NotReadyError](err), "%v", err)
+	require.Equal(t, Status{Condition: Syncing, Age: 2 * second}, sub.Status(1+2*second))
+	ask(t, r.Subscriber, s, second)
+	ask(t, r.Subscriber, s, second)
+	ask(t, sub, r, 3*second)
+	ask(t, sub, r, 3*second)
+	require.Equal(t, Status{Condition: Current, Version: Version{1, 2}, Age: 2 * second}, sub.Status(3*second))
+	for now := 4 * second; now < 60*second; now += second { // the relay hears nothing more
+		ask(t, sub, r, now)
+		want := Status{Condition: Current, Version: Version{1, 2}, Age: now - second}
+		if want.Age >= DefaultUnconfirmedAfter {
+			want.Condition = Unconfirmed
+		}
+		require.Equal(t, want, sub.Status(now))
+		require.Equal(t, want, r.Status(now))
+	}
+	require.Equal(t, 1, sub.State().Len())
+	ask(t, r.Subscriber, s, 60*second)
+	ask(t, sub, r, 61*second)
+	require.Equal(t, Status{Condition: Current, Version: Version{1, 2}, Age: second}, sub.Status(61*second))
+}
+
+// TestRestored: a restored state is in force at once, unconfirmed with the age that it had; one of another scope is not.
+func TestRestored(t *testing.T) {
+	state, err := NewStateOf([]Entry{{Key{KindPlans, "us", "a"}, "1"}})
+	require.NoError(t, err)
+	f := &inForce{}
+	sub := NewSubscriber(5*second, SubscriberOptions{Applier: f})
+	require.NoError(t, sub.Restore(Version{1, 7}, state, 3600*second))
+	require.Equal(t, Status{Condition: Unconfirmed, Version: Version{1, 7}, Age: 3601 * second}, sub.Status(6*second))
+	require.Equal(t, entries{{KindPlans, "us", "a"}: "1"}, f.state)
+	saved := sub.Snapshot(6 * second)
+	require.Equal(t, Snapshot{Version: Version{1, 7}, Taken: 6*second - 3601*second, Entries: state.Entries()}, *saved)
+	f = &inForce{}
+	sub = NewSubscriber(1, SubscriberOptions{Applier: f, Scope: Scope{Names: []string{"eu"}}})
+	require.True(t, is[*KeyError](sub.Restore(Version{1, 7}, state, 0)))
+	require.Zero(t, f.applied)
+	require.Nil(t, sub.Snapshot(1))
+	sub = NewSubscriber(1, SubscriberOptions{Applier: &inForce{refuses: true}})
+	require.True(t, is[*RefusedError](sub.Restore(Version{1, 7}, state, 0)))
+	require.Equal(t, Version{}, sub.Version())
+	_, err = NewStateOf(append(state.Entries(), state.Entries()...))
+	require.True(t, is[*KeyError](err))
+}
+
+// TestApplierRefuses: a version that the applier refuses is told with its reason, not sent again until its retry, and a
+// newer one is tried at once; the same where a whole state is refused.
+func TestApplierRefuses(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		t.Run(fmt.Sprint("whole=", whole), func(t *testing.T) {
+			s := opened(t, put(KindPlans, "", "a", "0"))
+			f := &inForce{state: entries{}}
+			sub := synced(t, s, f)
+			_, err := s.Publish(2, 1, nil, []Mutation{put(KindPlans, "", "a", "1")})
+			require.NoError(t, err)
+			f.refuses = true
+			if whole {
+				sub.TakeError(&CompactedError{})
+				ask(t, sub, s, 2)
+			}
+			delta, err := s.Changes(2, *sub.Next(2).Changes)
+			require.NoError(t, err)
+			require.True(t, is[*RefusedError](sub.TakeChanges(2, delta)))
+			require.Equal(t, Version{1, 2}, sub.Version())
+			require.Equal(t, "0", f.state[Key{KindPlans, "", "a"}])
+			a := sub.Acknowledgement(2)
+			require.Equal(t, Version{1, 3}, *a.Refused)
+			require.Equal(t, "refused by the test", a.Reason)
+			f.refuses, f.applied = false, 0
+			next := sub.Next(3)
+			require.True(t, next.Hold && !s.Newer(*next.Changes), "%+v", next.Changes)
+			ask(t, sub, s, 3) // held in vain
+			require.Zero(t, f.applied, "tried again too early")
+			require.Equal(t, Version{1, 2}, sub.Version())
+			require.Equal(t, int64(0), sub.Status(3).Age, "the source was heard all the same")
+			again := 2 + DefaultRefusedRetry
+			next = sub.Next(again)
+			require.True(t, !next.Hold || s.Newer(*next.Changes), "%+v", next.Changes)
+			ask(t, sub, s, again)
+			require.Equal(t, 1, f.applied)
+			require.Equal(t, Version{1, 3}, sub.Version())
+			require.Nil(t, sub.Acknowledgement(again).Refused)
+			f.refuses = true
+			_, err = s.Publish(2, 1, nil, []Mutation{put(KindPlans, "", "a", "2")})
+			require.NoError(t, err)
+			delta, err = s.Changes(again, *sub.Next(again).Changes)
+			require.NoError(t, err)
+			require.Error(t, sub.TakeChanges(again, delta))
+			_, err = s.Publish(2, 1, nil, []Mutation{put(KindPlans, "", "a", "3")})
+			require.NoError(t, err)
+			f.refuses = false
+			require.True(t, s.Newer(*sub.Next(again).Changes))
+			ask(t, sub, s, again)
+			require.Equal(t, "3", f.state[Key{KindPlans, "", "a"}])
+		})
+	}
+}
+
+// TestBehind: a server that is older than its subscriber, or whose log lacks the subscriber's version, says so.
+func TestBehind(t *testing.T) {
+	s := NewSource(NewLog(Retention{Changes: 2}), Budget{})
+	_, err := s.Open(1, 4)
+	require.NoError(t, err)
+	for range 9 {
+		_, err = s.Publish(1, 4, nil, []Mutation{put(KindPlans, "", "a", "1")})
+		require.NoError(t, err)
+	}
+	require.Equal(t, Version{4, 8}, s.log.Oldest())
+	for _, c := range []struct {
+		from Version
+		is   func(error) bool
+	}{
+		{Version{4, 8}, func(err error) bool { return err == nil }}, {Version{4, 10}, func(err error) bool { return err == nil }},
+		{Version{4, 7}, is[*CompactedError]}, {Version{3, 9}, is[*CompactedError]}, {Version{3, 99}, is[*CompactedError]},
+		{Version{}, is[*CompactedError]}, {Version{4, 11}, is[*BehindError]}, {Version{5, 2}, is[*BehindError]},
+	} {
+		_, err := s.Changes(1, ChangesRequest{From: c.from})
+		require.True(t, c.is(err), "%v: %v", c.from, err)
+	}
+	_, err = s.Changes(1, ChangesRequest{From: Version{4, 9}, Scope: Scope{Kinds: []Kind{"wishes"}}})
+	require.True(t, is[*ScopeError](err))
+	_, err = s.Piece(1, PieceRequest{Scope: Scope{Kinds: []Kind{"wishes"}}})
+	require.True(t, is[*ScopeError](err))
+}
+
+// TestFencedByASubscriber: a source that hears of a higher epoch publishes no more, until it opens one above that.
+func TestFencedByASubscriber(t *testing.T) {
+	s := opened(t)
+	_, err := s.Changes(1, ChangesRequest{From: Version{7, 1}})
+	require.True(t, is[*BehindError](err))
+	_, err = s.Publish(1, 1, nil, []Mutation{put(KindPlans, "", "a", "1")})
+	require.True(t, is[*FencedError](err), "%v", err)
+	_, err = s.Open(1, 7)
+	require.True(t, is[*FencedError](err), "%v", err)
+	_, err = s.Open(1, 8)
+	require.NoError(t, err)
+	_, err = s.Publish(1, 8, nil, []Mutation{put(KindPlans, "", "a", "1")})
+	require.NoError(t, err)
+	_, err = s.Changes(1, ChangesRequest{From: Version{1<<64 - 1, 1}})
+	require.True(t, is[*BehindError](err))
+	_, err = s.Publish(1, 8, nil, []Mutation{put(KindPlans, "", "a", "2")})
+	require.NoError(t, err, "an epoch that no writer has fences nothing")
+}
+
+// TestDeltaBytes: a long way is led in several answers, each with the digest at its end.
+func TestDeltaBytes(t *testing.T) {
+	s := opened(t)
+	f := &inForce{state: entries{}}
+	sub := synced(t, s, f)
+	for i := range 20 {
+		_, err := s.Publish(1, 1, nil, []Mutation{put(KindPlans, "", fmt.Sprint(i), strings.Repeat("v", 60000))})
+		require.NoError(t, err)
+	}
+	answers := 0
+	for ; sub.Version() != s.log.Head(); answers++ {
+		require.Less(t, answers, 20)
+		before := sub.Version()
+		delta, err := s.Changes(1, *sub.Next(1).Changes)
+		require.NoError(t, err)
+		bytes := 0
+		for _, change := range delta.Changes {
+			bytes += change.size()
+		}
+		require.LessOrEqual(t, bytes, MaxDeltaBytes)
+		require.NoError(t, sub.TakeChanges(1, delta))
+		require.True(t, before.Less(sub.Version()))
+	}
+	require.Equal(t, 5, answers)
+	require.Len(t, f.state, 20)
+}
+
+// TestThrottled: pieces are given as far as the budget goes, and the wait that is told is enough.
+func TestThrottled(t *testing.T) {
+	s := NewSource(NewLog(Retention{}), Budget{Rate: 100 << 10, Burst: MaxPieceBytes})
+	_, err := s.Open(1, 1)
+	require.NoError(t, err)
+	for i := range 4 {
+		_, err = s.Publish(1, 1, nil, []Mutation{put(KindPlans, "", fmt.Sprint(i), strings.Repeat("v", 60000))})
+		require.NoError(t, err)
+	}
+	request := PieceRequest{MaxBytes: MaxPieceBytes}
+	piece, err := s.Piece(1, request)
+	require.NoError(t, err)
+	require.True(t, piece.Last)
+	_, err = s.Piece(1, request)
+	var throttled *ThrottledError
+	require.ErrorAs(t, err, &throttled)
+	require.NotEmpty(t, throttled.Hint())
+	_, err = s.Piece(throttled.RetryAfter, request)
+	require.True(t, is[*ThrottledError](err), "a nanosecond too early")
+	_, err = s.Piece(1+throttled.RetryAfter, request)
+	require.NoError(t, err)
+}
+
+func TestScope(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Scope{Kinds: rapid.SliceOfN(rapid.SampledFrom(Kinds), 0, 5).Draw(t, "kinds"),
+			Names: rapid.SliceOfN(rapid.StringMatching(`[a-zA-Z0-9._-]{1,64}`), 0, MaxScopeNames).Draw(t, "names")}
+		again, err := ParseScope(s.String())
+		require.NoError(t, err)
+		require.Equal(t, s.String(), again.String())
+	})
+	for _, text := range []string{"plans", "wishes@", "@a b", "@a,,b", "@" + strings.Repeat("n,", 16) + "n", "@" + strings.Repeat("n", 65)} {
+		_, err := ParseScope(text)
+		require.True(t, is[*ScopeError](err), "%s: %v", text, err)
+	}
+	s, err := ParseScope("plans,routes@eu")
+	require.NoError(t, err)
+	for key, want := range map[Key]bool{{KindPlans, "eu", "a"}: true, {KindPlans, "", "a"}: true, {KindPlans, "us", "a"}: false,
+		{KindTenants, "eu", "a"}: false} {
+		require.Equal(t, want, s.Contains(key), key)
+	}
+}
+
+// TestDigest: it does not depend on the order, and tells values, keys and their borders apart.
+func TestDigest(t *testing.T) {
+	a, b := NewState(), NewState()
+	one, two := Entry{Key{KindPlans, "", "one"}, "1"}, Entry{Key{KindPlans, "eu", "two"}, "2"}
+	a.put(one)
+	a.put(two)
+	b.put(two)
+	b.put(Entry{one.Key, "0"})
+	require.NotEqual(t, a.Digest(Scope{}), b.Digest(Scope{}))
+	b.put(one)
+	require.Equal(t, a.Digest(Scope{}), b.Digest(Scope{}))
+	a.remove(two.Key)
+	require.NotEqual(t, a.Digest(Scope{}), b.Digest(Scope{}))
+	require.Equal(t, a.Digest(Scope{}), b.Digest(Scope{Names: []string{"us"}}))
+	a.remove(one.Key)
+	require.Equal(t, Digest{}, a.Digest(Scope{}))
+	require.NotEqual(t, digestOf(Key{KindPlans, "a", "b"}, "c"), digestOf(Key{KindPlans, "", "ab"}, "c"))
+	require.NotEqual(t, digestOf(Key{KindPlans, "", "b"}, "c"), digestOf(Key{KindPlans, "", "bc"}, ""))
+	var again Digest
+	text, err := digestOf(one.Key, "1").MarshalText()
+	require.NoError(t, err)
+	require.NoError(t, again.UnmarshalText(text))
+	require.Equal(t, digestOf(one.Key, "1"), again)
+	require.Error(t, again.UnmarshalText(text[2:]))
+	require.Error(t, again.UnmarshalText([]byte("x")))
+}
+
+// TestAcknowledgements: relays sum up what their limiters said lately, in bounded messages, and the source tells from these
+// in how many limiters a version is in force.
+func TestAcknowledgements(t *testing.T) {
+	s := opened(t)
+	relays := []*Relay{NewRelay(1, RelayOptions{Name: "a"}), NewRelay(1, RelayOptions{Name: "b"})}
+	refused := Version{2, 9}
+	for i := range 550 {
+		a := Acknowledgement{Limiter: fmt.Sprint("limiter-", i), Version: Version{2, uint64(i % 10)}, Condition: Current}
+		if i%10 == 0 {
+			a.Condition = Unconfirmed
+		}
+		if i%10 == 8 {
+			a.Refused, a.Reason = &refused, strings.Repeat("é", 100)
+		}
+		require.NoError(t, relays[i%2].Acknowledge(1, a))
+		require.NoError(t, relays[i%2].Acknowledge(1, a), "said twice")
+	}
+	require.NoError(t, relays[0].Acknowledge(2, Acknowledgement{Limiter: "limiter-0", Version: Version{2, 2}, Condition: Syncing}))
+	for _, r := range relays {
+		summary := r.Summary(2)
+		require.NoError(t, s.Summarize(2, summary))
+		text, err := json.Marshal(summary)
+		require.NoError(t, err)
+		require.Less(t, len(text), 1<<10)
+	}
+	ask(t, relays[1].Subscriber, s, 2)
+	ask(t, relays[1].Subscriber, s, 2)
+	require.Equal(t, s.log.Head(), relays[1].Summary(5).Version)
+	require.Equal(t, int64(3), relays[1].Summary(5).Age)
+	o := s.Overview(3)
+	inForce, limiters := o.InForce(Version{2, 8})
+	require.Equal(t, 550, limiters)
+	require.Equal(t, 110, inForce)
+	require.Equal(t, 54, o.Relays[0].Unconfirmed)
+	require.Equal(t, 1, o.Relays[0].Syncing)
+	require.Equal(t, []VersionCount{{Version{2, 8}, 55}, {Version{2, 6}, 55}, {Version{2, 4}, 55}, {Version{2, 2}, 56},
+		{Version{2, 0}, 54}}, o.Relays[0].Versions)
+	require.Equal(t, []Refusal{{VersionCount{refused, 55}, strings.Repeat("é", 100)}}, o.Relays[0].Refusals)
+	require.Empty(t, relays[1].Summary(2+AcknowledgementLife).Versions, "limiters that say nothing are not counted for long")
+	o = s.Overview(3 + AcknowledgementLife)
+	require.Equal(t, []string{"a", "b"}, o.Silent)
+	require.NoError(t, s.Acknowledge(3, Acknowledgement{Limiter: "direct", Version: Version{2, 9}, Condition: Current}))
+	inForce, _ = s.Overview(3).InForce(Version{2, 9})
+	require.Equal(t, 1+55, inForce)
+	many := newTally()
+	for i := range 20 {
+		version := Version{1, uint64(i)}
+		require.NoError(t, many.take(1, Acknowledgement{Limiter: fmt.Sprint(i), Version: version, Condition: Current, Refused: &version}))
+	}
+	sum := many.sum(1, "r")
+	require.Len(t, sum.Versions, MaxSummaryVersions)
+	require.Equal(t, 12, sum.Older)
+	require.Len(t, sum.Refusals, MaxSummaryRefusals)
+	require.Equal(t, 20, sum.Limiters())
+	require.Equal(t, Version{1, 19}, sum.Refusals[0].Version)
+	require.NoError(t, sum.check())
+}
+
+func TestAcknowledgementRefused(t *testing.T) {
+	r := NewRelay(1, RelayOptions{Name: "r"})
+	for _, a := range []Acknowledgement{{Condition: Current}, {Limiter: "n", Condition: "glad"}, {Limiter: "n"},
+		{Limiter: strings.Repeat("n", 257), Condition: Current},
+		{Limiter: "n", Condition: Current, Reason: strings.Repeat("r", MaxReasonBytes+1)}} {
+		err := r.Acknowledge(1, a)
+		require.True(t, is[*KeyError](err) || is[*TooLargeError](err), "%+v: %v", a, err)
+	}
+	for i := range MaxTallyLimiters {
+		require.NoError(t, r.Acknowledge(1, Acknowledgement{Limiter: fmt.Sprint(i), Condition: Current}))
+	}
+	more := Acknowledgement{Limiter: "more", Condition: Current}
+	require.True(t, is[*TooLargeError](r.Acknowledge(1, more)))
+	require.NoError(t, r.Acknowledge(2+AcknowledgementLife, more), "room again")
+	s := opened(t)
+	for _, summary := range []Summary{{}, {Relay: "r", Versions: make([]VersionCount, 9)}, {Relay: "r", Refusals: make([]Refusal, 5)},
+		{Relay: "r", Older: -1}, {Relay: "r", Versions: []VersionCount{{Limiters: -1}}}} {
+		err := s.Summarize(1, summary)
+		require.True(t, is[*KeyError](err) || is[*TooLargeError](err), "%+v: %v", summary, err)
+	}
+	for i := range maxRelays {
+		require.NoError(t, s.Summarize(1, Summary{Relay: fmt.Sprint(i)}))
+	}
+	require.True(t, is[*TooLargeError](s.Summarize(1, Summary{Relay: "more"})))
+}
+
+// TestChooseRelays: the first is of the own zone, the second of another one, and those of a lost relay are shared evenly.
+func TestChooseRelays(t *testing.T) {
+	var relays []RelayAddress
+	for _, zone := range []string{"c", "a", "d", "b"} {
+		relays = append(relays, RelayAddress{"relay-" + zone, zone, "127.0.0.1:1"})
+	}
+	second := map[string]int{}
+	for position := range 300 {
+		two, err := ChooseRelays(relays, "b", position)
+		require.NoError(t, err)
+		require.Equal(t, "b", two[0].Zone)
+		second[two[1].Zone]++
+	}
+	require.Equal(t, map[string]int{"a": 100, "c": 100, "d": 100}, second)
+	lost := map[string]int{}
+	for position := range 120 {
+		two, err := ChooseRelays(relays, "nowhere", position)
+		require.NoError(t, err)
+		require.NotEqual(t, two[0], two[1])
+		lost[two[0].Zone+two[1].Zone]++
+	}
+	require.Len(t, lost, 12)
+	same, err := ChooseRelays([]RelayAddress{relays[2], relays[0], relays[3], relays[1]}, "b", 7)
+	require.NoError(t, err)
+	again, _ := ChooseRelays(relays, "b", 7)
+	require.Equal(t, again, same, "it does not depend on the order")
+	for _, zone := range []string{"c", "x"} {
+		two, err := ChooseRelays(relays[:1], zone, 5)
+		require.NoError(t, err)
+		require.Equal(t, [2]RelayAddress{relays[0], relays[0]}, two)
+	}
+	two, err := ChooseRelays([]RelayAddress{{"1", "z", "h:1"}, {"2", "z", "h:2"}}, "z", 5)
+	require.NoError(t, err)
+	require.NotEqual(t, two[0], two[1])
+	for _, bad := range [][]RelayAddress{nil, {{"", "z", "h:1"}}, {{"1", "z", ""}}, {{"1", "z", "h:1"}, {"1", "y", "h:2"}}} {
+		_, err := ChooseRelays(bad, "z", 0)
+		require.True(t, is[*NoRelayError](err), "%v", err)
+	}
+	_, err = ChooseRelays(relays, "a", -1)
+	require.True(t, is[*NoRelayError](err), "%v", err)
+}
+
+func TestSelector(t *testing.T) {
+	var s Selector
+	require.Equal(t, 0, s.Selected(1))
+	s.Failed(1)
+	require.Equal(t, 1, s.Selected(ReturnAfter))
+	require.Equal(t, 0, s.Selected(1+ReturnAfter), "it returns")
+	s.Failed(2 + ReturnAfter)
+	s.Failed(3 + ReturnAfter)
+	require.Equal(t, 0, s.Selected(4+ReturnAfter), "both failed")
+}
+
+// TestLimiterApplier: addresses move together or not at all, whatever else cannot change is named, and the rest is carried.
+func TestLimiterApplier(t *testing.T) {
+	var moved []Addresses
+	var fails error
+	a := &LimiterApplier{Move: func(to Addresses) error {
+		if fails != nil {
+			return fails
+		}
+		moved = append(moved, to)
+		return nil
+	}}
+	apply := func(mutations ...Mutation) error { return a.Apply(&Update{Changes: []Change{{Mutations: mutations}}}) }
+	discovery := func(address string) Mutation { return put(KindEndpoints, "", EndpointDiscovery, address) }
+	counter := func(address string) Mutation { return put(KindEndpoints, "", EndpointCounter, address) }
+	require.NoError(t, apply(put(KindPlans, "", "p", "{}"), put(KindRoutes, "", "r", "{}"), put(KindTenants, "", "t", "{}")))
+	require.Empty(t, moved)
+	require.NoError(t, apply(discovery("127.0.0.1:1"), counter("127.0.0.1:2")))
+	require.NoError(t, apply(discovery("127.0.0.1:1")))
+	require.NoError(t, apply(put(KindEndpoints, "eu", EndpointDiscovery, "127.0.0.1:3")))
+	want := []Addresses{{"127.0.0.1:1", "127.0.0.1:2"}, {"127.0.0.1:3", "127.0.0.1:2"}}
+	require.Equal(t, want, moved)
+	fixed := put(KindEndpoints, "", "listen", "127.0.0.1:9")
+	for name, err := range map[string]error{
+		"a fixed key behind one that moves":   apply(counter("127.0.0.1:4"), fixed),
+		"the counter taken away":              apply(drop(KindEndpoints, "", EndpointCounter)),
+		"discovery is not in a whole state":   a.Apply(&Update{Whole: whole(t, counter("127.0.0.1:4"))}),
+		"a fixed key in a whole state":        a.Apply(&Update{Whole: whole(t, discovery("127.0.0.1:4"), counter("127.0.0.1:4"), fixed)}),
+		"the counter is not in a whole state": a.Apply(&Update{Whole: whole(t, discovery("127.0.0.1:4"))}),
+	} {
+		require.True(t, is[*FixedKeyError](err), "%s: %v", name, err)
+	}
+	require.ErrorContains(t, apply(fixed), "endpoints//listen")
+	for _, address := range []string{"", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:70000", ":1", "127.0.0.1:x"} {
+		err := apply(counter("127.0.0.1:4"), discovery(address))
+		require.True(t, is[*KeyError](err), "%s: %v", address, err)
+	}
+	fails = errors.New("no room")
+	require.ErrorIs(t, apply(counter("127.0.0.1:5")), fails)
+	fails = nil
+	require.Equal(t, want, moved, "none of these moved anything")
+	require.NoError(t, apply(drop(KindEndpoints, "eu", EndpointDiscovery)), "the one for every limiter counts again")
+	require.NoError(t, a.Apply(&Update{Whole: whole(t, discovery("127.0.0.1:7"), counter("127.0.0.1:8"))}))
+	require.Equal(t, append(want, Addresses{"127.0.0.1:1", "127.0.0.1:2"}, Addresses{"127.0.0.1:7", "127.0.0.1:8"}), moved)
+}
+
+func whole(t *testing.T, mutations ...Mutation) *State {
+	t.Helper()
+	s := NewState()
+	for _, m := range mutations {
+		s.put(m.Entry)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/distribution/errors_test.go
@@ -0,0 +1,38 @@
+package distribution
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestErrorsOnPage: the page lists each error with a hint of these packages, and no other.
+func TestErrorsOnPage(t *testing.T) {
+	var types []string
+	for _, pattern := range []string{"*.go", "*/*.go"} {
+		files, err := filepath.Glob(pattern)
+		require.NoError(t, err)
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			name := regexp.MustCompile(`(?m)^package (\w+)`).FindSubmatch(text)[1]
+			for _, of := range regexp.MustCompile(`(?m)^func \((?:\w+ )?\*?(\w+)\) Hint\(`).FindAllSubmatch(text, -1) {
+				types = append(types, string(name)+"."+string(of[1]))
+			}
+		}
+	}
+	page, err := os.ReadFile("../../docs/distribution.md")
+	require.NoError(t, err)
+	var listed []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z]+\\.[A-Z]\\w+)` \\| .+ \\| .+ \\|$").FindAllSubmatch(page, -1) {
+		listed = append(listed, string(row[1]))
+	}
+	require.ElementsMatch(t, types, listed)
+}
--- /dev/null
+++ b/internal/distribution/log.go
@@ -0,0 +1,213 @@
+package distribution
+
+import "slices"
+
+// Retention bounds the changes that a log keeps behind its state. Zero fields take the defaults.
+type Retention struct {
+	Changes int // how many
+	Bytes   int // of content
+}
+
+const (
+	defaultRetainedChanges = 4096
+	defaultRetainedBytes   = 16 << 20
+)
+
+func (r Retention) orDefault() Retention {
+	if r.Changes == 0 {
+		r.Changes = defaultRetainedChanges
+	}
+	if r.Bytes == 0 {
+		r.Bytes = defaultRetainedBytes
+	}
+	return r
+}
+
+// record is a change with what is needed to step back over it.
+type record struct {
+	Change
+	digests map[bucket]Digest // what the change added to the digest of each bucket
+	bytes   int
+}
+
+// Log is the numbered changes and the state at the newest of them. Older changes are compacted away; the state stands for
+// them. It is not safe for concurrent use.
+type Log struct {
+	retention Retention
+	head      Version
+	base      Version // of the change directly before the oldest that is kept
+	records   []record
+	bytes     int // of the records
+	state     *State
+}
+
+// NewLog makes an empty log.
+func NewLog(retention Retention) *Log {
+	return &Log{retention: retention.orDefault(), state: NewState()}
+}
+
+// NewLogAt makes a log that goes on from a snapshot, which it takes over.
+func NewLogAt(retention Retention, version Version, state *State) *Log {
+	return &Log{retention: retention.orDefault(), head: version, base: version, state: state}
+}
+
+// Head is the version of the newest change.
+func (l *Log) Head() Version { return l.head }
+
+// Oldest is the oldest version from which the log can lead on.
+func (l *Log) Oldest() Version { return l.base }
+
+// State is the state at the head, to read only.
+func (l *Log) State() *State { return l.state }
+
+// Open is a method of Writer. The epoch begins with an empty change, so that no version of an older writer is above it.
+func (l *Log) Open(now int64, epoch uint64) (Change, error) {
+	if epoch <= l.head.Epoch {
+		return Change{}, &FencedError{Open: l.head.Epoch, Given: epoch}
+	}
+	if epoch-l.head.Epoch > MaxEpochStep {
+		return Change{}, &EpochStepError{Open: l.head.Epoch, Given: epoch}
+	}
+	change := Change{Version: Version{Epoch: epoch, Number: l.head.Number + 1}, Published: now}
+	l.append(change)
+	return change, nil
+}
+
+// Append is a method of Writer.
+func (l *Log) Append(now int64, epoch uint64, expected *Version, mutations []Mutation) (Change, error) {
+	if epoch != l.head.Epoch || epoch == 0 {
+		return Change{}, &FencedError{Open: l.head.Epoch, Given: epoch}
+	}
+	if expected != nil && *expected != l.head {
+		return Change{}, &ConflictError{Expected: *expected, Head: l.head}
+	}
+	if err := l.checkAppend(mutations); err != nil {
+		return Change{}, err
+	}
+	change := Change{Version: Version{Epoch: epoch, Number: l.head.Number + 1}, Published: now,
+		Mutations: slices.Clone(mutations)}
+	l.append(change)
+	return change, nil
+}
+
+func (l *Log) checkAppend(mutations []Mutation) error {
+	if len(mutations) == 0 {
+		return &EmptyChangeError{}
+	}
+	if err := checkMutations(mutations); err != nil {
+		return err
+	}
+	for _, m := range mutations {
+		if _, held := l.state.values[m.Key]; m.Delete && !held {
+			return &KeyError{Key: m.Key, Why: "is not held and cannot be deleted"}
+		}
+	}
+	if _, bytes := l.state.preview([]Change{{Mutations: mutations}}); bytes > MaxStateBytes {
+		return &TooLargeError{What: "the state", Bytes: bytes, Max: MaxStateBytes}
+	}
+	return nil
+}
+
+// follow takes an update that a subscriber has checked: the log of a relay.
+func (l *Log) follow(update *Update) {
+	if update.Whole != nil {
+		l.head, l.base, l.records, l.bytes = update.To, update.To, nil, 0
+		l.state = update.Whole.Clone()
+		return
+	}
+	for _, change := range update.Changes {
+		l.append(change)
+	}
+}
+
+func (l *Log) append(change Change) {
+	r := record{Change: change, digests: map[bucket]Digest{}, bytes: change.size()}
+	for _, m := range change.Mutations {
+		b := bucketOf(m.Key)
+		r.digests[b] = l.state.digests[b]
+	}
+	l.state.apply([]Change{change})
+	for b, before := range r.digests {
+		r.digests[b] = l.state.digests[b].minus(before)
+	}
+	l.records = append(l.records, r)
+	l.bytes += r.bytes
+	l.head = change.Version
+	l.compact()
+}
+
+// compact forgets the oldest changes where the log keeps more than it may. The newest is always kept.
+func (l *Log) compact() {
+	drop := 0
+	for len(l.records)-drop > 1 && (len(l.records)-drop > l.retention.Changes || l.bytes > l.retention.Bytes) {
+		l.bytes -= l.records[drop].bytes
+		l.base = l.records[drop].Version
+		drop++
+	}
+	if drop > 0 {
+		l.records = slices.Delete(l.records, 0, drop)
+	}
+}
+
+// position is the index of the first change behind a version. Errors: *BehindError, *CompactedError.
+func (l *Log) position(from Version) (int, error) {
+	if l.head.Less(from) {
+		return 0, &BehindError{From: from, Head: l.head}
+	}
+	if from == l.base {
+		return 0, nil
+	}
+	if from.Number <= l.base.Number || from.Number > l.head.Number {
+		return 0, &CompactedError{From: from, Oldest: l.base}
+	}
+	at := int(from.Number - l.base.Number)
+	if l.records[at-1].Version != from {
+		return 0, &CompactedError{From: from, Oldest: l.base}
+	}
+	return at, nil
+}
+
+// changes leads on from a version, to another or as far as MaxDeltaBytes go. Errors: *BehindError, *CompactedError.
+func (l *Log) changes(from, until Version, scope Scope) (*Delta, error) {
+	at, err := l.position(from)
+	if err != nil {
+		return nil, err
+	}
+	d := &Delta{From: from, To: from}
+	bytes := 0
+	for ; at < len(l.records) && d.To.Less(until); at++ {
+		change := scoped(l.records[at].Change, scope)
+		if bytes += change.size(); bytes > MaxDeltaBytes && len(d.Changes) > 0 {
+			break
+		}
+		d.Changes = append(d.Changes, change)
+		d.To = change.Version
+	}
+	d.Digest = l.digestAt(at, scope).at(d.To)
+	return d, nil
+}
+
+// digestAt is the digest of the state before the change with an index.
+func (l *Log) digestAt(at int, scope Scope) Digest {
+	digest := l.state.Digest(scope)
+	for _, r := range l.records[at:] {
+		for b, added := range r.digests {
+			if scope.contains(b) {
+				digest = digest.minus(added)
+			}
+		}
+	}
+	return digest
+}
+
+// scoped is a change with only those mutations that are in a scope.
+func scoped(change Change, scope Scope) Change {
+	var mutations []Mutation
+	for _, m := range change.Mutations {
+		if scope.Contains(m.Key) {
+			mutations = append(mutations, m)
+		}
+	}
+	change.Mutations = mutations
+	return change
+}
--- /dev/null
+++ b/internal/distribution/relay.go
@@ -0,0 +1,55 @@
+package distribution
+
+// RelayOptions are what a relay is made of.
+type RelayOptions struct {
+	Name      string
+	Retention Retention
+	Budget    Budget
+	// UnconfirmedAfter is as in SubscriberOptions.
+	UnconfirmedAfter int64
+}
+
+// Relay follows a source as a subscriber to everything, and serves subscribers from its own log. While it is cut off from
+// the source it goes on serving, with answers that tell its age. It takes no writes. It is not safe for concurrent use.
+type Relay struct {
+	*Subscriber
+	feed
+	tally tally
+	name  string
+}
+
+// NewRelay makes a relay that has no version.
+func NewRelay(now int64, options RelayOptions) *Relay {
+	r := &Relay{feed: newFeed(NewLog(options.Retention), options.Budget), tally: newTally(), name: options.Name}
+	r.Subscriber = NewSubscriber(now, SubscriberOptions{Name: options.Name, Applier: follower{r.feed.log},
+		UnconfirmedAfter: options.UnconfirmedAfter, PieceBytes: MaxPieceBytes})
+	return r
+}
+
+// follower puts updates in a relay's log.
+type follower struct{ log *Log }
+
+func (f follower) Apply(update *Update) error {
+	f.log.follow(update)
+	return nil
+}
+
+// Changes is a method of Server.
+func (r *Relay) Changes(now int64, request ChangesRequest) (*Delta, error) {
+	return r.feed.changes(r.age(now), request)
+}
+
+// Piece is a method of Server.
+func (r *Relay) Piece(now int64, request PieceRequest) (*Piece, error) {
+	return r.feed.piece(now, r.age(now), request)
+}
+
+// Acknowledge is a method of Server.
+func (r *Relay) Acknowledge(now int64, a Acknowledgement) error { return r.tally.take(now, a) }
+
+// Summary is what the relay tells the source.
+func (r *Relay) Summary(now int64) Summary {
+	s := r.tally.sum(now, r.name)
+	s.Version, s.Age = r.Version(), r.age(now)
+	return s
+}
--- /dev/null
+++ b/internal/distribution/state.go
@@ -0,0 +1,178 @@
+package distribution
+
+import (
+	"maps"
+	"slices"
+)
+
+// bucket is a group of entries that are in a scope together or not at all.
+type bucket struct {
+	kind  Kind
+	scope string
+}
+
+func bucketOf(key Key) bucket { return bucket{key.Kind, key.Scope} }
+
+// State is a set of entries with its digests. It is not safe for concurrent use.
+type State struct {
+	values  map[Key]string
+	digests map[bucket]Digest // of each bucket, and none of empty ones
+	bytes   int
+	sorted  []Key // all keys in order, nil where they have changed since it was made
+}
+
+// NewState makes a state with no entries.
+func NewState() *State { return &State{values: map[Key]string{}, digests: map[bucket]Digest{}} }
+
+// NewStateOf makes a state of entries. Errors: *KindError, *KeyError, *TooLargeError.
+func NewStateOf(entries []Entry) (*State, error) {
+	s := NewState()
+	for _, e := range entries {
+		if err := e.check(); err != nil {
+			return nil, err
+		}
+		if _, held := s.values[e.Key]; held {
+			return nil, &KeyError{Key: e.Key, Why: "stands twice in a state"}
+		}
+		s.put(e)
+	}
+	if s.bytes > MaxStateBytes {
+		return nil, &TooLargeError{What: "the state", Bytes: s.bytes, Max: MaxStateBytes}
+	}
+	return s, nil
+}
+
+// Len is the number of entries.
+func (s *State) Len() int { return len(s.values) }
+
+// Value is the value of a key.
+func (s *State) Value(key Key) (value string, held bool) {
+	value, held = s.values[key]
+	return value, held
+}
+
+// Entries are all entries in the order of their keys.
+func (s *State) Entries() []Entry {
+	entries := make([]Entry, 0, len(s.values))
+	for _, key := range s.keys() {
+		entries = append(entries, Entry{Key: key, Value: s.values[key]})
+	}
+	return entries
+}
+
+// Digest is the digest of the entries in a scope.
+func (s *State) Digest(scope Scope) (d Digest) {
+	for b, part := range s.digests {
+		if scope.contains(b) {
+			d = d.plus(part)
+		}
+	}
+	return d
+}
+
+// Clone is an independent copy.
+func (s *State) Clone() *State {
+	return &State{values: maps.Clone(s.values), digests: maps.Clone(s.digests), bytes: s.bytes}
+}
+
+func (s *State) keys() []Key {
+	if s.sorted == nil {
+		s.sorted = slices.SortedFunc(maps.Keys(s.values), Key.compare)
+	}
+	return s.sorted
+}
+
+// put puts an entry.
+func (s *State) put(e Entry) {
+	old, held := s.values[e.Key]
+	if held {
+		s.add(bucketOf(e.Key), Digest{}.minus(digestOf(e.Key, old)))
+		s.bytes -= Entry{Key: e.Key, Value: old}.size()
+	} else {
+		s.sorted = nil
+	}
+	s.values[e.Key] = e.Value
+	s.bytes += e.size()
+	s.add(bucketOf(e.Key), digestOf(e.Key, e.Value))
+}
+
+// remove takes an entry out; it does nothing where there is none.
+func (s *State) remove(key Key) {
+	old, held := s.values[key]
+	if !held {
+		return
+	}
+	delete(s.values, key)
+	s.sorted = nil
+	s.bytes -= Entry{Key: key, Value: old}.size()
+	s.add(bucketOf(key), Digest{}.minus(digestOf(key, old)))
+}
+
+// add adds to the digest of a bucket.
+func (s *State) add(b bucket, change Digest) {
+	sum := s.digests[b].plus(change)
+	if sum == (Digest{}) {
+		delete(s.digests, b)
+		return
+	}
+	s.digests[b] = sum
+}
+
+// apply puts the mutations of changes in place, in their order.
+func (s *State) apply(changes []Change) {
+	for _, change := range changes {
+		for _, m := range change.Mutations {
+			if m.Delete {
+				s.remove(m.Key)
+			} else {
+				s.put(m.Entry)
+			}
+		}
+	}
+}
+
+// preview is what changes would make of the whole state, without changing it.
+func (s *State) preview(changes []Change) (digest Digest, bytes int) {
+	last := map[Key]Mutation{}
+	for _, change := range changes {
+		for _, m := range change.Mutations {
+			last[m.Key] = m
+		}
+	}
+	digest, bytes = s.Digest(Scope{}), s.bytes
+	for key, m := range last { // sums do not depend on the order
+		if old, held := s.values[key]; held {
+			digest = digest.minus(digestOf(key, old))
+			bytes -= Entry{Key: key, Value: old}.size()
+		}
+		if !m.Delete {
+			digest = digest.plus(digestOf(key, m.Value))
+			bytes += m.size()
+		}
+	}
+	return digest, bytes
+}
+
+// after are entries in a scope behind a key, of at most so many bytes, and whether they are the last.
+func (s *State) after(key *Key, scope Scope, maxBytes int) (entries []Entry, last bool) {
+	keys := s.keys()
+	from := 0
+	if key != nil {
+		at, found := slices.BinarySearchFunc(keys, *key, Key.compare)
+		if from = at; found {
+			from++
+		}
+	}
+	bytes := 0
+	for _, k := range keys[from:] {
+		if !scope.Contains(k) {
+			continue
+		}
+		e := Entry{Key: k, Value: s.values[k]}
+		if bytes += e.size(); bytes > maxBytes {
+			return entries, false
+		}
+		entries = append(entries, e)
+	}
+	return entries, true
+}
--- /dev/null
+++ b/internal/distribution/transport/client.go
@@ -0,0 +1,170 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"ospreycroft/internal/distribution"
+)
+
+// MaxAnswerBytes bounds the body of an answer: MaxDeltaBytes or MaxPieceBytes of content, every character of which may be
+// escaped.
+const MaxAnswerBytes = 4 << 20
+
+// Client calls one server. It is safe for concurrent use.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// NewClient makes a client of the server at an address of host and port. A connection that has not come up after dialTimeout
+// is given up.
+func NewClient(address string, dialTimeout time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{address: address, http: &http.Client{
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout / 2,
+			MaxResponseHeaderBytes: maxHead, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Close closes connections that rest.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Changes asks for changes; the server may hold the call for hold. Errors: those of the answer, see Failure, and
+// *UnreachableError, *UnansweredError, *TruncatedError, *TooLongError, *StatusError, *MalformedError.
+func (c *Client) Changes(ctx context.Context, request distribution.ChangesRequest, hold, timeout time.Duration) (*distribution.Delta, error) {
+	delta := &distribution.Delta{}
+	err := c.call(ctx, timeout, http.MethodGet, "/v1/changes?"+changesQuery(request, int64(hold)).Encode(), nil, delta)
+	if err == nil && delta.To == (distribution.Version{}) {
+		err = c.noVersion()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return delta, nil
+}
+
+// Piece asks for a piece of the state. Errors: as of Changes.
+func (c *Client) Piece(ctx context.Context, request distribution.PieceRequest, timeout time.Duration) (*distribution.Piece, error) {
+	piece := &distribution.Piece{}
+	err := c.call(ctx, timeout, http.MethodGet, "/v1/pieces?"+pieceQuery(request).Encode(), nil, piece)
+	if err == nil && piece.Version == (distribution.Version{}) {
+		err = c.noVersion()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return piece, nil
+}
+
+// noVersion is the error of an answer that says no version: it is JSON of something else.
+func (c *Client) noVersion() error {
+	return &distribution.MalformedError{What: "the answer of " + c.address, Cause: errors.New("it has no version")}
+}
+
+// Acknowledge tells what is in force. Errors: as of Changes.
+func (c *Client) Acknowledge(ctx context.Context, a distribution.Acknowledgement, timeout time.Duration) error {
+	return c.call(ctx, timeout, http.MethodPost, "/v1/acknowledgements", a, nil)
+}
+
+// Open opens an epoch at a source. Errors: as of Changes.
+func (c *Client) Open(ctx context.Context, epoch uint64, timeout time.Duration) (change distribution.Change, err error) {
+	err = c.call(ctx, timeout, http.MethodPost, "/v1/epochs", Opening{Epoch: epoch}, &change)
+	return change, err
+}
+
+// Publish publishes a change at a source. Errors: as of Changes. After *UnansweredError or *TruncatedError it may have been
+// published: with Expected set it is safe to repeat.
+func (c *Client) Publish(ctx context.Context, p Publication, timeout time.Duration) (change distribution.Change, err error) {
+	err = c.call(ctx, timeout, http.MethodPost, "/v1/changes", p, &change)
+	return change, err
+}
+
+// Summarize gives a source a relay's summary. Errors: as of Changes.
+func (c *Client) Summarize(ctx context.Context, s distribution.Summary, timeout time.Duration) error {
+	return c.call(ctx, timeout, http.MethodPost, "/v1/summaries", s, nil)
+}
+
+// Overview asks a source what is in force where. Errors: as of Changes.
+func (c *Client) Overview(ctx context.Context, timeout time.Duration) (o distribution.Overview, err error) {
+	err = c.call(ctx, timeout, http.MethodGet, "/v1/overview", nil, &o)
+	return o, err
+}
+
+// call makes one call and reads its answer, whole or not at all.
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return c.broken(ctx, timeout, &UnreachableError{Address: c.address, Cause: err})
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	switch {
+	case err != nil:
+		return c.broken(ctx, timeout, &TruncatedError{Address: c.address, Cause: err})
+	case len(text) > MaxAnswerBytes:
+		return &TooLongError{Address: c.address, Max: MaxAnswerBytes}
+	case response.StatusCode >= http.StatusBadRequest:
+		return c.failure(response.StatusCode, text)
+	case into == nil && response.StatusCode == http.StatusNoContent:
+		return nil
+	case response.StatusCode != http.StatusOK || into == nil:
+		return &StatusError{Address: c.address, Status: response.StatusCode}
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return &distribution.MalformedError{What: "the answer of " + c.address, Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	var text []byte
+	if body != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
+			return nil, &distribution.MalformedError{What: "the call", Cause: err}
+		}
+	}
+	at := (&url.URL{Scheme: "http", Host: c.address}).String()
+	request, err := http.NewRequestWithContext(ctx, method, at+path, bytes.NewReader(text))
+	if err != nil {
+		return nil, &UnreachableError{Address: c.address, Cause: err}
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+// broken is the error of a call that came to no answer: that it was given up, or another.
+func (c *Client) broken(ctx context.Context, timeout time.Duration, other error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &UnansweredError{Address: c.address, After: int64(timeout)}
+	}
+	return other
+}
+
+// failure is the error that an answer with such a status stands for.
+func (c *Client) failure(status int, text []byte) error {
+	var f Failure
+	if json.Unmarshal(text, &f) == nil {
+		if err := errorOf(f); err != nil {
+			return err
+		}
+	}
+	return &StatusError{Address: c.address, Status: status}
+}
--- /dev/null
+++ b/internal/distribution/transport/failure.go
@@ -0,0 +1,156 @@
+package transport
+
+import (
+	"errors"
+	"net/http"
+
+	"ospreycroft/internal/distribution"
+	"ospreycroft/internal/hint"
+)
+
+// Failure is the body of an answer with an error.
+type Failure struct {
+	// Code names the error's type; the other fields are those of that type.
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Hint    string `json:"hint"`
+	// From is what compacted and behind were asked for, and what conflict expected; Head the server's version, and for
+	// compacted its oldest.
+	From *distribution.Version `json:"from,omitempty"`
+	Head *distribution.Version `json:"head,omitempty"`
+	// Epoch is the open one, and Given the writer's, of fenced and epoch_step.
+	Epoch uint64 `json:"epoch,omitempty"`
+	Given uint64 `json:"given,omitempty"`
+	// RetryAfter is in nanoseconds, of throttled.
+	RetryAfter int64 `json:"retry_after_ns,omitempty"`
+	// Key, Why, What, Bytes and Max are of key, kind, scope, malformed and too_large.
+	Key   *distribution.Key `json:"key,omitempty"`
+	Why   string            `json:"why,omitempty"`
+	What  string            `json:"what,omitempty"`
+	Bytes int               `json:"bytes,omitempty"`
+	Max   int               `json:"max,omitempty"`
+}
+
+// The codes of failures.
+const (
+	codeCompacted = "compacted"
+	codeBehind    = "behind"
+	codeNotReady  = "not_ready"
+	codeThrottled = "throttled"
+	codeFenced    = "fenced"
+	codeEpochStep = "epoch_step"
+	codeConflict  = "conflict"
+	codeEmpty     = "empty"
+	codeKind      = "kind"
+	codeKey       = "key"
+	codeScope     = "scope"
+	codeTooLarge  = "too_large"
+	codeReadOnly  = "read_only"
+	codeMalformed = "malformed"
+	codeInternal  = "internal"
+)
+
+// maxRetryAfter bounds what a server may make a client wait, in nanoseconds.
+const maxRetryAfter = int64(10e9)
+
+// failureOf is the answer that stands for an error.
+func failureOf(err error) (status int, failure Failure) {
+	status, failure = translate(err)
+	failure.Message, failure.Hint = err.Error(), hint.Of(err)
+	return status, failure
+}
+
+func translate(err error) (int, Failure) {
+	var (
+		compacted *distribution.CompactedError
+		behind    *distribution.BehindError
+		notReady  *distribution.NotReadyError
+		throttled *distribution.ThrottledError
+		fenced    *distribution.FencedError
+		step      *distribution.EpochStepError
+		conflict  *distribution.ConflictError
+		empty     *distribution.EmptyChangeError
+		kind      *distribution.KindError
+		key       *distribution.KeyError
+		scope     *distribution.ScopeError
+		tooLarge  *distribution.TooLargeError
+		readOnly  *distribution.ReadOnlyError
+		malformed *distribution.MalformedError
+	)
+	switch {
+	case errors.As(err, &compacted):
+		return http.StatusGone, Failure{Code: codeCompacted, From: &compacted.From, Head: &compacted.Oldest}
+	case errors.As(err, &behind):
+		return http.StatusConflict, Failure{Code: codeBehind, From: &behind.From, Head: &behind.Head}
+	case errors.As(err, &notReady):
+		return http.StatusServiceUnavailable, Failure{Code: codeNotReady}
+	case errors.As(err, &throttled):
+		return http.StatusTooManyRequests, Failure{Code: codeThrottled, RetryAfter: throttled.RetryAfter}
+	case errors.As(err, &fenced):
+		return http.StatusConflict, Failure{Code: codeFenced, Epoch: fenced.Open, Given: fenced.Given}
+	case errors.As(err, &step):
+		return http.StatusBadRequest, Failure{Code: codeEpochStep, Epoch: step.Open, Given: step.Given}
+	case errors.As(err, &conflict):
+		return http.StatusConflict, Failure{Code: codeConflict, From: &conflict.Expected, Head: &conflict.Head}
+	case errors.As(err, &empty):
+		return http.StatusBadRequest, Failure{Code: codeEmpty}
+	case errors.As(err, &kind):
+		return http.StatusBadRequest, Failure{Code: codeKind, Why: kind.Kind}
+	case errors.As(err, &key):
+		return http.StatusBadRequest, Failure{Code: codeKey, Key: &key.Key, Why: key.Why}
+	case errors.As(err, &scope):
+		return http.StatusBadRequest, Failure{Code: codeScope, Why: scope.Why}
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, Failure{Code: codeTooLarge, What: tooLarge.What, Bytes: tooLarge.Bytes, Max: tooLarge.Max}
+	case errors.As(err, &readOnly):
+		return http.StatusMethodNotAllowed, Failure{Code: codeReadOnly}
+	case errors.As(err, &malformed):
+		return http.StatusBadRequest, Failure{Code: codeMalformed, What: malformed.What, Why: malformed.Cause.Error()}
+	}
+	return http.StatusInternalServerError, Failure{Code: codeInternal}
+}
+
+// errorOf is the typed error that a failure stands for, nil where it names none that is known.
+func errorOf(f Failure) error {
+	from, head, key := f.From, f.Head, f.Key
+	if from == nil {
+		from = &distribution.Version{}
+	}
+	if head == nil {
+		head = &distribution.Version{}
+	}
+	if key == nil {
+		key = &distribution.Key{}
+	}
+	switch f.Code {
+	case codeCompacted:
+		return &distribution.CompactedError{From: *from, Oldest: *head}
+	case codeBehind:
+		return &distribution.BehindError{From: *from, Head: *head}
+	case codeNotReady:
+		return &distribution.NotReadyError{}
+	case codeThrottled:
+		return &distribution.ThrottledError{RetryAfter: min(max(f.RetryAfter, 0), maxRetryAfter)}
+	case codeFenced:
+		return &distribution.FencedError{Open: f.Epoch, Given: f.Given}
+	case codeEpochStep:
+		return &distribution.EpochStepError{Open: f.Epoch, Given: f.Given}
+	case codeConflict:
+		return &distribution.ConflictError{Expected: *from, Head: *head}
+	case codeEmpty:
+		return &distribution.EmptyChangeError{}
+	case codeKind:
+		return &distribution.KindError{Kind: f.Why}
+	case codeKey:
+		return &distribution.KeyError{Key: *key, Why: f.Why}
+	case codeScope:
+		return &distribution.ScopeError{Why: f.Why}
+	case codeTooLarge:
+		return &distribution.TooLargeError{What: f.What, Bytes: f.Bytes, Max: f.Max}
+	case codeReadOnly:
+		return &distribution.ReadOnlyError{}
+	case codeMalformed:
+		return &distribution.MalformedError{What: f.What, Cause: errors.New(f.Why)}
+	}
+	return nil
+}
--- a/internal/hint/hint_test.go
+++ b/internal/hint/hint_test.go
@@ -24,7 +24,16 @@
 // elsewhere are those that the tests of their own packages provoke, or of the limiter, which logs them.
 var elsewhere = []string{"counterwire.CrossedError", "counterwire.RefusedError", "coldstart.Bad", "coldstart.Late", "operator.Unreadable",
 	"operator.BadKey", "snapshot.Unreadable", "snapshot.CutShort", "snapshot.Spoilt", "snapshot.Other", "snapshot.Foreign",
-	"snapshot.Old", "snapshot.Unwritten"}
+	"snapshot.Old", "snapshot.Unwritten",
+	"distribution.KindError", "distribution.KeyError", "distribution.TooLargeError", "distribution.EmptyChangeError",
+	"distribution.FencedError", "distribution.EpochStepError", "distribution.ConflictError", "distribution.SkipError",
+	"distribution.StaleAnswerError", "distribution.DigestError", "distribution.CompactedError",
+	"distribution.BehindError", "distribution.NotReadyError", "distribution.ThrottledError", "distribution.ScopeError",
+	"distribution.ReadOnlyError", "distribution.FixedKeyError", "distribution.RefusedError",
+	"distribution.MalformedError", "distribution.NoRelayError", "transport.UnreachableError",
+	"transport.UnansweredError", "transport.TruncatedError", "transport.TooLongError", "transport.StatusError",
+	"statefile.UnreadableError", "statefile.TruncatedError", "statefile.ChecksumError", "statefile.FormatError",
+	"statefile.OwnerError", "statefile.StaleError", "statefile.OlderError", "statefile.UnwrittenError"}
 
 // match tells whether an error is one of a type or has one underneath, and names the type.
 func match[E hint.Error](err error) (string, bool) {
--- /dev/null
+++ b/internal/lab/simdistribution/scenarios.go
@@ -0,0 +1,191 @@
+package simdistribution
+
+import (
+	"fmt"
+	"slices"
+
+	"ospreycroft/internal/distribution"
+)
+
+// Report is what a scenario came to. Times are in nanoseconds, from publication (or from the heal or the start, where the
+// scenario says so) until a version was in force at a limiter.
+type Report struct {
+	Scenario string
+	Changes  int // that were published and are counted here
+	Limiters int // that are counted for each change
+	P50      int64
+	P99      int64
+	Max      int64
+	// Late is how many pairs of limiter and change were not in force after Deadline, Never how many at the end of the run.
+	Late, Never int
+	// BytesPerSecond is what a limiter took and sent on average over the run, heads and acknowledgements with it.
+	BytesPerSecond float64
+	// CallsPerSecond is how many calls all limiters made, SummariesPerSecond how many messages the source read.
+	CallsPerSecond, SummariesPerSecond float64
+}
+
+// Deadline is what Report.Late counts from.
+const Deadline = 18 * second
+
+func (r Report) String() string {
+	return fmt.Sprintf("%-38s changes %2d limiters %3d  p50 %7.3f s  p99 %7.3f s  max %7.3f s  late at 18 s %3d  never %3d  %6.0f B/s a limiter  "+
+		"%5.1f calls/s  %4.1f summaries/s", r.Scenario, r.Changes, r.Limiters, seconds(r.P50), seconds(r.P99), seconds(r.Max), r.Late, r.Never,
+		r.BytesPerSecond, r.CallsPerSecond, r.SummariesPerSecond)
+}
+
+func seconds(nanoseconds int64) float64 { return float64(nanoseconds) / float64(second) }
+
+// Scenario is something that happens to a fleet.
+type Scenario struct {
+	Name string
+	Cold bool
+	// Play runs the fleet and returns the versions that count, the time that their delays count from (0 for the time of
+	// each publication), and the limiters that count (nil for all).
+	Play func(f *Fleet) (played, error)
+}
+
+type played struct {
+	versions []distribution.Version
+	from     int64
+	counts   func(*node) bool
+}
+
+const settle = 30 * second // a fleet runs for so long before something happens
+
+// one publishes a change and lets a minute pass.
+func one(f *Fleet) (played, error) {
+	version, err := f.Publish()
+	f.Run(60 * second)
+	return played{versions: []distribution.Version{version}}, err
+}
+
+// disturbed settles, disturbs, waits and publishes a change.
+func disturbed(disturb func(*Fleet) error, wait int64) func(*Fleet) (played, error) {
+	return func(f *Fleet) (played, error) {
+		f.Run(settle + int64(f.rng.Float64()*float64(5*second)))
+		if err := disturb(f); err != nil {
+			return played{}, err
+		}
+		f.Run(wait)
+		return one(f)
+	}
+}
+
+// Scenarios are all of them.
+func Scenarios() []Scenario {
+	calm := func(*Fleet) error { return nil }
+	killed := func(f *Fleet) error { f.KillRelay(2); return nil }
+	stalled := func(f *Fleet) error { f.StallRelay(2); return nil }
+	return []Scenario{
+		{Name: "calm", Play: disturbed(calm, 0)},
+		{Name: "relay killed as it is published", Play: disturbed(killed, 0)},
+		{Name: "relay killed 2 s before", Play: disturbed(killed, 2*second)},
+		{Name: "relay stalled as it is published", Play: disturbed(stalled, 0)},
+		{Name: "relay stalled 2 s before", Play: disturbed(stalled, 2*second)},
+		{Name: "zone cut (those outside it)", Play: zoneCut(false)},
+		{Name: "zone cut (those inside it)", Play: zoneCut(true)},
+		{Name: "region cut 60 s, from the heal", Play: regionCut},
+		{Name: "tenth restarting from disk", Play: disturbed(func(f *Fleet) error { return f.RestartLimiters(10, true) }, 0)},
+		{Name: "tenth restarting without disk", Play: disturbed(func(f *Fleet) error { return f.RestartLimiters(10, false) }, 0)},
+		{Name: "all and relays started cold", Cold: true, Play: coldStart},
+		{Name: "40 changes in a minute", Play: fortyChanges},
+	}
+}
+
+func zoneCut(inside bool) func(*Fleet) (played, error) {
+	return func(f *Fleet) (played, error) {
+		p, err := disturbed(func(f *Fleet) error { f.CutZone(3); return nil }, 0)(f)
+		p.counts = func(n *node) bool { return (n.zone == 3) == inside }
+		return p, err
+	}
+}
+
+func regionCut(f *Fleet) (played, error) {
+	f.Run(settle)
+	f.CutRegion(1)
+	var versions []distribution.Version
+	for range 10 {
+		f.Run(6 * second)
+		version, err := f.Publish()
+		if err != nil {
+			return played{}, err
+		}
+		versions = append(versions, version)
+	}
+	f.CutRegion(-1)
+	healed := f.queue.now
+	f.Run(60 * second)
+	return played{versions: versions, from: healed, counts: func(n *node) bool { return n.region == 1 }}, nil
+}
+
+func coldStart(f *Fleet) (played, error) {
+	head := f.source.Head()
+	f.published[head] = 0
+	f.Run(60 * second)
+	return played{versions: []distribution.Version{head}}, nil
+}
+
+func fortyChanges(f *Fleet) (played, error) {
+	f.Run(settle)
+	var p played
+	for range 40 {
+		version, err := f.Publish()
+		if err != nil {
+			return p, err
+		}
+		p.versions = append(p.versions, version)
+		f.Run(60 * second / 40)
+	}
+	f.Run(20 * second)
+	return p, nil
+}
+
+// Run plays a scenario in a fleet of its own.
+func Run(options Options, s Scenario) (Report, error) {
+	options.Cold = s.Cold
+	f, err := New(options)
+	if err != nil {
+		return Report{}, err
+	}
+	p, err := s.Play(f)
+	if err != nil {
+		return Report{}, err
+	}
+	return f.report(s.Name, p), nil
+}
+
+// report sums up what happened.
+func (f *Fleet) report(name string, p played) Report {
+	r := Report{Scenario: name, Changes: len(p.versions)}
+	var delays []int64
+	bytes := int64(0)
+	for _, n := range f.limiters {
+		bytes += n.bytes
+		if p.counts != nil && !p.counts(n) {
+			continue
+		}
+		r.Limiters++
+		for _, version := range p.versions {
+			from := max(p.from, f.published[version])
+			at, seen := n.seenInForce[version]
+			switch {
+			case !seen:
+				r.Late++
+				r.Never++
+				continue
+			case at-from > Deadline:
+				r.Late++
+			}
+			delays = append(delays, max(at-from, 0))
+		}
+	}
+	slices.Sort(delays)
+	if len(delays) > 0 {
+		r.P50, r.P99, r.Max = delays[len(delays)/2], delays[len(delays)*99/100], delays[len(delays)-1]
+	}
+	span := seconds(f.queue.now)
+	r.BytesPerSecond = float64(bytes) / float64(len(f.limiters)) / span
+	r.CallsPerSecond = float64(f.calls) / span
+	r.SummariesPerSecond = float64(f.summaries) / span
+	return r
+}
