--- /dev/null
+++ b/cmd/ospreycroft/distribution.go
@@ -0,0 +1,277 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"log"
+	"sync"
+	"time"
+
+	"ospreycroft/internal/distribution"
+	"ospreycroft/internal/distribution/statefile"
+	"ospreycroft/internal/distribution/transport"
+	"ospreycroft/internal/hint"
+	"ospreycroft/internal/operator"
+	"ospreycroft/internal/settings"
+	"ospreycroft/internal/snapshot"
+)
+
+const (
+	watchEvery     = time.Second      // between two looks at how the distribution stands
+	callErrorEvery = 10 * time.Second // a failed call is logged no more often for each type of error
+	places         = 4096             // of limiters without a stated one
+	savesInOldest  = 8                // a state that does not change is saved so often within the age up to which it is believed
+)
+
+// renewals gives the reducer the configurations that come while it runs: that of the file, with the addresses that the
+// distribution has put in force in place of the file's.
+type renewals struct {
+	mutex     sync.Mutex
+	file      *settings.Config       // that of the start, with the addresses that were read last
+	addresses distribution.Addresses // the distribution's; empty where the file's hold
+	running   bool                   // the reducer runs, or will soon
+	next      chan *settings.Config  // unbuffered: the reducer takes one between two requests
+	done      chan struct{}          // closed once the reducer takes no more
+}
+
+func newRenewals(file *settings.Config) *renewals {
+	return &renewals{file: file, next: make(chan *settings.Config), done: make(chan struct{})}
+}
+
+// start gives the configuration to start with; what comes from now on is sent to the reducer.
+func (r *renewals) start() *settings.Config {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.running = true
+	return r.over(r.file, r.addresses)
+}
+
+// over puts addresses in the place of a file's. A counter is not added.
+func (r *renewals) over(file *settings.Config, addresses distribution.Addresses) *settings.Config {
+	config := *file
+	if addresses.Discovery != "" {
+		config.Discovery = addresses.Discovery
+	}
+	if addresses.Counter != "" && r.hasCounter() {
+		config.Counter = addresses.Counter
+	}
+	return &config
+}
+
+func (r *renewals) hasCounter() bool { return r.file.Settings.CounterWait > 0 }
+
+// reread takes the file as it was read again. The distribution's addresses stay in force over it. Of what else differs the
+// reducer says that it holds from the next start on, so only the addresses are noted.
+func (r *renewals) reread(file *settings.Config) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	config := r.over(file, r.addresses)
+	if config.Discovery != file.Discovery || config.Counter != file.Counter {
+		log.Printf("event=config-addresses-kept discovery=%s counter=%s", config.Discovery, config.Counter)
+	}
+	noted := *r.file
+	noted.Discovery = file.Discovery
+	if file.Counter != "" {
+		noted.Counter = file.Counter
+	}
+	r.file = &noted
+	r.send(config)
+}
+
+// move puts the distribution's addresses in force, both or neither. Errors: *distribution.FixedKeyError for the counter of a
+// limiter that has none.
+func (r *renewals) move(addresses distribution.Addresses) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if addresses.Counter != "" && !r.hasCounter() {
+		return &distribution.FixedKeyError{Key: distribution.Key{Kind: distribution.KindEndpoints, Name: distribution.EndpointCounter}}
+	}
+	r.addresses = addresses
+	if r.running {
+		r.send(r.over(r.file, addresses))
+	}
+	return nil
+}
+
+func (r *renewals) send(config *settings.Config) {
+	select {
+	case r.next <- config:
+	case <-r.done:
+	}
+}
+
+// follower keeps a limiter's distributed configuration up to date, on goroutines beside the reducer's.
+type follower struct {
+	*transport.Follower
+	subscriber *distribution.Subscriber
+	renewals   *renewals
+	place      *statefile.Place  // nil where no state is kept
+	writer     *statefile.Writer // nil where no state is kept
+	restored   bool              // it began with a state from the disk,
+	started    int64             // then
+	logged     map[string]int64  // when a type of error was last logged
+	clock      func() int64
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+}
+
+// newFollower makes the follower of a limiter and puts the state on the disk in force; nil where the operator names no relays.
+func newFollower(config *settings.Config, o *operator.Operator, renewals *renewals, clock func() int64) *follower {
+	if o.Distribution.Relays == [2]string{} {
+		return nil
+	}
+	scope, _ := distribution.ParseScope(o.Distribution.Scope) // package operator has checked it
+	applier := &distribution.LimiterApplier{Move: renewals.move}
+	f := &follower{renewals: renewals, clock: clock, started: clock(), logged: map[string]int64{}}
+	f.subscriber = distribution.NewSubscriber(clock(), distribution.SubscriberOptions{Name: config.Name, Scope: scope, Applier: applier})
+	f.Follower = transport.NewFollower(f.subscriber, transport.FollowerOptions{Servers: o.Distribution.Relays,
+		DialTimeout: time.Duration(config.Settings.DialTimeout), Position: position(config), Clock: clock,
+		Report: f.report, Changed: f.changed})
+	if o.Distribution.StatePath != "" {
+		f.place = &statefile.Place{Dir: o.Distribution.StatePath, Installation: o.Installation, Subscriber: config.Name, Scope: scope,
+			MaxAge: o.Distribution.Oldest, Files: snapshot.Disk{}}
+		f.restore()
+	}
+	return f
+}
+
+// position is the limiter's place among all, by its name where the configuration states none.
+func position(config *settings.Config) int {
+	if config.Settings.Position >= 0 {
+		return config.Settings.Position
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(config.Name))
+	return int(hash.Sum32() % places)
+}
+
+// restore puts the state on the disk in force. Whatever is wrong with it is logged, and the start goes on without it.
+func (f *follower) restore() {
+	now := f.clock()
+	held, err := f.place.Load(now)
+	if err != nil {
+		log.Printf("event=config-state-refused %s", hint.Tail(err))
+		return
+	}
+	if held == nil {
+		return
+	}
+	state, err := distribution.NewStateOf(held.Entries)
+	if err == nil {
+		err = f.subscriber.Restore(held.Version, state, max(now-held.Taken, 0))
+	}
+	if err != nil {
+		log.Printf("event=config-refused %s", hint.Tail(err))
+		return
+	}
+	f.restored = true
+	logVersion(held.Version)
+	logUnconfirmed(f.subscriber.Status(now))
+}
+
+// start begins to follow, and gives what ends it once the reducer takes no more.
+func (f *follower) start() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	if f.place != nil {
+		f.writer = statefile.NewWriter(f.place, reportWritten)
+	}
+	f.running.Go(func() { f.Run(ctx) })
+	f.running.Go(func() { f.watch(ctx) })
+	return f.stop
+}
+
+func (f *follower) stop() {
+	close(f.renewals.done)
+	f.cancel()
+	f.running.Wait()
+	if f.writer != nil {
+		f.writer.Close()
+	}
+}
+
+// changed is told of each version that has come in force.
+func (f *follower) changed(s *distribution.Snapshot) {
+	logVersion(s.Version)
+	if f.writer != nil {
+		f.writer.Save(s)
+	}
+}
+
+// report logs an error: each refusal, and of failed calls the first of a type for a time.
+func (f *follower) report(err error) {
+	if refused, is := err.(*distribution.RefusedError); is {
+		log.Printf("event=config-refused %s", hint.Tail(refused))
+		return
+	}
+	kind, now := fmt.Sprintf("%T", err), f.clock()
+	if last, was := f.logged[kind]; was && now-last < int64(callErrorEvery) {
+		return
+	}
+	f.logged[kind] = now
+	log.Printf("event=config-call-failed %s", hint.Tail(err))
+}
+
+// watch logs when the version in force is unconfirmed and when it is confirmed again, and saves a state that does not change.
+func (f *follower) watch(ctx context.Context) {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	unconfirmed, saved := f.restored, f.clock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		status, is := f.status()
+		if is != unconfirmed {
+			unconfirmed = is
+			if is {
+				logUnconfirmed(status)
+			} else {
+				log.Printf("event=config-confirmed epoch=%d version=%d", status.Version.Epoch, status.Version.Number)
+			}
+		}
+		if f.place != nil && f.clock()-saved >= f.place.MaxAge/savesInOldest {
+			saved = f.clock()
+			f.save()
+		}
+	}
+}
+
+// status is how the subscriber stands, and whether its version is unconfirmed. One from the disk is, until the source was heard in
+// this life: until then its age is not below this life's.
+func (f *follower) status() (status distribution.Status, unconfirmed bool) {
+	f.Do(func(now int64, s *distribution.Subscriber) {
+		status = s.Status(now)
+		unconfirmed = status.Condition == distribution.Unconfirmed || f.restored && status.Age >= now-f.started
+	})
+	return status, unconfirmed
+}
+
+// save hands the state over under the subscriber's lock, so that no older one can take a newer one's place.
+func (f *follower) save() {
+	f.Do(func(now int64, s *distribution.Subscriber) {
+		if held := s.Snapshot(now); held != nil {
+			f.writer.Save(held)
+		}
+	})
+}
+
+func logVersion(v distribution.Version) {
+	log.Printf("event=config-version epoch=%d version=%d", v.Epoch, v.Number)
+}
+
+func logUnconfirmed(status distribution.Status) {
+	log.Printf("event=config-unconfirmed epoch=%d version=%d age_s=%.3f", status.Version.Epoch, status.Version.Number,
+		float64(status.Age)/1e9)
+}
+
+func reportWritten(err error) {
+	if err == nil {
+		log.Printf("event=config-state-written")
+		return
+	}
+	log.Printf("event=config-state-unwritten %s", hint.Tail(err))
+}
--- a/cmd/ospreycroft/main.go
+++ b/cmd/ospreycroft/main.go
@@ -149,11 +149,16 @@
 		<-signals
 		close(stop)
 	}()
-	renewed := make(chan *settings.Config)
+	// All limiters name their counts by one clock, so it begins as the system's; from then on it only goes forward.
+	start := time.Now()
+	clock := func() int64 { return start.UnixNano() + int64(time.Since(start)) }
+	renewals := newRenewals(config)
+	follower := newFollower(config, o, renewals, clock)
+	config = renewals.start()
 	go func() {
 		for range hups {
 			if config, err := read(); err == nil {
-				renewed <- config
+				renewals.reread(config)
 			} else { // the one that is held stays
 				log.Printf("event=config-refused %s", hint.Tail(err))
 			}
@@ -166,9 +171,6 @@
 	if err != nil {
 		return err
 	}
-	// All limiters name their counts by one clock, so it begins as the system's; from then on it only goes forward.
-	start := time.Now()
-	clock := func() int64 { return start.UnixNano() + int64(time.Since(start)) }
 	stated := limiter.Stated{ListCalls: o.ListCalls, Connections: o.Connections}
 	defer snapshots(config, o, &stated)()
 	l, err := limiter.NewStated(clock(), config, stated, s)
@@ -184,7 +186,10 @@
 			return err
 		}
 	}
-	s.Run(clock, l, stop, renewed)
+	if follower != nil {
+		defer follower.start()()
+	}
+	s.Run(clock, l, stop, renewals.next)
 	l.LogOutcomes()
 	log.Printf("event=stopped name=%s", config.Name)
 	return nil
--- /dev/null
+++ b/cmd/ospreydist/journal.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"net/http"
+	"sync"
+
+	"ospreycroft/internal/distribution"
+	"ospreycroft/internal/distribution/statefile"
+	"ospreycroft/internal/hint"
+	"ospreycroft/internal/snapshot"
+)
+
+// journal keeps a source's state on a disk: each write to the source is answered only once the state with it is there. A change
+// that a relay has read before the disk had it, and that a crash then loses, is taken back everywhere by the next writer's
+// epoch; its publisher had no answer.
+type journal struct {
+	mutex sync.Mutex // over all writes, in their order
+	log   *distribution.Log
+	place statefile.Place
+	clock func() int64
+	next  http.Handler
+}
+
+// openJournal reads what an earlier life has left; both are of the same state, one for the source and one for the journal.
+// Errors: *SourceStateError.
+func openJournal(options *sourceOptions, clock func() int64) (*journal, *distribution.Log, error) {
+	j := &journal{clock: clock, place: statefile.Place{Dir: options.dir, Installation: options.installation, Subscriber: options.name,
+		MaxAge: math.MaxInt64, Files: snapshot.Disk{}}}
+	held, err := j.place.Load(clock())
+	if err != nil {
+		return nil, nil, &SourceStateError{Path: j.place.Path(), Cause: err}
+	}
+	if held == nil {
+		j.log = distribution.NewLog(distribution.Retention{})
+		return j, distribution.NewLog(distribution.Retention{}), nil
+	}
+	state, err := distribution.NewStateOf(held.Entries)
+	if err != nil {
+		return nil, nil, &SourceStateError{Path: j.place.Path(), Cause: err}
+	}
+	j.log = distribution.NewLogAt(distribution.Retention{Changes: 1}, held.Version, state.Clone())
+	return j, distribution.NewLogAt(distribution.Retention{}, held.Version, state), nil
+}
+
+// ServeHTTP hands calls on, and holds the answers of writes until they are on the disk.
+func (j *journal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	writes := r.Method == http.MethodPost && (r.URL.Path == "/v1/changes" || r.URL.Path == "/v1/epochs")
+	if !writes {
+		j.next.ServeHTTP(w, r)
+		return
+	}
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	answer := &recorded{header: http.Header{}, status: http.StatusOK}
+	j.next.ServeHTTP(answer, r)
+	if answer.status == http.StatusOK {
+		var change distribution.Change
+		err := json.Unmarshal(answer.body.Bytes(), &change)
+		if err == nil {
+			err = j.take(change)
+		}
+		if err != nil { // it is in force and may be lost with this process
+			http.Error(w, hint.Tail(err), http.StatusInternalServerError)
+			return
+		}
+	}
+	for key, values := range answer.header {
+		w.Header()[key] = values
+	}
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(answer.body.Bytes())
+}
+
+// take puts a change that the source has taken on the disk.
+func (j *journal) take(change distribution.Change) (err error) {
+	if change.Version.Epoch > j.log.Head().Epoch {
+		_, err = j.log.Open(change.Published, change.Version.Epoch)
+	} else {
+		_, err = j.log.Append(change.Published, change.Version.Epoch, nil, change.Mutations)
+	}
+	if err != nil {
+		return err
+	}
+	return j.place.Save(&distribution.Snapshot{Version: j.log.Head(), Taken: j.clock(), Entries: j.log.State().Entries()})
+}
+
+// recorded is an answer that is not sent yet.
+type recorded struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (r *recorded) Header() http.Header            { return r.header }
+func (r *recorded) WriteHeader(status int)         { r.status = status }
+func (r *recorded) Write(text []byte) (int, error) { return r.body.Write(text) }
--- /dev/null
+++ b/cmd/ospreydist/main.go
@@ -0,0 +1,33 @@
+// Command ospreydist distributes configuration to limiters: it runs the source and the relays, publishes changes, and tells
+// which version is in force where. docs/distribution.md describes the design.
+package main
+
+import (
+	"context"
+	"log"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"ospreycroft/internal/hint"
+)
+
+func main() {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds)
+	signal.Ignore(syscall.SIGPIPE) // who reads the log may end first
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := root().ExecuteContext(ctx); err != nil {
+		log.Printf("event=failed %s", hint.Tail(err))
+		cancel()
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	top := &cobra.Command{Use: "ospreydist", Short: "distributes configuration to limiters", SilenceUsage: true, SilenceErrors: true}
+	top.AddCommand(sourceCommand(), relayCommand(), publishCommand(), statusCommand())
+	return top
+}
--- /dev/null
+++ b/cmd/ospreydist/relay.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"hash/fnv"
+	"log"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ospreycroft/internal/distribution"
+	"ospreycroft/internal/distribution/transport"
+	"ospreycroft/internal/hint"
+)
+
+// relayOptions are the flags of a relay.
+type relayOptions struct {
+	listen, source, zone, name string
+	dialTimeout                time.Duration
+}
+
+func relayCommand() *cobra.Command {
+	o := &relayOptions{}
+	c := &cobra.Command{Use: "relay", Short: "run a relay, which serves the limiters of its zone", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return runRelay(c.Context(), o) }}
+	c.Flags().StringVar(&o.listen, "listen", "127.0.0.1:7400", "address to listen on; the calls are not authenticated")
+	c.Flags().StringVar(&o.source, "source", "", "address of the source")
+	c.Flags().StringVar(&o.zone, "zone", "", "zone that it serves")
+	c.Flags().StringVar(&o.name, "name", "relay", "name of the relay within its zone")
+	c.Flags().DurationVar(&o.dialTimeout, "dial-timeout", 500*time.Millisecond, "a connection to the source that takes longer is given up")
+	return c
+}
+
+// runRelay serves a relay until the context ends. Errors: *FlagError, *ListenError.
+func runRelay(ctx context.Context, o *relayOptions) error {
+	switch {
+	case o.source == "":
+		return &FlagError{Name: "--source", Value: "empty", Want: "the source's address, host:port"}
+	case o.zone == "":
+		return &FlagError{Name: "--zone", Value: "empty", Want: "the name of the relay's zone"}
+	case o.dialTimeout <= 0:
+		return &FlagError{Name: "--dial-timeout", Value: o.dialTimeout, Want: "a time above 0"}
+	}
+	listener, err := listen(o.listen)
+	if err != nil {
+		return err
+	}
+	clock := monotonic()
+	name := o.zone + "/" + o.name
+	relay := distribution.NewRelay(clock(), distribution.RelayOptions{Name: name})
+	server := transport.NewRelayServer(relay, clock)
+	follower := transport.NewRelayFollower(relay, server, transport.FollowerOptions{Servers: [2]string{o.source, o.source},
+		DialTimeout: o.dialTimeout, Position: positionOf(name), Clock: clock, Report: reportCalls(clock),
+		Changed: func(s *distribution.Snapshot) {
+			log.Printf("event=config-version epoch=%d version=%d", s.Version.Epoch, s.Version.Number)
+		}})
+	ctx, cancel := context.WithCancel(ctx)
+	var following sync.WaitGroup
+	following.Go(func() { follower.Run(ctx) })
+	defer following.Wait()
+	defer cancel()
+	log.Printf("event=relay-started name=%s source=%s", name, o.source)
+	return serve(ctx, server.HTTP(), listener)
+}
+
+// places are those among which relays spread their calls.
+const places = 4096
+
+// positionOf is a relay's place, by its name.
+func positionOf(name string) int {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(name))
+	return int(hash.Sum32() % places)
+}
+
+// reportEvery is after how long a failed call is logged again.
+const reportEvery = 10 * time.Second
+
+// reportCalls logs failed calls, not all of them. It is for one goroutine.
+func reportCalls(clock func() int64) func(error) {
+	next := int64(0)
+	return func(err error) {
+		if now := clock(); now >= next {
+			next = now + int64(reportEvery)
+			log.Printf("event=config-call-failed %s", hint.Tail(err))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/ospreydist/serve.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"time"
+)
+
+// endWithin is how long calls may take to end when the process is told to.
+const endWithin = time.Second
+
+// monotonic makes a clock of nanoseconds that begins as the system's and never goes back.
+func monotonic() func() int64 {
+	start := time.Now()
+	return func() int64 { return start.UnixNano() + int64(time.Since(start)) }
+}
+
+// listen listens. Errors: *ListenError.
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{Address: address, Cause: err}
+	}
+	return listener, nil
+}
+
+// serve serves until the context ends. Held calls are broken off: their callers ask again.
+func serve(ctx context.Context, server *http.Server, listener net.Listener) error {
+	log.Printf("event=listening address=%s", listener.Addr())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	end, cancel := context.WithTimeout(context.Background(), endWithin)
+	defer cancel()
+	if err := server.Shutdown(end); errors.Is(err, context.DeadlineExceeded) {
+		return server.Close()
+	} else if err != nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/ospreydist/source.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"log"
+
+	"github.com/spf13/cobra"
+
+	"ospreycroft/internal/distribution"
+	"ospreycroft/internal/distribution/transport"
+)
+
+// sourceOptions are the flags of a source.
+type sourceOptions struct {
+	listen, dir, name, installation string
+	epoch                           uint64
+}
+
+func sourceCommand() *cobra.Command {
+	o := &sourceOptions{}
+	c := &cobra.Command{Use: "source", Short: "run the source, at which changes are published", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return runSource(c.Context(), o) }}
+	c.Flags().StringVar(&o.listen, "listen", "127.0.0.1:7401", "address to listen on; the calls are not authenticated")
+	c.Flags().StringVar(&o.dir, "dir", "", "directory, there already, in which the state is kept")
+	c.Flags().StringVar(&o.name, "name", "source", "name of the state's file in the directory")
+	c.Flags().StringVar(&o.installation, "installation", "", "tells this fleet's state from another's")
+	c.Flags().Uint64Var(&o.epoch, "epoch", 0, "epoch to open, above all before; 0 for one above the state's")
+	return c
+}
+
+// runSource serves the source until the context ends. Errors: *FlagError, *ListenError, *SourceStateError,
+// *distribution.FencedError, *distribution.EpochStepError.
+func runSource(ctx context.Context, o *sourceOptions) error {
+	if o.dir == "" {
+		return &FlagError{Name: "--dir", Value: "empty", Want: "a directory for the state"}
+	}
+	clock := monotonic()
+	journal, held, err := openJournal(o, clock)
+	if err != nil {
+		return err
+	}
+	source := distribution.NewSource(held, distribution.Budget{})
+	epoch := o.epoch
+	if epoch == 0 {
+		epoch = source.Head().Epoch + 1
+	}
+	change, err := source.Open(clock(), epoch)
+	if err != nil {
+		return err
+	}
+	if err := journal.take(change); err != nil {
+		return &SourceStateError{Path: journal.place.Path(), Cause: err}
+	}
+	listener, err := listen(o.listen)
+	if err != nil {
+		return err
+	}
+	log.Printf("event=source-started epoch=%d version=%d entries=%d", change.Version.Epoch, change.Version.Number, source.State().Len())
+	served := transport.NewSourceServer(source, clock)
+	journal.next = served
+	server := served.HTTP()
+	server.Handler = journal
+	return serve(ctx, server, listener)
+}
--- a/internal/distribution/limiterapplier.go
+++ b/internal/distribution/limiterapplier.go
@@ -48,7 +48,7 @@
 	return nil
 }
 
-// after is what an update makes of the endpoints.
+// after is what an update makes of the endpoints. Only the outcome has to be usable: a change may mend one before it.
 func (a *LimiterApplier) after(update *Update) (map[Key]string, error) {
 	endpoints := map[Key]string{}
 	mutations := []Mutation{}
@@ -67,15 +67,18 @@
 		case m.Kind != KindEndpoints:
 		case m.Delete:
 			delete(endpoints, m.Key)
-		case m.Name != EndpointDiscovery && m.Name != EndpointCounter:
-			return nil, &FixedKeyError{Key: m.Key}
 		default:
-			if err := checkAddress(m.Entry); err != nil {
-				return nil, err
-			}
 			endpoints[m.Key] = m.Value
 		}
 	}
+	for _, key := range slices.SortedFunc(maps.Keys(endpoints), Key.compare) {
+		if key.Name != EndpointDiscovery && key.Name != EndpointCounter {
+			return nil, &FixedKeyError{Key: key}
+		}
+		if err := checkAddress(Entry{Key: key, Value: endpoints[key]}); err != nil {
+			return nil, err
+		}
+	}
 	return endpoints, nil
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,13 +4,17 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/knadh/koanf/parsers/toml/v2"
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
+
+	"ospreycroft/internal/distribution"
 )
 
 // Variable names the file.
@@ -23,6 +27,15 @@
 	Installation string  // installation: tells this fleet's snapshots from another's
 	SnapshotPath string  // snapshot.path: the directory of the limiters' snapshots, empty for none
 	Oldest       int64   // snapshot.oldest_s, in nanoseconds here
+	Distribution Distribution
+}
+
+// Distribution is how the limiter follows the configuration distribution; the zero value is not at all.
+type Distribution struct {
+	Relays    [2]string // distribution.relays: host and port of the limiter's two relays, the one of its own zone first
+	Scope     string    // distribution.scope, as distribution.ParseScope reads it; empty for everything
+	StatePath string    // distribution.state_path: the directory of the limiters' states, empty for none
+	Oldest    int64     // distribution.oldest_s, in nanoseconds here
 }
 
 // Unreadable is a file that GW_OPERATOR names and that cannot be read, or is no TOML.
@@ -77,9 +90,11 @@
 		return nil, &Unreadable{path, err}
 	}
 	o := &Operator{}
-	oldest := 0.0
-	numbers := map[string]*float64{"list_calls_per_s": &o.ListCalls, "start.connections_per_s": &o.Connections, "snapshot.oldest_s": &oldest}
-	words := map[string]*string{"installation": &o.Installation, "snapshot.path": &o.SnapshotPath}
+	oldest, oldestState := 0.0, 0.0
+	numbers := map[string]*float64{"list_calls_per_s": &o.ListCalls, "start.connections_per_s": &o.Connections, "snapshot.oldest_s": &oldest,
+		"distribution.oldest_s": &oldestState}
+	words := map[string]*string{"installation": &o.Installation, "snapshot.path": &o.SnapshotPath,
+		"distribution.scope": &o.Distribution.Scope, "distribution.state_path": &o.Distribution.StatePath}
 	keys := k.Keys()
 	slices.Sort(keys)
 	for _, key := range keys {
@@ -90,6 +105,10 @@
 			*word = text
 		case word != nil:
 			return nil, &BadKey{path, key, value, "a text"}
+		case key == relaysKey:
+			if o.Distribution.Relays, is = relays(value); !is {
+				return nil, &BadKey{path, key, value, "a list of two addresses, host:port"}
+			}
 		case number == nil:
 			return nil, &BadKey{path, key, value, "a key of this file"}
 		default:
@@ -104,12 +123,52 @@
 			}
 		}
 	}
-	o.Oldest = int64(oldest * 1e9)
+	o.Oldest, o.Distribution.Oldest = int64(oldest*1e9), int64(oldestState*1e9)
 	switch {
 	case o.SnapshotPath != "" && o.Installation == "":
 		return nil, &BadKey{path, "installation", "missing", "a name, as snapshot.path is set"}
 	case o.SnapshotPath != "" && o.Oldest == 0:
 		return nil, &BadKey{path, "snapshot.oldest_s", "missing", "a number of seconds, as snapshot.path is set"}
 	}
+	if err := checkDistribution(path, o); err != nil {
+		return nil, err
+	}
 	return o, nil
 }
+
+const relaysKey = "distribution.relays"
+
+// relays reads a list of two addresses. Both may be the same where there is one relay.
+func relays(value any) (addresses [2]string, is bool) {
+	list, is := value.([]any)
+	if !is || len(list) != len(addresses) {
+		return addresses, false
+	}
+	for i, one := range list {
+		text, is := one.(string)
+		host, port, err := net.SplitHostPort(text)
+		number, bad := strconv.ParseUint(port, 10, 16)
+		if !is || err != nil || bad != nil || number == 0 || host == "" {
+			return addresses, false
+		}
+		addresses[i] = text
+	}
+	return addresses, true
+}
+
+// checkDistribution refuses keys of the distribution that do not go together. Errors: *BadKey.
+func checkDistribution(path string, o *Operator) error {
+	d := o.Distribution
+	if _, err := distribution.ParseScope(d.Scope); err != nil {
+		return &BadKey{path, "distribution.scope", d.Scope, "a scope (kinds, '@', names, with commas)"}
+	}
+	switch {
+	case d != (Distribution{}) && d.Relays == [2]string{}:
+		return &BadKey{path, relaysKey, "missing", "a list of two addresses, as other keys of distribution are set"}
+	case d.StatePath != "" && o.Installation == "":
+		return &BadKey{path, "installation", "missing", "a name, as distribution.state_path is set"}
+	case d.StatePath != "" && d.Oldest == 0:
+		return &BadKey{path, "distribution.oldest_s", "missing", "a number of seconds, as distribution.state_path is set"}
+	}
+	return nil
+}
