--- a/internal/distribution/transport/transport_test.go
+++ b/internal/distribution/transport/transport_test.go
@@ -359,8 +359,11 @@
 	raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:len(text)/2]))(w, r, next)
 }
 
-// stalled answers nothing for as long as the caller waits.
-func stalled(_ http.ResponseWriter, r *http.Request, _ http.Handler) { <-r.Context().Done() }
+// stalled reads the call and answers nothing for as long as the caller waits.
+func stalled(_ http.ResponseWriter, r *http.Request, _ http.Handler) {
+	_, _ = io.Copy(io.Discard, r.Body) // net/http tells that a caller has left only once its body is read
+	<-r.Context().Done()
+}
 
 // TestFaultyRelay: whatever a limiter's first relay answers, the last good version serves, nothing is half in force, the error
 // has its type, and the second relay brings what is new.
