--- a/internal/lab/emulator/discovery.go
+++ b/internal/lab/emulator/discovery.go
@@ -260,7 +260,8 @@
 		case <-timer.C:
 			if down {
 				call.End = record.Silent
-				return // nothing is said; the caller's own time-out ends it
+				<-r.Context().Done() // nothing is said, not even an empty answer; the caller's own time-out ends it
+				return
 			}
 			call.End, call.Generation = record.Answered, generation
 			text, _ := json.Marshal(List{Generation: generation, Instances: []Instance{}})
--- a/internal/lab/emulator/observe_test.go
+++ b/internal/lab/emulator/observe_test.go
@@ -85,6 +85,23 @@
 	require.Len(t, list.Instances, 3)
 }
 
+// TestDiscoverySilent: while it is down not a byte is said to a watch whose wait is over: an empty answer would be one.
+func TestDiscoverySilent(t *testing.T) {
+	d := discovery(t)
+	require.NoError(t, d.Start())
+	d.Down(true)
+	c, err := net.Dial("tcp", d.Address(0))
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /discovery/hosts?from=2&hold_ms=50 HTTP/1.1\r\nHost: d\r\n\r\n")
+	require.NoError(t, err)
+	_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	_, err = c.Read(make([]byte, 1))
+	var silent net.Error
+	require.ErrorAs(t, err, &silent)
+	require.True(t, silent.Timeout(), "%v", err)
+}
+
 // TestTraffic counts calls, connections, and at least the bytes of the lists.
 func TestTraffic(t *testing.T) {
 	d := discovery(t)
