--- /dev/null
+++ b/cmd/osplab/distribution.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"ospreycroft/internal/lab/distlab"
+)
+
+// distributionCommand measures the configuration distribution at its size; docs/distribution-measured.md holds its figures.
+func distributionCommand() *cobra.Command {
+	options := distlab.Options{Log: os.Stderr, Hollow: 550, Hosts: 5, Real: 4, RelaysInZone: 2, Entries: 1000}
+	short := false
+	c := &cobra.Command{Use: "distribution [CASE ...]", Short: "measure how long published configuration takes to be in force",
+		Long:      "The cases are " + strings.Join(distlab.CaseNames, ", ") + "; without a name all of them are run.",
+		ValidArgs: distlab.CaseNames, RunE: func(c *cobra.Command, args []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			options.Host = []string{self, "distribution-host"}
+			if err := os.MkdirAll(options.Dir, 0o755); err != nil {
+				return err
+			}
+			report, err := distlab.Run(args, short, options)
+			report.Command = strings.Join(append([]string{"osplab"}, os.Args[1:]...), " ")
+			if printed := report.WriteTable(c.OutOrStdout()); printed != nil {
+				return printed
+			}
+			path, saved := report.Save(options.Dir)
+			if saved != nil {
+				return saved
+			}
+			fmt.Fprintf(c.OutOrStdout(), "\nrecord=%s\n", path)
+			return err
+		}}
+	c.Flags().BoolVar(&short, "short", false, "a few seconds for each case, to see that it works")
+	c.Flags().StringVar(&options.Dir, "out", "lab-runs/distribution", "new folder for the figures and the processes' files")
+	c.Flags().StringVar(&options.Programs.Limiter, "limiter", "bin/ospreycroft", "the limiter's program")
+	c.Flags().StringVar(&options.Programs.Distribution, "distribution", "bin/ospreydist", "the distribution's program")
+	c.Flags().IntVar(&options.Hollow, "hollow", options.Hollow, "hollow limiters")
+	c.Flags().IntVar(&options.RelaysInZone, "relays", options.RelaysInZone, "relays in each of four zones")
+	return c
+}
+
+// distributionHostCommand is the process of hollow limiters that distributionCommand starts.
+func distributionHostCommand() *cobra.Command {
+	return &cobra.Command{Use: "distribution-host", Short: "hollow limiters, as distribution tells", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return distlab.HostMain(os.Stdin, os.Stdout) }}
+}
--- a/cmd/osplab/main.go
+++ b/cmd/osplab/main.go
@@ -29,7 +29,7 @@
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "osplab", Short: "the ospreycroft laboratory", SilenceUsage: true}
 	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand(), censusCommand(),
-		scaleCommand(), scaleHostCommand())
+		scaleCommand(), scaleHostCommand(), distributionCommand(), distributionHostCommand())
 	return top
 }
 
--- a/cmd/ospreycroft/distribution_test.go
+++ b/cmd/ospreycroft/distribution_test.go
@@ -441,7 +441,7 @@
 	c.judge(t, l, first, second)
 	require.Contains(t, l.Log(), "event=config-version epoch=1 version=2\n")
 	require.Contains(t, l.Log(), "event=config-unconfirmed epoch=1 version=2 age_s=")
-	require.NotContains(t, l.Log(), "event=config-confirmed")
+	require.False(t, l.Wrote("event=config-confirmed", 1, 3*watchEvery/2), "no relay has confirmed it: %s", l.Log())
 	n.startRelay(t, 0, n.servers[0])
 	require.True(t, l.Wrote("event=config-confirmed epoch=1 version=2", 1, soon), l.Log())
 	n.relays[0].Kill()
--- /dev/null
+++ b/internal/lab/distlab/distlab_test.go
@@ -0,0 +1,109 @@
+package distlab
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/distribution"
+)
+
+// TestMain makes this binary a host of hollow limiters where the harness starts it as one.
+func TestMain(m *testing.M) {
+	if os.Getenv(HostVariable) != "" {
+		if err := HostMain(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// TestShortRun plays cases at a small size: every change comes in force everywhere in time, also past a relay that is killed, and
+// no limiter that is cut off has it before the heal. All cases at full size: osplab distribution.
+func TestShortRun(t *testing.T) {
+	programs, err := Build(t.TempDir())
+	require.NoError(t, err)
+	report, err := Run([]string{"calm", "zone", "killed", "restart", "changes", "cold"}, true, Options{Programs: programs, Host: []string{os.Args[0]}, Dir: t.TempDir(), Hollow: 40, Hosts: 2, Real: 1,
+		RelaysInZone: 1, Entries: 90, Log: os.Stderr})
+	require.NoError(t, err)
+	require.Empty(t, report.NotRun)
+	require.NoError(t, report.WriteTable(os.Stderr))
+	names := ""
+	for _, c := range report.Cases {
+		names += c.Name + "\n"
+		require.Positive(t, c.Hollow.Limiters, c.Name)
+		require.Zero(t, c.Hollow.Late, c.Name)
+		require.Zero(t, c.Real.Late, c.Name)
+		require.Positive(t, c.Hollow.P50, c.Name)
+	}
+	require.Contains(t, names, "(0 had it before)")
+	require.Len(t, report.Loads, 3)
+	for _, l := range report.Loads[1:] { // an idle second may pass without a call
+		for _, part := range []Load{l.Limiter, l.Real, l.Relay, l.Source} {
+			require.Positive(t, part.BytesPerSecond, l.During)
+			require.Positive(t, part.CorePercent, l.During)
+		}
+	}
+	path, err := report.Save(t.TempDir())
+	require.NoError(t, err)
+	require.FileExists(t, path)
+}
+
+// TestLedger reads times from what was recorded: of a version or a newer one, not before the publication, in the order of arrival.
+func TestLedger(t *testing.T) {
+	l, from := newLedger(), time.Unix(100, 0)
+	version := func(n uint64) distribution.Version { return distribution.Version{Epoch: 1, Number: n} }
+	note := func(limiter int, n uint64, after time.Duration) {
+		l.note(applied{Limiter: limiter, Version: version(n), At: from.Add(after).UnixNano()})
+	}
+	note(1, 5, -time.Second) // an earlier life's
+	note(1, 4, time.Second)
+	note(1, 6, 3*time.Second)
+	note(2, 5, 2*time.Second)
+	after, is := l.since(1, version(5), from)
+	require.True(t, is)
+	require.Equal(t, 3*time.Second, after)
+	require.True(t, l.inForce([]int{1, 2}, version(5), from))
+	require.False(t, l.inForce([]int{1, 2}, version(6), from))
+	require.False(t, l.inForce([]int{3}, version(1), from))
+}
+
+// TestSpread sums times up: the late and those that never came are counted, and only what came has a time.
+func TestSpread(t *testing.T) {
+	var times []time.Duration
+	for i := 100; i > 0; i-- {
+		times = append(times, time.Duration(i)*time.Second/5)
+	}
+	require.Equal(t, Spread{Limiters: 103, P50: 10, P99: 19.8, Max: 20, Late: 13, Never: 3}, spreadOf(times, 3))
+	require.Equal(t, Spread{Limiters: 2, Late: 2, Never: 2}, spreadOf(nil, 2))
+	require.Equal(t, Spread{Limiters: 1, P50: 1, P99: 1, Max: 1}, spreadOf([]time.Duration{time.Second}, 0))
+}
+
+// TestLoad shares a process's use.
+func TestLoad(t *testing.T) {
+	at := time.Unix(0, 0)
+	before := usage{at: at, processor: time.Second, bytes: 1000}
+	behind := usage{at: at.Add(10 * time.Second), processor: 2 * time.Second, bytes: 21000}
+	require.Equal(t, Load{BytesPerSecond: 500, CorePercent: 2.5}, loadBetween(before, behind, 4))
+	own, err := usageOf(os.Getpid())
+	require.NoError(t, err)
+	require.Positive(t, own.processor)
+	require.Positive(t, own.bytes)
+	var failed *ProcError
+	_, err = usageOf(-1)
+	require.ErrorAs(t, err, &failed)
+}
+
+// TestUnknownCase names a case that there is not.
+func TestUnknownCase(t *testing.T) {
+	f := &Fleet{}
+	_, err := f.run("quiet", short)
+	var unknown *UnknownCaseError
+	require.ErrorAs(t, err, &unknown)
+	require.Contains(t, unknown.Hint(), "calm")
+}
--- /dev/null
+++ b/internal/lab/distlab/run.go
@@ -0,0 +1,208 @@
+package distlab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Loads are what the parts of the fleet used over a time.
+type Loads struct {
+	During  string `json:"during"`
+	Limiter Load   `json:"limiter"` // the mean of the hollow ones
+	Real    Load   `json:"real"`    // the mean of the real ones, their list service's traffic in it
+	Relay   Load   `json:"relay"`   // the mean
+	Source  Load   `json:"source"`
+}
+
+// Report is a run's outcome.
+type Report struct {
+	Date        string   `json:"date"`
+	Command     string   `json:"command"`
+	Hollow      int      `json:"hollow"`
+	Hosts       int      `json:"hosts"`
+	Real        int      `json:"real"`
+	Relays      int      `json:"relays"`
+	Entries     int      `json:"entries"`
+	LoadBefore  string   `json:"machine_load_before"`
+	LoadBehind  string   `json:"machine_load_behind"`
+	StartedCold Spread   `json:"started_cold"` // from the fleet's start, beside the case cold
+	Cases       []Case   `json:"cases"`
+	Loads       []Loads  `json:"loads"`
+	NotRun      []string `json:"not_run,omitempty"`
+}
+
+// Run plays cases on one fleet; all where none is named. A report of what was measured comes with an error too. Errors:
+// *UnknownCaseError, *StartError, *ProcError, *link.ListenError, those of transport.Client.
+func Run(names []string, isShort bool, options Options) (*Report, error) {
+	if len(names) == 0 {
+		names = CaseNames
+	}
+	l := long
+	if isShort {
+		l = short
+	}
+	report := &Report{Date: time.Now().UTC().Format(time.DateTime), Hollow: options.Hollow, Hosts: options.Hosts, Real: options.Real,
+		Relays: options.RelaysInZone * len(zones), Entries: options.Entries, LoadBefore: machineLoad(), NotRun: names}
+	defer func() { report.LoadBehind = machineLoad() }()
+	begun := time.Now()
+	f, err := StartFleet(options)
+	if err != nil {
+		return report, err
+	}
+	defer f.Stop()
+	first := f.measure("", f.all(anywhere), publication{f.head, begun})
+	report.StartedCold = first.Hollow
+	time.Sleep(l.settle)
+	for i, name := range names {
+		cases, loads, err := f.runWithLoads(name, l)
+		if err != nil {
+			return report, fmt.Errorf("%s: %w", name, err)
+		}
+		report.Cases = append(report.Cases, cases...)
+		report.Loads = append(report.Loads, loads...)
+		report.NotRun = names[i+1:]
+		time.Sleep(l.settle)
+	}
+	return report, nil
+}
+
+// runWithLoads plays a case; the load is measured over an idle time before calm, over changes and over a cold start.
+func (f *Fleet) runWithLoads(name string, l lengths) (cases []Case, loads []Loads, err error) {
+	if name == "calm" {
+		idle, err := f.loads(fmt.Sprintf("idle for %v", l.idle), func() error { time.Sleep(l.idle); return nil })
+		if err != nil {
+			return nil, nil, err
+		}
+		loads = append(loads, idle)
+	}
+	switch name {
+	case "changes":
+	case "cold":
+		return f.coldWithLoads(l)
+	default:
+		cases, err = f.run(name, l)
+		return cases, loads, err
+	}
+	used, err := f.loads(name, func() error { cases, err = f.run(name, l); return err })
+	return cases, append(loads, used), err
+}
+
+// coldWithLoads plays the case cold. Relays and hosts are new processes, which had used nothing before it.
+func (f *Fleet) coldWithLoads(l lengths) ([]Case, []Loads, error) {
+	before, err := f.usages()
+	if err != nil {
+		return nil, nil, err
+	}
+	before.hosts, before.relays = usage{at: time.Now()}, usage{at: time.Now()}
+	cases, err := f.cold(l)
+	if err != nil {
+		return nil, nil, err
+	}
+	behind, err := f.usages()
+	if err != nil {
+		return cases, nil, err
+	}
+	return cases, []Loads{f.between("a cold start until all have the state", before, behind)}, nil
+}
+
+// loads is what the fleet's processes use while something runs.
+func (f *Fleet) loads(during string, run func() error) (Loads, error) {
+	before, err := f.usages()
+	if err != nil {
+		return Loads{}, err
+	}
+	if err := run(); err != nil {
+		return Loads{}, err
+	}
+	behind, err := f.usages()
+	if err != nil {
+		return Loads{}, err
+	}
+	return f.between(during, before, behind), nil
+}
+
+func (f *Fleet) between(during string, before, behind usages) Loads {
+	return Loads{During: during, Limiter: loadBetween(before.hosts, behind.hosts, len(f.hollow)),
+		Real: loadBetween(before.real, behind.real, max(len(f.real), 1)), Relay: loadBetween(before.relays, behind.relays, len(f.relays)),
+		Source: loadBetween(before.source, behind.source, 1)}
+}
+
+// usages are those of the fleet's parts, each summed up.
+type usages struct{ hosts, real, relays, source usage }
+
+func (f *Fleet) usages() (all usages, err error) {
+	for _, h := range f.hosts {
+		u, err := h.usage()
+		if err != nil {
+			return all, err
+		}
+		all.hosts.add(u)
+	}
+	for _, l := range f.real {
+		if err := all.real.addOf(l.Process); err != nil {
+			return all, err
+		}
+	}
+	for _, r := range f.relays {
+		if err := all.relays.addOf(r.Process); err != nil {
+			return all, err
+		}
+	}
+	return all, all.source.addOf(f.source)
+}
+
+func (u *usage) addOf(p *Process) error {
+	one, err := usageOf(p.Pid())
+	u.add(one)
+	return err
+}
+
+func (u *usage) add(one usage) {
+	u.at = one.at
+	u.processor += one.processor
+	u.bytes += one.bytes
+}
+
+// WriteTable writes the report as tables for a page.
+func (r *Report) WriteTable(out io.Writer) error {
+	text := fmt.Sprintf("`%s` on %s: %d hollow limiters in %d processes, %d real ones, %d relays, %d entries; load of the machine %s before, %s behind.\n\n",
+		r.Command, r.Date, r.Hollow, r.Hosts, r.Real, r.Relays, r.Entries, r.LoadBefore, r.LoadBehind)
+	text += "| case | times measured | p50 s | p99 s | max s | late at 18 s | never | real: p50 s | real: max s | real: late |\n" +
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
+	for _, c := range append([]Case{{Name: "the run's own start, processes and first reads", Hollow: r.StartedCold}}, r.Cases...) {
+		real := "- | - | -"
+		if c.Real.Limiters > 0 {
+			real = fmt.Sprintf("%.3f | %.3f | %d", c.Real.P50, c.Real.Max, c.Real.Late)
+		}
+		h := c.Hollow
+		text += fmt.Sprintf("| %s | %d | %.3f | %.3f | %.3f | %d | %d | %s |\n", c.Name, h.Limiters, h.P50, h.P99, h.Max, h.Late, h.Never, real)
+	}
+	text += "\n| during | part | bytes/s | % of a core |\n| --- | --- | --- | --- |\n"
+	for _, l := range r.Loads {
+		for _, part := range []struct {
+			name string
+			Load
+		}{{"a hollow limiter", l.Limiter}, {"a real limiter, its discovery's calls in it", l.Real}, {"a relay", l.Relay}, {"the source", l.Source}} {
+			text += fmt.Sprintf("| %s | %s | %.0f | %.3f |\n", l.During, part.name, part.BytesPerSecond, part.CorePercent)
+		}
+	}
+	for _, name := range r.NotRun {
+		text += "\nNot run: " + name
+	}
+	_, err := io.WriteString(out, text)
+	return err
+}
+
+// Save writes the report to a folder, as distribution.json.
+func (r *Report) Save(dir string) (path string, err error) {
+	path = filepath.Join(dir, "distribution.json")
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return path, err
+	}
+	return path, os.WriteFile(path, append(text, '\n'), 0o644)
+}
