--- a/internal/lab/distlab/distlab_test.go
+++ b/internal/lab/distlab/distlab_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ospreycroft/internal/distribution"
+	"ospreycroft/internal/lab/procfs"
 )
 
 // TestMain makes this binary a host of hollow limiters where the harness starts it as one.
@@ -94,7 +95,7 @@
 	require.NoError(t, err)
 	require.Positive(t, own.processor)
 	require.Positive(t, own.bytes)
-	var failed *ProcError
+	var failed *procfs.Error
 	_, err = usageOf(-1)
 	require.ErrorAs(t, err, &failed)
 }
--- a/internal/lab/distlab/fleet.go
+++ b/internal/lab/distlab/fleet.go
@@ -334,7 +334,7 @@
 	h.piped += int64(bytes)
 }
 
-// usage is what the host has used, without the pipes. Errors: *ProcError.
+// usage is what the host has used, without the pipes. Errors: *procfs.Error.
 func (h *hostProcess) usage() (usage, error) {
 	u, err := usageOf(h.command.Process.Pid)
 	h.mutex.Lock()
--- a/internal/lab/distlab/run.go
+++ b/internal/lab/distlab/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"ospreycroft/internal/lab/procfs"
 	"path/filepath"
 	"time"
 )
@@ -36,7 +37,7 @@
 }
 
 // Run plays cases on one fleet; all where none is named. A report of what was measured comes with an error too. Errors:
-// *UnknownCaseError, *StartError, *ProcError, *link.ListenError, those of transport.Client.
+// *UnknownCaseError, *StartError, *procfs.Error, *link.ListenError, those of transport.Client.
 func Run(names []string, isShort bool, options Options) (*Report, error) {
 	if len(names) == 0 {
 		names = CaseNames
@@ -46,8 +47,8 @@
 		l = short
 	}
 	report := &Report{Date: time.Now().UTC().Format(time.DateTime), Hollow: options.Hollow, Hosts: options.Hosts, Real: options.Real,
-		Relays: options.RelaysInZone * len(zones), Entries: options.Entries, LoadBefore: machineLoad(), NotRun: names}
-	defer func() { report.LoadBehind = machineLoad() }()
+		Relays: options.RelaysInZone * len(zones), Entries: options.Entries, LoadBefore: procfs.LoadAverage(), NotRun: names}
+	defer func() { report.LoadBehind = procfs.LoadAverage() }()
 	begun := time.Now()
 	f, err := StartFleet(options)
 	if err != nil {
--- a/internal/lab/ports/ports.go
+++ b/internal/lab/ports/ports.go
@@ -8,8 +8,10 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Kept is one loopback port, held until Close.
@@ -72,3 +74,22 @@
 
 // Close gives the port up.
 func (k *Kept) Close() { k.once.Do(func() { _ = syscall.Close(k.fd) }) }
+
+const (
+	pongDial = 200 * time.Millisecond // a limiter whose connection takes longer is not ready
+	pongWait = time.Second            // nor is one that takes longer to answer
+)
+
+// Pong tells whether the limiter at an address answers PING with +PONG, which says that it is ready.
+func Pong(address string) bool {
+	c, err := net.DialTimeout("tcp", address, pongDial)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(pongWait))
+	_, _ = c.Write([]byte("*1\r\n$4\r\nPING\r\n"))
+	answer := make([]byte, 16)
+	n, _ := c.Read(answer)
+	return strings.HasPrefix(string(answer[:n]), "+PONG")
+}
--- a/internal/lab/runner/process.go
+++ b/internal/lab/runner/process.go
@@ -4,12 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -303,7 +301,7 @@
 	end := time.Now().Add(l.within)
 	pause := 20 * time.Millisecond
 	for time.Now().Before(end) {
-		if pong(lim.port.Address()) {
+		if ports.Pong(lim.port.Address()) {
 			l.lived(life, func(r *record.Life) { r.Ready = l.clock.Now() })
 			l.moves(lim, answered, nil)
 			l.front[lim.n].Store(true)
@@ -323,19 +321,6 @@
 	return err
 }
 
-func pong(address string) bool {
-	c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(time.Second))
-	_, _ = c.Write([]byte("*1\r\n$4\r\nPING\r\n"))
-	buf := make([]byte, 16)
-	k, _ := c.Read(buf)
-	return strings.HasPrefix(string(buf[:k]), "+PONG")
-}
-
 // awaited waits for the limiter's present process.
 func (l *Lab) awaited(lim *limiter) error { return l.await(lim, lim.life, lim.ended, nil) }
 
--- a/internal/lab/scale/alike.go
+++ b/internal/lab/scale/alike.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"ospreycroft/internal/lab/procfs"
 	"time"
 )
 
@@ -160,7 +161,7 @@
 	one.seconds = time.Since(began).Seconds()
 	one.core = (after - before).Seconds() / one.seconds / n
 	for _, pid := range pids {
-		held, err := resident(pid)
+		held, err := procfs.Resident(pid)
 		if err != nil {
 			return one, err
 		}
@@ -174,7 +175,7 @@
 // processorTimes is the time that all of several processes have run for.
 func processorTimes(pids []int) (sum time.Duration, err error) {
 	for _, pid := range pids {
-		one, err := processorTime(pid)
+		one, err := procfs.ProcessorTime(pid)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/lab/scale/clients_test.go
+++ b/internal/lab/scale/clients_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"os"
+	"ospreycroft/internal/lab/procfs"
 	"runtime"
 	"strings"
 	"testing"
@@ -38,24 +39,24 @@
 func TestProcessorTime(t *testing.T) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	before, err := processorTime(os.Getpid())
+	before, err := procfs.ProcessorTime(os.Getpid())
 	require.NoError(t, err)
 	for began := time.Now(); time.Since(began) < 100*time.Millisecond; {
 	}
-	after, err := processorTime(os.Getpid())
+	after, err := procfs.ProcessorTime(os.Getpid())
 	require.NoError(t, err)
 	require.Greater(t, after-before, 5*time.Millisecond)
-	held, err := resident(os.Getpid())
+	held, err := procfs.Resident(os.Getpid())
 	require.NoError(t, err)
 	require.Greater(t, held, 1e6)
 }
 
 func TestProcessThatEnded(t *testing.T) {
-	var missing *ProcError
-	_, err := processorTime(-1)
+	var missing *procfs.Error
+	_, err := procfs.ProcessorTime(-1)
 	require.ErrorAs(t, err, &missing)
 	require.NotEmpty(t, missing.Hint())
-	_, err = resident(-1)
+	_, err = procfs.Resident(-1)
 	require.ErrorAs(t, err, &missing)
 }
 
--- a/internal/lab/scale/counter.go
+++ b/internal/lab/scale/counter.go
@@ -10,6 +10,7 @@
 
 	"ospreycroft/internal/counterwire"
 	"ospreycroft/internal/lab/emulator"
+	"ospreycroft/internal/lab/procfs"
 )
 
 // counter measures how often limiters call the counter, what a call costs at its stand-in, and how many stand-ins the peak takes.
@@ -78,7 +79,7 @@
 	defer one.stop()
 	capacity, cost := Point{}, Point{}
 	for range h.samples() {
-		before, err := processorTime(one.pid())
+		before, err := procfs.ProcessorTime(one.pid())
 		if err != nil {
 			return err
 		}
@@ -87,7 +88,7 @@
 		if err != nil {
 			return err
 		}
-		after, err := processorTime(one.pid())
+		after, err := procfs.ProcessorTime(one.pid())
 		if err != nil {
 			return err
 		}
@@ -95,7 +96,7 @@
 		capacity.Samples = append(capacity.Samples, float64(calls)/time.Since(began).Seconds())
 		cost.Samples = append(cost.Samples, spent*1e6/float64(calls))
 	}
-	held, err := resident(one.pid())
+	held, err := procfs.Resident(one.pid())
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scale/list.go
+++ b/internal/lab/scale/list.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ospreycroft/internal/lab/emulator"
+	"ospreycroft/internal/lab/procfs"
 )
 
 // list measures what one change of the list costs a limiter, told by the whole list and by the changed entries alone.
@@ -52,7 +53,7 @@
 	}
 	for sample := range h.samples() {
 		length := changesOfSample * changeEvery
-		before, err := processorTime(l.pid())
+		before, err := procfs.ProcessorTime(l.pid())
 		if err != nil {
 			return nil, err
 		}
@@ -64,7 +65,7 @@
 			time.Sleep(changeEvery)
 		}
 		time.Sleep(changeEvery)
-		after, err := processorTime(l.pid())
+		after, err := procfs.ProcessorTime(l.pid())
 		if err != nil {
 			return nil, err
 		}
@@ -84,7 +85,7 @@
 		point := Point{X: float64(servers)}
 		for range h.samples() {
 			err := h.withReal(standsSpec{limiters: 1, servers: servers}, func(_ *stands, l *realLimiter) error {
-				took, err := processorTime(l.pid())
+				took, err := procfs.ProcessorTime(l.pid())
 				point.Samples = append(point.Samples, took.Seconds()*1e3)
 				return err
 			})
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -1,6 +1,9 @@
 package scale
 
-import "time"
+import (
+	"ospreycroft/internal/lab/procfs"
+	"time"
+)
 
 // spent is what one process, and all control connections, took in a time.
 type spent struct {
@@ -14,18 +17,18 @@
 func watchProcess(p *process, s *stands, window time.Duration, times int) ([]spent, error) {
 	var all []spent
 	for range times {
-		before, err := processorTime(p.pid())
+		before, err := procfs.ProcessorTime(p.pid())
 		if err != nil {
 			return nil, err
 		}
 		crossed, began := s.traffic(), time.Now()
 		time.Sleep(window)
-		after, err := processorTime(p.pid())
+		after, err := procfs.ProcessorTime(p.pid())
 		if err != nil {
 			return nil, err
 		}
 		took := time.Since(began).Seconds()
-		held, err := resident(p.pid())
+		held, err := procfs.Resident(p.pid())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -5,18 +5,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"ospreycroft/internal/lab/ports"
+	"ospreycroft/internal/lab/procfs"
 )
 
 // HostVariable is set in the environment of a process that is to be a host of hollow limiters (HostMain).
@@ -134,7 +133,7 @@
 		return nil, &StartError{h.options.Program, log, err}
 	}
 	end := time.Now().Add(startWithin)
-	for !pong(l.address) {
+	for !ports.Pong(l.address) {
 		if over := time.Now().After(end); over || !l.runs() {
 			l.stop()
 			return nil, &StartError{h.options.Program, log, errors.New("no +PONG")}
@@ -167,19 +166,6 @@
 	l.port.Close()
 }
 
-func pong(address string) bool {
-	c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(time.Second))
-	_, _ = c.Write([]byte("*1\r\n$4\r\nPING\r\n"))
-	answer := make([]byte, 16)
-	n, _ := c.Read(answer)
-	return strings.HasPrefix(string(answer[:n]), "+PONG")
-}
-
 // collected finds the heap behind a collection, MB, in the runtime's own line on it.
 var collected = regexp.MustCompile(`(?m)^gc \d+ .* \d+->\d+->(\d+) MB`)
 
@@ -214,7 +200,7 @@
 		return nil, &StartError{"hosts", h.options.Out, fmt.Errorf("%d processes, %d at most", hosts, mostHosts)}
 	}
 	need := float64(count) * (hollowMemory + hollowServerBytes*float64(len(s.list)))
-	if have := available(); have < need || need > mostMemory {
+	if have := procfs.Available(); have < need || need > mostMemory {
 		return nil, &MemoryError{need, min(have, mostMemory)}
 	}
 	var all []*host
--- a/internal/lab/scale/renew.go
+++ b/internal/lab/scale/renew.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"ospreycroft/internal/lab/procfs"
 	"strings"
 	"syscall"
 	"time"
@@ -43,7 +44,7 @@
 		if err := l.write(); err != nil {
 			return nil, nil, err
 		}
-		before, err := processorTime(l.pid())
+		before, err := procfs.ProcessorTime(l.pid())
 		if err != nil {
 			return nil, nil, err
 		}
@@ -59,7 +60,7 @@
 		}
 		took = append(took, time.Since(began).Seconds()*1e3)
 		time.Sleep(200 * time.Millisecond) // and what it leaves behind
-		after, err := processorTime(l.pid())
+		after, err := procfs.ProcessorTime(l.pid())
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/lab/scale/request.go
+++ b/internal/lab/scale/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"ospreycroft/internal/lab/procfs"
 	"time"
 )
 
@@ -77,14 +78,14 @@
 		defer c.close()
 		c.open(float64(rate), requestCustomers, h.window(time.Second), 1) // connections come up
 		for i := range h.samples() {
-			before, err := processorTime(l.pid())
+			before, err := procfs.ProcessorTime(l.pid())
 			if err != nil {
 				return err
 			}
 			began := time.Now()
 			all := c.open(float64(rate), requestCustomers, h.window(2*time.Second), uint64(i+2))
 			took := time.Since(began).Seconds()
-			after, err := processorTime(l.pid())
+			after, err := procfs.ProcessorTime(l.pid())
 			if err != nil {
 				return err
 			}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"ospreycroft/internal/lab/procfs"
 	"slices"
 	"strings"
 	"time"
@@ -78,7 +79,7 @@
 			return nil, &UnknownError{name}
 		}
 	}
-	h.report = Report{Command: options.Command, Began: time.Now().UTC().Format(time.RFC3339), LoadBefore: load(), Short: options.Short}
+	h.report = Report{Command: options.Command, Began: time.Now().UTC().Format(time.RFC3339), LoadBefore: procfs.LoadAverage(), Short: options.Short}
 	for _, one := range Experiments() {
 		if len(names) > 0 && !slices.Contains(names, one.Name) {
 			continue
@@ -88,7 +89,7 @@
 			return &h.report, fmt.Errorf("%s: %w", one.Name, err)
 		}
 	}
-	h.report.LoadAfter = load()
+	h.report.LoadAfter = procfs.LoadAverage()
 	h.report.Took = time.Since(began(h.report.Began)).Seconds()
 	return &h.report, nil
 }
