--- /dev/null
+++ b/internal/lab/stories/distributionsteps.go
@@ -0,0 +1,265 @@
+package stories
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/cucumber/godog"
+
+	"ospreycroft/internal/distribution"
+	"ospreycroft/internal/lab/simfleet"
+)
+
+const (
+	// distributionStart is when the source, the relays and the subscribers start: after the limiters' processes.
+	distributionStart = millisecond
+	// deadlineSeconds is how long after its publication a change has to be in force.
+	deadlineSeconds = 18
+	// afterDeadlineSeconds is how much longer a story runs.
+	afterDeadlineSeconds = 0.5
+	// noPort is above any port. The fleet would move to it, so that nothing but the applier's check keeps limiters from it.
+	noPort = 70000
+)
+
+var errNoDistribution = errors.New(`no distribution yet: begin with "given a source of configuration ..."`)
+
+// distributionStory is a scenario's distribution.
+type distributionStory struct {
+	world   *World
+	cold    bool
+	broken  subscriberFault
+	planned bool
+	network *network
+	lists   int   // the newest list service's number
+	err     error // the first that came up during the run
+}
+
+// distributionSteps gives a scenario the words of the configuration distribution.
+func distributionSteps(s *godog.ScenarioContext, w *World) {
+	d := &distributionStory{world: w, lists: 1}
+	s.Given(`^a source of configuration, and (\d+) regions of (\d+) zones with a relay each$`, d.given)
+	s.Given(`^no subscriber has a kept state$`, func() error {
+		d.cold = true
+		return nil
+	})
+	s.Given(`^a subscriber that (.+)$`, func(how string) (err error) {
+		d.broken, err = parseSubscriberFault(how)
+		return err
+	})
+	d.when(s)
+	d.then(s)
+}
+
+func (d *distributionStory) given(regions, zones int) error {
+	d.planned = true
+	return d.world.Plan(distributionStart, func(f *simfleet.Fleet) {
+		shape := topology{regions, zones}
+		d.network, d.err = newNetwork(f, d.world.Options, shape, d.cold, d.broken)
+	})
+}
+
+// plan plans what happens to the distribution. The story goes on until a change of that time has to be in force.
+func (d *distributionStory) plan(at float64, step func(n *network) error) error {
+	if !d.planned {
+		return errNoDistribution
+	}
+	if err := d.world.Plan(seconds(at+deadlineSeconds+afterDeadlineSeconds), func(*simfleet.Fleet) {}); err != nil {
+		return err
+	}
+	return d.world.Plan(seconds(at), func(*simfleet.Fleet) {
+		if d.err == nil {
+			d.err = step(d.network)
+		}
+	})
+}
+
+func (d *distributionStory) when(s *godog.ScenarioContext) {
+	s.When(`^relay (\d+) is killed at second ([\d.]+)$`, func(relay int, at float64) error {
+		return d.plan(at, func(n *network) error { n.killRelay(relay); return nil })
+	})
+	s.When(`^relay (\d+) is stalled at second ([\d.]+)$`, func(relay int, at float64) error {
+		return d.plan(at, func(n *network) error { n.stallRelay(relay); return nil })
+	})
+	s.When(`^the limiters of zone (\d+) are cut off from all relays from second ([\d.]+) to second ([\d.]+)$`,
+		func(zone int, from, until float64) error {
+			return d.cut(from, until, func(_ *network, a, b *peer) bool {
+				return a.limiter >= 0 && a.zone == zone || b.limiter >= 0 && b.zone == zone
+			})
+		})
+	s.When(`^region (\d+) is cut off from second ([\d.]+) to second ([\d.]+)$`, func(region int, from, until float64) error {
+		return d.cut(from, until, func(_ *network, a, b *peer) bool { return (a.region == region) != (b.region == region) })
+	})
+	s.When(`^relay (\d+) is cut off from the source from second ([\d.]+) to second ([\d.]+)$`,
+		func(relay int, from, until float64) error {
+			return d.cut(from, until, func(n *network, a, b *peer) bool {
+				return a == n.relays[relay] && b == n.sourcePeer || a == n.sourcePeer && b == n.relays[relay]
+			})
+		})
+	s.When(`^(.+) of the limiters are killed at second ([\d.]+) and start again ([\d.]+) seconds? later `+
+		`from the configuration that they kept$`, d.killed)
+	s.When(`^discovery's address changes at second ([\d.]+)$`, func(at float64) error {
+		return d.plan(at, d.publishMove(firstWriter))
+	})
+	s.When(`^discovery's address changes (\d+) times from second ([\d.]+) to second ([\d.]+)$`, d.publishMany)
+	s.When(`^an address that is no address is published at second ([\d.]+)$`, func(at float64) error {
+		return d.plan(at, func(n *network) error {
+			change, err := n.publish(firstWriter, discoveryAt(listAddress(noPort)))
+			n.record.unfit = change.Version
+			return err
+		})
+	})
+	s.When(`^a second writer takes over and changes discovery's address at second ([\d.]+)$`, func(at float64) error {
+		return d.plan(at, func(n *network) error {
+			if _, err := n.source.Open(n.now(), firstWriter+1); err != nil {
+				return err
+			}
+			return d.publishMove(firstWriter + 1)(n)
+		})
+	})
+	s.When(`^the first writer changes discovery's address at second ([\d.]+)$`, func(at float64) error {
+		return d.plan(at, func(n *network) error {
+			_, n.record.fenced = n.publish(firstWriter, discoveryAt(listAddress(d.lists+1)))
+			return nil
+		})
+	})
+}
+
+// publishMove moves discovery to a list service that none has used yet.
+func (d *distributionStory) publishMove(epoch uint64) func(n *network) error {
+	return func(n *network) error {
+		d.lists++
+		if _, err := n.publish(epoch, discoveryAt(listAddress(d.lists))); err != nil {
+			return err
+		}
+		n.record.publications = append(n.record.publications, publication{n.now(), d.lists})
+		return nil
+	}
+}
+
+func (d *distributionStory) publishMany(times int, from, until float64) error {
+	for i := range times {
+		at := from + (until-from)*float64(i)/float64(times)
+		if err := d.plan(at, d.publishMove(firstWriter)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cut lets nothing pass between some peers for a time. A story has one such cut at a time.
+func (d *distributionStory) cut(from, until float64, between func(n *network, a, b *peer) bool) error {
+	if err := d.plan(from, func(n *network) error {
+		n.setCut(func(a, b *peer) bool { return between(n, a, b) })
+		return nil
+	}); err != nil {
+		return err
+	}
+	return d.plan(until, func(n *network) error { n.setCut(nil); return nil })
+}
+
+// killed ends some limiters and starts them again with what their subscribers had in force.
+func (d *distributionStory) killed(part string, at, later float64) error {
+	of, err := share(part)
+	if err != nil {
+		return err
+	}
+	hit := d.world.some(of, d.world.Options.Limiters, 4)
+	kept := map[int]*distribution.Snapshot{}
+	if err := d.plan(at, func(n *network) error {
+		for _, i := range hit {
+			kept[i] = n.killLimiter(i)
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	return d.plan(at+later, func(n *network) error {
+		for _, i := range hit {
+			if err := n.restartLimiter(i, kept[i]); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func (d *distributionStory) then(s *godog.ScenarioContext) {
+	check := func(look func(r *simfleet.Result, record *distributionRecord) error) func() error {
+		return func() error {
+			result, err := d.world.Result()
+			switch {
+			case err != nil:
+				return err
+			case d.err != nil:
+				return d.err
+			case d.network == nil:
+				return errNoDistribution
+			}
+			return look(result, &d.network.record)
+		}
+	}
+	s.Then(`^the change is in force at every limiter that can be reached within 18 seconds$`,
+		check(func(r *simfleet.Result, record *distributionRecord) error {
+			return record.inForce(r, deadlineSeconds*second)
+		}))
+	s.Then(`^the change is not in force in time at a limiter that can be reached$`,
+		check(func(r *simfleet.Result, record *distributionRecord) error {
+			return opposite(record.inForce(r, deadlineSeconds*second), "it was in force everywhere in time")
+		}))
+	s.Then(`^no limiter went back to an older version$`,
+		check(func(r *simfleet.Result, record *distributionRecord) error { return record.wentBack(r) }))
+	s.Then(`^a limiter went back to an older version$`,
+		check(func(r *simfleet.Result, record *distributionRecord) error {
+			return opposite(record.wentBack(r), "none did")
+		}))
+	s.Then(`^all requests have one answer$`, check(allAnswered))
+	s.Then(`^each limiter that started again began unconfirmed$`, check(beganUnconfirmed))
+	s.Then(`^each limiter refused what is no address$`, check(allRefused))
+	s.Then(`^the first writer is turned away$`, check(func(_ *simfleet.Result, record *distributionRecord) error {
+		var fenced *distribution.FencedError
+		if !errors.As(record.fenced, &fenced) {
+			return fmt.Errorf("it was told: %v", record.fenced)
+		}
+		return nil
+	}))
+}
+
+// opposite fails where a check passed.
+func opposite(err error, passed string) error {
+	if err == nil {
+		return errors.New(passed)
+	}
+	return nil
+}
+
+func allAnswered(r *simfleet.Result, _ *distributionRecord) error {
+	if len(r.Run.Jobs) == 0 {
+		return errors.New("no request was sent")
+	}
+	if r.Verdict.Counts[1] > 0 {
+		return broken(r)
+	}
+	return nil
+}
+
+func beganUnconfirmed(_ *simfleet.Result, record *distributionRecord) error {
+	if len(record.restarted) == 0 {
+		return errors.New("none started again")
+	}
+	for _, again := range record.restarted {
+		if again.condition != distribution.Unconfirmed {
+			return fmt.Errorf("limiter %d began %s", again.limiter, again.condition)
+		}
+	}
+	return nil
+}
+
+func allRefused(_ *simfleet.Result, record *distributionRecord) error {
+	for limiter, versions := range record.refused {
+		if !slices.Contains(versions, record.unfit) {
+			return fmt.Errorf("limiter %d did not refuse version %v", limiter, record.unfit)
+		}
+	}
+	return nil
+}
--- a/internal/lab/stories/steps.go
+++ b/internal/lab/stories/steps.go
@@ -50,6 +50,7 @@
 	s.Given(`^(.+) of the servers were replaced since the limiters' lists were written$`, w.replaced)
 	w.when(s)
 	w.then(s)
+	distributionSteps(s, w)
 	return w
 }
 
