--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -32,37 +32,37 @@
 }
 
 const (
-	answerTime  = 2      // dial time-outs from a call's instant until its answer has come, where all is well
-	leastRound  = 1      // a round is so many dial time-outs at least: however much is borne, more brings no news
-	spreadFrom  = 1. / 2 // one call that is turned away changes nothing,
-	spreadMost  = 4      // after further ones in a row the next instant is drawn from so many rounds at most,
-	spreadLess  = 7. / 8 // and from so much less with each call that is answered
-	toldWait    = 3      // what a call that may wait missed counts as told this part of told after its wait, if that is later
-	early       = 8      // a call is given up this part of what a held one comes back before an instant before that instant
-	missedMost  = 4      // after so many instants slept through a limiter calls however late it is
-	resume      = 1      // a held call comes back this part of a dial time-out before the next instant, or a quarter
-	resumeMost  = 4      // of a round if that is less, so that the next call goes on with the watch
-	mostHold    = 60e9   // the protocol holds no call for longer
-	queue       = 8      // dial time-outs for which a call is waited for beyond its hold: it stands in a queue
-	readyMost   = 2. / 3 // of the time in which it has to be ready it waits no longer than this part
-	tossedBelow = 7. / 8 // with less than this share of what its servers can do for sure a limiter is thrown back
+	answerTime   = 2      // dial time-outs from a call's instant until its answer has come, where all is well
+	leastRound   = 1      // a round is so many dial time-outs at least: however much is borne, more brings no news
+	spreadFrom   = 1. / 2 // one call that is turned away changes nothing,
+	spreadMost   = 4      // after further ones in a row the next instant is drawn from so many rounds at most,
+	spreadLess   = 7. / 8 // and from so much less with each call that is answered
+	toldWait     = 3      // what a call that may wait missed counts as told this part of told after its wait, if that is later
+	early        = 8      // a call is given up this part of what a held one comes back before an instant before that instant
+	missedMost   = 4      // after so many instants slept through a limiter calls however late it is
+	resume       = 1      // a held call comes back this part of a dial time-out before the next instant, or a quarter
+	resumeMost   = 4      // of a round if that is less, so that the next call goes on with the watch
+	mostHold     = 60e9   // the protocol holds no call for longer
+	queue        = 8      // dial time-outs for which a call is waited for beyond its hold: it stands in a queue
+	readyMost    = 2. / 3 // of the time in which it has to be ready it waits no longer than this part
+	setbackBelow = 7. / 8 // with less than this share of what its servers can do for sure a limiter is thrown back
 )
 
 // Phase is how far a start has come.
 type Phase uint8
 
 const (
-	Waking    Phase = iota // not ready
-	Listening              // ready with a list that nobody has confirmed, or whose service has gone silent
-	Warming                // the list is confirmed, and many of its servers are cold
-	Steady                 // the list is confirmed, and its servers can do what they are there for
+	Starting Phase = iota // not ready
+	Syncing               // ready with a list that nobody has confirmed, or whose service has gone silent
+	Warming               // the list is confirmed, and many of its servers are cold
+	Steady                // the list is confirmed, and its servers can do what they are there for
 )
 
-func (p Phase) String() string { return [...]string{"waking", "listening", "warming", "steady"}[p] }
+func (p Phase) String() string { return [...]string{"starting", "syncing", "warming", "steady"}[p] }
 
-// edges are the only ways from phase to phase. Nothing leads back to waking: a limiter that has said that it is ready
+// edges are the only ways from phase to phase. Nothing leads back to starting: a limiter that has said that it is ready
 // stays so, and one that was killed begins a new Start.
-var edges = [...][]Phase{Waking: {Listening}, Listening: {Warming}, Warming: {Steady, Listening}, Steady: {Warming, Listening}}
+var edges = [...][]Phase{Starting: {Syncing}, Syncing: {Warming}, Warming: {Steady, Syncing}, Steady: {Warming, Syncing}}
 
 // Kind says what happened.
 type Kind uint8
@@ -94,23 +94,23 @@
 
 // Start is the state of one limiter's start. It is not safe for concurrent use.
 type Start struct {
-	set     Settings
-	round   int64
-	offset  int64 // of this limiter's instant in a round
-	began   int64
-	phase   Phase
-	servers []Server // by ID
-	listed  bool     // some list is held
-	heard   bool     // the service has answered since the start
-	next    int64    // the instant of the next call
-	last    int64    // the instant of the latest call, the start before there is one
-	retry   bool     // no answer has come since a call failed
-	calls   int      // that have ended
-	missed  int      // instants in a row that were slept through
-	spread  float64  // the rounds from which the next instant is drawn
-	silent  int64    // since when the service owes an answer, 0 while it does not
-	share   float64  // while Warming, as of the latest Step
-	Tossed  int      // how often a list has thrown the share back
+	set      Settings
+	round    int64
+	offset   int64 // of this limiter's instant in a round
+	began    int64
+	phase    Phase
+	servers  []Server // by ID
+	listed   bool     // some list is held
+	heard    bool     // the service has answered since the start
+	next     int64    // the instant of the next call
+	last     int64    // the instant of the latest call, the start before there is one
+	retry    bool     // no answer has come since a call failed
+	calls    int      // that have ended
+	missed   int      // instants in a row that were slept through
+	spread   float64  // the rounds from which the next instant is drawn
+	silent   int64    // since when the service owes an answer, 0 while it does not
+	share    float64  // while Warming, as of the latest Step
+	Setbacks int      // how often a list has thrown the share back
 }
 
 // New begins a start at now. Errors: see Settings.Check.
@@ -258,27 +258,27 @@
 
 // proceed moves along the edges as far as things stand now.
 func (s *Start) proceed(now int64) {
-	if s.phase == Waking && now >= s.ReadyAt() {
-		s.move(Listening)
+	if s.phase == Starting && now >= s.ReadyAt() {
+		s.move(Syncing)
 	}
-	if s.phase == Waking {
+	if s.phase == Starting {
 		return
 	}
 	gone := !s.heard || s.silent != 0 && now > s.silent+s.set.Told
 	sure := s.sure(now)
 	switch {
-	case gone && s.phase != Listening:
-		s.move(Listening)
-	case !gone && s.phase == Listening:
+	case gone && s.phase != Syncing:
+		s.move(Syncing)
+	case !gone && s.phase == Syncing:
 		s.move(Warming)
-	case !gone && s.phase == Steady && sure < tossedBelow:
+	case !gone && s.phase == Steady && sure < setbackBelow:
 		s.move(Warming)
 	}
 	if s.phase == Steady {
 		sure = 1 // a few cold servers are the rotation's matter: their turns are fewer
 	}
 	if sure < s.share {
-		s.Tossed++
+		s.Setbacks++
 	}
 	if s.share = sure; s.phase == Warming && sure == 1 {
 		s.move(Steady)
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -73,14 +73,14 @@
 // step takes one event to one limiter, and what holds of it alone is looked at.
 func (f *fleet) step(i int, now int64, e Event) {
 	s := f.all[i]
-	from, share, tossed := s.Phase(), s.Share(), s.Tossed
+	from, share, setbacks := s.Phase(), s.Share(), s.Setbacks
 	s.Step(now, e) // panics off the edges
 	switch age := now - s.began; {
-	case s.Phase() == Waking && from != Waking, s.Phase() == Waking && age >= s.set.Bound:
+	case s.Phase() == Starting && from != Starting, s.Phase() == Starting && age >= s.set.Bound:
 		require.FailNow(f.t, "not ready", "after %d ns", age)
-	case s.Phase() != Waking && age < min(s.set.Lead, s.set.Bound/2):
+	case s.Phase() != Starting && age < min(s.set.Lead, s.set.Bound/2):
 		require.FailNow(f.t, "ready before its parts have filled", "after %d ns", age)
-	case s.Share() < share && s.Tossed == tossed || s.Share() <= 0 || s.Share() > 1:
+	case s.Share() < share && s.Setbacks == setbacks || s.Share() <= 0 || s.Share() > 1:
 		require.FailNow(f.t, "no list has thrown it back", "share %v after %v in %v", s.Share(), share, s.Phase())
 	case s.Due() > now+(spreadMost+1)*s.round:
 		require.FailNow(f.t, "it asks no more", "limiter %d", i)
@@ -242,7 +242,7 @@
 		{20 * second, list(0, 0, 0, 0, 0, 0, 0, 0, 20*second), 1, Steady}, {21 * second, list(0, 21*second), 0.625, Warming},
 		{22 * second, list(0, 0), 0.65, Warming}, // a later start is known
 		{23 * second, Event{Kind: Answered, Servers: []Server{{ID: "1", Gone: true}}}, 1, Steady},
-		{40 * second, Event{Kind: Asked}, 1, Steady}, {60 * second, Event{}, 1, Listening}, {61 * second, list(0, 0), 1, Steady},
+		{40 * second, Event{Kind: Asked}, 1, Steady}, {60 * second, Event{}, 1, Syncing}, {61 * second, list(0, 0), 1, Steady},
 	} {
 		s.Step(epoch+c.at, c.e)
 		require.Equal(t, c.phase, s.Phase(), "step %d", i)
--- a/internal/distribution/transport/server.go
+++ b/internal/distribution/transport/server.go
@@ -62,7 +62,7 @@
 	return s
 }
 
-// NewRelayServer serves a relay. See Follower.Relay for how it follows the source.
+// NewRelayServer serves a relay. See NewRelayFollower for how it follows the source.
 func NewRelayServer(relay *distribution.Relay, clock func() int64) *Server {
 	s := newServer(relay, clock)
 	for _, route := range []string{"POST /v1/epochs", "POST /v1/changes", "POST /v1/summaries", "GET /v1/overview"} {
--- a/internal/limiter/start.go
+++ b/internal/limiter/start.go
@@ -159,15 +159,15 @@
 	l := s.l
 	s.rules.Step(l.now, e)
 	phase := s.rules.Phase()
-	if phase != coldstart.Waking && !l.ready {
+	if phase != coldstart.Starting && !l.ready {
 		l.ready = true
 		log.Printf("event=ready servers=%d generation=%d", len(l.pools), l.watch.version)
 	}
 	if phase != s.phase {
-		log.Printf("event=start phase=%s share=%.2f tossed=%d", phase, s.rules.Share(), s.rules.Tossed)
+		log.Printf("event=start phase=%s share=%.2f setbacks=%d", phase, s.rules.Share(), s.rules.Setbacks)
 		s.phase = phase
 	}
-	if l.timers.drop(s.timer); phase == coldstart.Waking {
+	if l.timers.drop(s.timer); phase == coldstart.Starting {
 		s.timer = l.at(max(l.now, s.rules.ReadyAt()), s.tick)
 	}
 }
