--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -58,7 +58,10 @@
 	Sent          int64   `json:"sent"`
 	Deadline      int64   `json:"cut_off"` // when the client stops waiting
 	Answered      int64   `json:"answered"`
-	Outcome       Outcome `json:"outcome"`
+	// AnswerUnread is how long the answer lay in the client's kernel before the lab read it, nanoseconds. It is part of
+	// the time to Answered, and is the lab's own delay; the kernel tells it in steps of its timer.
+	AnswerUnread int64   `json:"answer_unread,omitempty"`
+	Outcome      Outcome `json:"outcome"`
 	// Resent: the connection it was first sent on ended at once, so it went once more on a new one, at Sent again.
 	Resent     bool  `json:"crossed,omitempty"`
 	RetryAfter int64 `json:"retry_after,omitempty"` // nanoseconds, where a rejection said when to return
@@ -75,9 +78,10 @@
 	Units       float64 `json:"units"`
 	At          int64   `json:"at"`
 	MayHaveRun  bool    `json:"ran"`
-	Answer      string  `json:"answer"`            // done, error, busy, silent, reset, spoilt, repeat
-	Overloaded  bool    `json:"overrun,omitempty"` // began while cold and over what the server bore then
-	ServiceTime int64   `json:"work,omitempty"`    // nanoseconds the server spent on it before answering
+	Answer      string  `json:"answer"`              // done, error, busy, silent, reset, spoilt, repeat
+	Overloaded  bool    `json:"overrun,omitempty"`   // began while cold and over what the server bore then
+	TimeLeft    int64   `json:"time_left,omitempty"` // nanoseconds that the command said its client would still wait
+	ServiceTime int64   `json:"work,omitempty"`      // nanoseconds the server spent on it before answering
 }
 
 // Event is a fault or a change the run played, or a limiter's end that it saw.
--- a/internal/lab/procfs/procfs.go
+++ b/internal/lab/procfs/procfs.go
@@ -54,6 +54,26 @@
 	return sum, nil
 }
 
+// PeakResident is the most memory that a process has held since its exec, bytes. Errors: *Error.
+func PeakResident(pid int) (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, &Error{pid, err}
+	}
+	for line := range strings.Lines(string(text)) {
+		value, found := strings.CutPrefix(line, "VmHWM:")
+		if !found {
+			continue
+		}
+		kilobytes, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
+		if err != nil {
+			return 0, &Error{pid, err}
+		}
+		return kilobytes << 10, nil
+	}
+	return 0, &Error{pid, os.ErrNotExist} // it has ended, and is not waited for yet
+}
+
 // Resident is the memory that a process holds, bytes. Errors: *Error.
 func Resident(pid int) (float64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
--- /dev/null
+++ b/internal/lab/syscallshim/supervise.go
@@ -0,0 +1,215 @@
+package syscallshim
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"sync/atomic"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// Call is a system call that waits for a decision.
+type Call struct {
+	PID    int
+	Number int
+	Args   [6]uint64
+}
+
+// Decision is what becomes of a call. The zero value lets it go on.
+type Decision struct {
+	Errno unix.Errno // it fails so, without having done anything
+	// Bytes: a read or write of a socket takes so many bytes at most; 0 for no bound.
+	Bytes int
+	// Break shuts the socket down as well, so that it stays broken behind the error.
+	Break bool
+}
+
+// Decide is asked for each call, on one goroutine for each process.
+type Decide func(Call) Decision
+
+// Counts are how many calls were handed over and failed or were cut short, for reports.
+type Counts struct{ Seen, Failed, Short atomic.Int64 }
+
+// notification is struct seccomp_notif, response struct seccomp_notif_resp.
+type notification struct {
+	id           uint64
+	pid          uint32
+	flags        uint32
+	number       int32
+	architecture uint32
+	instruction  uint64
+	args         [6]uint64
+}
+
+type response struct {
+	id    uint64
+	value int64
+	errno int32
+	flags uint32
+}
+
+// Command prepares a command to be run under the shim: launcher is a program that calls LaunchIfAsked first. The command's
+// process is the program's own from its exec on. What it returns is called once the command was started, or could not be.
+func Command(command *exec.Cmd, launcher string, decide Decide, counts *Counts) (started func() error, err error) {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, &Error{"channel", err}
+	}
+	ours := os.NewFile(uintptr(pair[0]), "shim")
+	theirs := os.NewFile(uintptr(pair[1]), "shim")
+	command.Args = append([]string{launcher, command.Path}, command.Args[1:]...)
+	command.Path = launcher
+	command.Env = append(command.Env, LaunchVariable+"=1")
+	command.ExtraFiles = []*os.File{theirs}
+	return func() error {
+		_ = theirs.Close()
+		defer func() { _ = ours.Close() }()
+		listener, err := receive(ours)
+		if err != nil {
+			return err
+		}
+		go supervise(listener, decide, counts)
+		return nil
+	}, nil
+}
+
+// receiveTimeout bounds how long the launcher may take.
+const receiveTimeout = 5 * time.Second
+
+// receive takes the notifications' descriptor from the launcher.
+func receive(channel *os.File) (int, error) {
+	fd := int(channel.Fd())
+	timeout := unix.NsecToTimeval(int64(receiveTimeout))
+	_ = unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &timeout)
+	rights := make([]byte, unix.CmsgSpace(4))
+	_, n, _, _, err := unix.Recvmsg(fd, make([]byte, 1), rights, unix.MSG_CMSG_CLOEXEC)
+	for err == unix.EINTR { // by the Go runtime's own signals
+		_, n, _, _, err = unix.Recvmsg(fd, make([]byte, 1), rights, unix.MSG_CMSG_CLOEXEC)
+	}
+	if err != nil {
+		return -1, &Error{"receive", err}
+	}
+	messages, err := unix.ParseSocketControlMessage(rights[:n])
+	if err != nil || len(messages) == 0 {
+		return -1, &Error{"receive", unix.EPIPE}
+	}
+	descriptors, err := unix.ParseUnixRights(&messages[0])
+	if err != nil || len(descriptors) == 0 {
+		return -1, &Error{"receive", unix.EPIPE}
+	}
+	return descriptors[0], nil
+}
+
+// supervise decides on calls until the process has ended.
+func supervise(listener int, decide Decide, counts *Counts) {
+	defer func() { _ = unix.Close(listener) }()
+	for {
+		wait := []unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}
+		if _, err := unix.Poll(wait, -1); err == unix.EINTR {
+			continue
+		}
+		if wait[0].Revents&unix.POLLIN == 0 {
+			return // the process has ended
+		}
+		var n notification
+		if errno := ioctl(listener, unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&n)); errno != 0 {
+			continue // the call was interrupted
+		}
+		counts.Seen.Add(1)
+		call := Call{PID: int(n.pid), Number: int(n.number), Args: n.args}
+		answer := carryOut(call, decide(call), counts)
+		answer.id = n.id
+		_ = ioctl(listener, unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&answer))
+	}
+}
+
+func ioctl(fd int, request uintptr, argument unsafe.Pointer) unix.Errno {
+	_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(fd), request, uintptr(argument))
+	return errno
+}
+
+// carryOut makes the answer to a call from a decision.
+func carryOut(call Call, decision Decision, counts *Counts) response {
+	goOn := response{flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
+	if decision == (Decision{}) {
+		return goOn
+	}
+	if decision.Errno != 0 {
+		if decision.Break {
+			if fd, err := call.Descriptor(); err == nil {
+				_ = unix.Shutdown(fd, unix.SHUT_RDWR)
+				_ = unix.Close(fd)
+			}
+		}
+		counts.Failed.Add(1)
+		return response{errno: -int32(decision.Errno)}
+	}
+	moved, errno, done := call.moveSome(decision.Bytes)
+	if !done {
+		return goOn
+	}
+	counts.Short.Add(1)
+	return response{value: int64(moved), errno: -int32(errno)}
+}
+
+// Descriptor is a duplicate of the call's first argument, a descriptor of the process; the caller closes it.
+func (c Call) Descriptor() (int, error) {
+	process, err := unix.PidfdOpen(threadGroup(c.PID), 0)
+	if err != nil {
+		return -1, err
+	}
+	defer func() { _ = unix.Close(process) }()
+	return unix.PidfdGetfd(process, int(c.Args[0]), 0)
+}
+
+// moveSome does a read or write of a socket for the process, of so many bytes at most. done is false where it is to do the
+// whole call itself.
+func (c Call) moveSome(most int) (moved int, errno unix.Errno, done bool) {
+	size := int(c.Args[2])
+	if size <= most || most <= 0 {
+		return 0, 0, false
+	}
+	fd, err := c.Descriptor()
+	if err != nil {
+		return 0, 0, false
+	}
+	defer func() { _ = unix.Close(fd) }()
+	buffer := make([]byte, most)
+	local := []unix.Iovec{{Base: &buffer[0]}}
+	remote := []unix.RemoteIovec{{Base: uintptr(c.Args[1]), Len: most}}
+	if c.Number == unix.SYS_WRITE {
+		local[0].SetLen(most)
+		if _, err := unix.ProcessVMReadv(c.PID, local, remote, 0); err != nil {
+			return 0, 0, false
+		}
+		n, err := unix.SendmsgN(fd, buffer, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+		return result(n, err)
+	}
+	n, _, err := unix.Recvfrom(fd, buffer, unix.MSG_DONTWAIT)
+	if err == nil && n > 0 {
+		local[0].SetLen(n)
+		remote[0].Len = n
+		if _, err := unix.ProcessVMWritev(c.PID, local, remote, 0); err != nil {
+			return 0, unix.EFAULT, true
+		}
+	}
+	return result(n, err)
+}
+
+// result is a call's value or error.
+func result(n int, err error) (int, unix.Errno, bool) {
+	if errno := errnoOf(err); errno != 0 {
+		return 0, errno, true
+	}
+	return n, 0, true
+}
+
+// errnoOf is the kernel's error, 0 for none.
+func errnoOf(err error) unix.Errno {
+	var errno unix.Errno
+	_ = errors.As(err, &errno)
+	return errno
+}
