--- a/cmd/configdist/configdist_test.go
+++ b/cmd/configdist/configdist_test.go
@@ -11,21 +11,27 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"ospreycroft/internal/distribution"
 	"ospreycroft/internal/distribution/transport"
 	"ospreycroft/internal/lab/distbench"
+	"ospreycroft/internal/lab/ports"
+	"ospreycroft/internal/lab/syscallshim"
+	"ospreycroft/internal/lab/testbed"
 )
 
 // programVariable tells the test's own file to be the program.
 const programVariable = "CONFIGDIST_IS_THE_PROGRAM"
 
 func TestMain(m *testing.M) {
+	syscallshim.LaunchIfAsked()
 	if os.Getenv(programVariable) != "" {
 		main()
 		return
@@ -51,22 +57,29 @@
 	return p.Log(), err == nil
 }
 
-func startSource(t *testing.T, of distbench.Programs, dir, listen string, more ...string) (*distbench.Process, string) {
+func startSource(t *testing.T, of distbench.Programs, dir string, more ...string) (*distbench.Process, string) {
 	t.Helper()
-	p, address, err := of.StartSource(dir, listen, more...)
+	port := testbed.KeepPort(t)
+	return startSourceAt(t, of, dir, port, more...), port.Address()
+}
+
+func startSourceAt(t *testing.T, of distbench.Programs, dir string, port *ports.Kept, more ...string) *distbench.Process {
+	t.Helper()
+	p, err := of.StartSource(dir, port, more...)
 	require.NoError(t, err)
 	t.Cleanup(p.Kill)
-	return p, address
+	return p
 }
 
 func startRelay(t *testing.T, of distbench.Programs, source, zone string) (*distbench.Process, string) {
 	t.Helper()
-	p, address, err := of.StartRelay(source, zone, "r", "127.0.0.1:0")
+	port := testbed.KeepPort(t)
+	p, err := of.StartRelay(source, zone, "r", port)
 	require.NoError(t, err)
 	t.Cleanup(p.Kill)
 	// A limiter that finds it without a version changes over, and is counted at both relays for a while.
 	require.True(t, p.Wrote("event=config-version", 1, soon), p.Log())
-	return p, address
+	return p, port.Address()
 }
 
 // recorder is an applier that notes what came in force.
@@ -116,7 +129,7 @@
 // TestPublish publishes by flags and by a file, and asks for the status until all limiters have it.
 func TestPublish(t *testing.T) {
 	of := programs(t)
-	_, source := startSource(t, of, t.TempDir(), "127.0.0.1:0")
+	_, source := startSource(t, of, t.TempDir())
 	_, first := startRelay(t, of, source, "a")
 	_, second := startRelay(t, of, source, "b")
 	one, two := follow(t, "one", first, second), follow(t, "two", second, first)
@@ -153,7 +166,7 @@
 // TestRefusedPublications publishes what cannot be: each is refused by its reason, and the head stays.
 func TestRefusedPublications(t *testing.T) {
 	of := programs(t)
-	_, source := startSource(t, of, t.TempDir(), "127.0.0.1:0")
+	_, source := startSource(t, of, t.TempDir())
 	_, relay := startRelay(t, of, source, "a")
 	bad := filepath.Join(t.TempDir(), "bad.json")
 	require.NoError(t, os.WriteFile(bad, []byte(`[{"kind":"plans","nam":"x"}]`), 0o600))
@@ -195,7 +208,9 @@
 // higher epoch, and limiters go on from it. The older epoch's writer is fenced.
 func TestSourceRestart(t *testing.T) {
 	of, dir := programs(t), t.TempDir()
-	p, source := startSource(t, of, dir, "127.0.0.1:0")
+	port := testbed.KeepPort(t)
+	source := port.Address()
+	p := startSourceAt(t, of, dir, port)
 	_, relay := startRelay(t, of, source, "a")
 	limiter := follow(t, "one", relay)
 	number := uint64(1)
@@ -216,7 +231,7 @@
 		number++
 		require.Equal(t, fmt.Sprintf("epoch=%d version=%d\n", life, number), text)
 		p.Kill()
-		p, _ = startSource(t, of, dir, source)
+		p = startSourceAt(t, of, dir, port)
 		number++
 		require.Contains(
 			t,
@@ -253,7 +268,7 @@
 	stored, err := os.ReadFile("../../internal/distribution/statefile/testdata/source.distribution")
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "source.distribution"), stored, 0o600))
-	p, _ := startSource(t, of, dir, "127.0.0.1:0", "--installation", "east")
+	p, _ := startSource(t, of, dir, "--installation", "east")
 	require.Contains(t, p.Log(), "event=source-started epoch=2 version=5 entries=4")
 }
 
@@ -261,8 +276,8 @@
 // fences it, and it publishes nothing more.
 func TestReplacedSource(t *testing.T) {
 	of := programs(t)
-	_, older := startSource(t, of, t.TempDir(), "127.0.0.1:0")
-	_, newer := startSource(t, of, t.TempDir(), "127.0.0.1:0", "--epoch", "2")
+	_, older := startSource(t, of, t.TempDir())
+	_, newer := startSource(t, of, t.TempDir(), "--epoch", "2")
 	_, relay := startRelay(t, of, newer, "a")
 	require.Eventually(t, follow(t, "one", relay).has(2, 1), soon, 10*time.Millisecond)
 	client := transport.NewClient(older, time.Second)
@@ -281,7 +296,7 @@
 // TestUnusableState starts a source with files that it must not go on without.
 func TestUnusableState(t *testing.T) {
 	of, dir := programs(t), t.TempDir()
-	p, _ := startSource(t, of, dir, "127.0.0.1:0")
+	p, _ := startSource(t, of, dir)
 	p.Kill()
 	path := filepath.Join(dir, "source.distribution")
 	text, err := os.ReadFile(path)
@@ -300,13 +315,65 @@
 func TestUnwritable(t *testing.T) {
 	of, dir := programs(t), filepath.Join(t.TempDir(), "state")
 	require.NoError(t, os.Mkdir(dir, 0o700))
-	_, source := startSource(t, of, dir, "127.0.0.1:0")
+	_, source := startSource(t, of, dir)
 	require.NoError(t, os.RemoveAll(dir))
 	text, ok := run(t, "publish", "--source", source, "--kind", "plans", "--key", "k", "--value", "x")
 	require.False(t, ok, text)
 	require.Contains(t, text, "status 500")
 }
 
+// TestDiskRefusesPublication: the disk refuses a state's write, or sync, as a change is published. The publisher is not told that
+// it is kept. The change stands, though, and so it is there behind a kill, once the disk has taken it; and so is the next.
+func TestDiskRefusesPublication(t *testing.T) {
+	for name, refused := range map[string]struct {
+		number int
+		errno  unix.Errno
+	}{"full": {unix.SYS_WRITE, unix.ENOSPC}, "broken": {unix.SYS_FSYNC, unix.EIO}} {
+		t.Run(name, func(t *testing.T) {
+			of, dir, port := programs(t), t.TempDir(), testbed.KeepPort(t)
+			source := port.Address()
+			var refuses atomic.Bool
+			p, err := distbench.StartUnder(
+				func(c syscallshim.Call) syscallshim.Decision {
+					if c.Number != refused.number || !refuses.Load() || !strings.HasPrefix(c.Path(), dir) {
+						return syscallshim.Decision{}
+					}
+					return syscallshim.Decision{Errno: refused.errno}
+				},
+				os.Args[0], nil, "source", "--listen", source, "--dir", dir,
+			)
+			require.NoError(t, err)
+			t.Cleanup(p.Kill)
+			require.True(t, p.Wrote("event=listening", 1, soon), p.Log())
+			publish := func(key string) (string, bool) {
+				return run(t, "publish", "--source", source, "--kind", "plans", "--key", key, "--value", "x")
+			}
+			refuses.Store(true)
+			text, ok := publish("refused")
+			require.False(t, ok, text)
+			require.Contains(t, text, "status 500")
+			refuses.Store(false)
+			require.Eventually(t, func() bool {
+				text, ok = publish("taken")
+				return ok
+			}, soon, 50*time.Millisecond, text)
+			p.Kill()
+			p = startSourceAt(t, of, dir, port)
+			require.Contains(t, p.Log(), "event=source-started epoch=2 version=4 entries=2")
+		})
+	}
+}
+
+// TestStartsOnPortThatIsHeldForAMoment: a source whose port its former life still holds waits for it.
+func TestStartsOnPortThatIsHeldForAMoment(t *testing.T) {
+	of, port := programs(t), testbed.KeepPort(t)
+	former, err := port.Listen()
+	require.NoError(t, err)
+	time.AfterFunc(500*time.Millisecond, func() { _ = former.Close() })
+	p := startSourceAt(t, of, t.TempDir(), port)
+	require.Contains(t, p.Log(), "event=start-retried")
+}
+
 // TestBadFlags starts with flags that cannot work.
 func TestBadFlags(t *testing.T) {
 	_ = programs(t)
@@ -329,7 +396,7 @@
 // TestStop ends a relay and a source that hold calls: each ends by itself, at once and without an error.
 func TestStop(t *testing.T) {
 	of := programs(t)
-	source, at := startSource(t, of, t.TempDir(), "127.0.0.1:0")
+	source, at := startSource(t, of, t.TempDir())
 	relay, second := startRelay(t, of, at, "a")
 	limiter := follow(t, "one", second)
 	require.Eventually(t, limiter.has(1, 1), soon, 10*time.Millisecond)
--- a/cmd/configdist/main.go
+++ b/cmd/configdist/main.go
@@ -16,13 +16,15 @@
 )
 
 func main() {
-	slog.SetDefault(slog.New(logging.NewHandler(os.Stderr)))
+	logging.Install(os.Stderr)
+	defer logging.Flush()
 	signal.Ignore(syscall.SIGPIPE) // who reads the log may end first
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := root().ExecuteContext(ctx); err != nil {
 		slog.Error("failed", hint.Attrs(err)...)
 		cancel()
+		logging.Flush()
 		os.Exit(1)
 	}
 }
--- a/cmd/configdist/serve.go
+++ b/cmd/configdist/serve.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"ospreycroft/internal/transient"
 )
 
 // endWithin is how long calls may take to end when the process is told to.
@@ -18,13 +20,16 @@
 	return func() int64 { return start.UnixNano() + int64(time.Since(start)) }
 }
 
-// listen listens. Errors: *ListenError.
-func listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &ListenError{Address: address, Cause: err}
-	}
-	return listener, nil
+// listen listens, and tries again where that fails by what passes by itself. Errors: *ListenError.
+func listen(address string) (listener net.Listener, err error) {
+	err = transient.RetryStart(func() error {
+		listener, err = net.Listen("tcp", address)
+		if err != nil {
+			return &ListenError{Address: address, Cause: err}
+		}
+		return nil
+	})
+	return listener, err
 }
 
 // serve serves until the context ends. Held calls are broken off: their callers ask again.
--- a/cmd/configdist/source.go
+++ b/cmd/configdist/source.go
@@ -48,9 +48,10 @@
 	if err != nil {
 		return err
 	}
-	if err := journal.take(change); err != nil {
+	if err := journal.open(ctx, change); err != nil {
 		return &SourceStateError{Path: journal.place.Path(), Cause: err}
 	}
+	go journal.keepSaving(ctx)
 	listener, err := listen(o.listen)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/ospreycroft/crash_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/lab/testbed"
+	"ospreycroft/internal/logging"
+)
+
+// TestEarlierCrashIsLogged: the next life tells what the runtime has left of the last one, once, and goes on where the
+// directory cannot be used.
+func TestEarlierCrashIsLogged(t *testing.T) {
+	var out bytes.Buffer
+	previous := slog.Default()
+	t.Cleanup(func() { slog.SetDefault(previous) })
+	slog.SetDefault(slog.New(logging.NewHandler(&out)))
+	dir := t.TempDir()
+	watchCrashes(dir, "n/1")
+	require.Empty(t, out.String())
+	require.NoError(t, os.WriteFile(crashPath(dir, "n/1"), []byte("panic: index out of range\n\ngoroutine 7"), 0o600))
+	watchCrashes(dir, "n/1")
+	require.Regexp(t, `level=ERROR event=earlier-crash at=\S+ text="panic: index out of range`, out.String())
+	out.Reset()
+	watchCrashes(dir, "n/1")
+	require.Empty(t, out.String())
+	watchCrashes(filepath.Join(dir, "missing"), "n")
+	require.Contains(t, out.String(), "event=crash-file-unwritten")
+}
+
+// TestTraceOnSignal: SIGUSR1 has the trace written, and the process goes on.
+func TestTraceOnSignal(t *testing.T) {
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	defer func() { _ = log.Close() }()
+	e := begin(t, testbed.Listen(t).Address, log)
+	e.client.Say(t, testbed.Request("traced", "read", 3000))
+	line := e.counter.Accept(t)
+	line.Line(t)
+	require.NoError(t, e.program.Process.Signal(syscall.SIGUSR1))
+	require.Eventually(t, func() bool {
+		text, err := os.ReadFile(log.Name())
+		return err == nil && bytes.Contains(text, []byte("step=accepted request=traced"))
+	}, testbed.Patience, time.Millisecond)
+}
--- a/cmd/ospreycroft/descriptors_test.go
+++ b/cmd/ospreycroft/descriptors_test.go
@@ -95,12 +95,9 @@
 	t *testing.T,
 	descriptors, configured int,
 	discovery string,
-) (address string, program *exec.Cmd, log *os.File) {
+) (address string, program *exec.Cmd, logFile *os.File) {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address = free.Addr().String()
-	_ = free.Close()
+	address = testbed.KeepPort(t).Address()
 	dir := t.TempDir()
 	path := filepath.Join(dir, "config.json")
 	config := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"ff","limits":{"memory_mb":192,"sockets":%d},
@@ -110,7 +107,7 @@
 		"permissions":{"attempts-cap":3,"dial-timeout":1,"idle-close":15,"retry-after":true,"max-retry-after":2},
 		"granularity":0.004}}`, address, discovery, configured)
 	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
-	log, err = os.Create(filepath.Join(dir, "log"))
+	log, err := os.Create(filepath.Join(dir, "log"))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = log.Close() })
 	program = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, descriptors), os.Args[0])
@@ -130,11 +127,8 @@
 func TestIdleClientsInOutage(t *testing.T) {
 	for _, c := range []struct{ descriptors, configured int }{{96, 96}, {64, 1024}} {
 		t.Run(fmt.Sprintf("%d descriptors, %d configured", c.descriptors, c.configured), func(t *testing.T) {
-			reserved, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			discovery := reserved.Addr().String()
-			require.NoError(t, reserved.Close())
-			address, program, log := limited(t, c.descriptors, c.configured, discovery)
+			discovery := testbed.KeepPort(t)
+			address, program, log := limited(t, c.descriptors, c.configured, discovery.Address())
 			asks := func(client *testbed.Conn, id string) string {
 				client.Say(t, testbed.Request(id, "read", 1000))
 				return client.Answer(t)
@@ -157,7 +151,7 @@
 
 			server := testbed.Listen(t)
 			lists := &listsOnce{server: server.Address, heard: make(chan time.Time, 1)}
-			ln, err := net.Listen("tcp", discovery)
+			ln, err := discovery.Listen()
 			require.NoError(t, err)
 			back := time.Now()
 			service := &http.Server{Handler: lists}
--- a/cmd/ospreycroft/end_test.go
+++ b/cmd/ospreycroft/end_test.go
@@ -1,20 +1,27 @@
 package main
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"ospreycroft/internal/lab/emulator"
+	"ospreycroft/internal/lab/syscallshim"
 	"ospreycroft/internal/lab/testbed"
 )
 
@@ -45,10 +52,26 @@
 // begin starts the program, with its log to a file, and a client.
 func begin(t *testing.T, server string, log *os.File) *ending {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	listen := free.Addr().String()
-	_ = free.Close()
+	return beginUnder(t, server, log, nil)
+}
+
+// beginUnder does so with the program's system calls decided on, nil for none, and with more in its environment.
+func beginUnder(t *testing.T, server string, log *os.File, decide syscallshim.Decide, environment ...string) *ending {
+	t.Helper()
+	return beginWhile(t, server, log, decide, func(*exec.Cmd) {}, environment...)
+}
+
+// beginWhile does so, and something else as soon as the program's process is there.
+func beginWhile(
+	t *testing.T,
+	server string,
+	log *os.File,
+	decide syscallshim.Decide,
+	meanwhile func(program *exec.Cmd),
+	environment ...string,
+) *ending {
+	t.Helper()
+	listen := testbed.KeepPort(t).Address()
 	e := &ending{
 		t:       t,
 		config:  filepath.Join(t.TempDir(), "config.json"),
@@ -59,8 +82,17 @@
 	e.configure(listen, e.counter.Address, server)
 	e.program = exec.Command(os.Args[0])
 	e.program.Env = append(os.Environ(), "OSPREYCROFT_IS_THE_PROGRAM=1", "GW_CONFIG="+e.config)
+	e.program.Env = append(e.program.Env, environment...)
 	e.program.Stderr = log
+	started := func() error { return nil }
+	if decide != nil {
+		var err error
+		started, err = syscallshim.Command(e.program, os.Args[0], decide, &syscallshim.Counts{})
+		require.NoError(t, err)
+	}
 	require.NoError(t, e.program.Start())
+	require.NoError(t, started())
+	meanwhile(e.program)
 	go func() { e.ended <- e.program.Wait() }()
 	t.Cleanup(func() { _ = e.program.Process.Kill() })
 	require.Eventually(t, func() bool {
@@ -151,6 +183,31 @@
 	}
 }
 
+// TestTraceAskedForAsItStarts: signals that ask for the trace come while the program starts, from when the Go runtime has taken
+// signals over, a millisecond behind exec. It starts, and logs a trace.
+func TestTraceAskedForAsItStarts(t *testing.T) {
+	log, read := logFile(t)
+	server := testbed.Listen(t)
+	asking := func(program *exec.Cmd) {
+		status := fmt.Sprintf("/proc/%d/status", program.Process.Pid)
+		require.Eventually(t, func() bool {
+			text, err := os.ReadFile(status)
+			require.NoError(t, err)
+			caught := regexp.MustCompile(`SigCgt:\s*([0-9a-f]+)`).FindSubmatch(text)
+			mask, err := strconv.ParseUint(string(caught[1]), 16, 64)
+			require.NoError(t, err)
+			return mask&(1<<(syscall.SIGUSR1-1)) != 0
+		}, testbed.Patience, time.Millisecond/10)
+		for range 100 {
+			_ = program.Process.Signal(syscall.SIGUSR1)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	e := beginWhile(t, server.Address, log, nil, asking)
+	serveOne(t, e, server)
+	require.Contains(t, read(), "event=trace")
+}
+
 // TestLogBreaksOff: who reads the log may end first, where both are told to end together. What was taken is answered
 // all the same.
 func TestLogBreaksOff(t *testing.T) {
@@ -172,3 +229,54 @@
 	require.Equal(t, "$value", e.client.Answer(t))
 	e.ends(testbed.Patience)
 }
+
+// TestLogIsNotRead: clients were left without answers, though servers and counter were well: whoever collects the log had
+// stopped reading, and the goroutine that does everything else stood still in the write of its next line.
+//
+// The log is a pipe of the smallest size, full before the program starts. The program must become ready, serve, end in order
+// at SIGTERM, and write on where it was, in whole lines, once the pipe is read.
+func TestLogIsNotRead(t *testing.T) {
+	read, write, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _ = read.Close() }()
+	defer func() { _ = write.Close() }()
+	const smallest = 4096
+	_, err = unix.FcntlInt(write.Fd(), unix.F_SETPIPE_SZ, smallest)
+	require.NoError(t, err)
+	_, err = write.Write(append(bytes.Repeat([]byte("."), smallest-1), '\n'))
+	require.NoError(t, err)
+	server := testbed.Listen(t)
+	e := begin(t, server.Address, write)
+	serveOne(t, e, server)
+
+	lines := bufio.NewScanner(read)
+	for lines.Scan() && !strings.Contains(lines.Text(), "event=ready") {
+		require.Regexp(t, `^(\.+|time=\S+ level=\w+ event=.*)$`, lines.Text())
+	}
+	require.Contains(t, lines.Text(), "event=ready")
+
+	filler, err := unix.Open(fmt.Sprintf("/proc/self/fd/%d", write.Fd()), unix.O_WRONLY|unix.O_NONBLOCK|unix.O_CLOEXEC, 0)
+	require.NoError(t, err)
+	defer func() { _ = unix.Close(filler) }()
+	for err == nil { // it is full again as the program ends
+		_, err = unix.Write(filler, []byte("."))
+	}
+	require.ErrorIs(t, err, unix.EAGAIN)
+	require.NoError(t, e.program.Process.Signal(syscall.SIGTERM))
+	e.ends(testbed.Patience)
+}
+
+// suspend stops the program and returns once all of its threads stand still, which the signal alone does not wait for.
+func (e *ending) suspend() {
+	e.t.Helper()
+	require.NoError(e.t, e.program.Process.Signal(syscall.SIGSTOP))
+	tasks := fmt.Sprintf("/proc/%d/task/*/stat", e.program.Process.Pid)
+	require.Eventually(e.t, func() bool {
+		files, _ := filepath.Glob(tasks)
+		return len(files) > 0 && !slices.ContainsFunc(files, func(file string) bool {
+			text, _ := os.ReadFile(file)
+			_, rest, _ := strings.Cut(string(text), ") ") // behind the name
+			return !strings.HasPrefix(rest, "T")
+		})
+	}, testbed.Patience, time.Millisecond)
+}
--- /dev/null
+++ b/cmd/ospreycroft/pipeline_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPipelinedDeadlinesAreKept: what TestPipelinedDeadlines of the limiter plays, with a real process. The server
+// hangs. A client that sent a request with little time behind one with much saw its answer two seconds late.
+func TestPipelinedDeadlinesAreKept(t *testing.T) {
+	hangs, entry := serving(t, "s0")
+	hangs.hangs = true
+	address, _, _, _ := start(t, "127.0.0.1:1", entry)
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	const little = 400 * time.Millisecond
+	sent := time.Now()
+	_, err = conn.Write(append(request("much", 2500), request("little", int(little.Milliseconds()))...))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetDeadline(sent.Add(5*time.Second)))
+	answers := bufio.NewReader(conn)
+	for range 2 {
+		_, err := answers.ReadString('\n')
+		require.NoError(t, err)
+	}
+	require.Less(t, time.Since(sent), little+lateAnswer, "both have their answers by the earlier deadline")
+}
+
+// lateAnswer is how long after a deadline an answer may come on a busy machine: what is later than half a second is lost.
+const lateAnswer = 100 * time.Millisecond
--- a/cmd/ospreycroft/stop_test.go
+++ b/cmd/ospreycroft/stop_test.go
@@ -21,11 +21,14 @@
 	"ospreycroft/internal/lab/emulator"
 	"ospreycroft/internal/lab/history"
 	"ospreycroft/internal/lab/loadgen"
+	"ospreycroft/internal/lab/syscallshim"
+	"ospreycroft/internal/lab/testbed"
 	"ospreycroft/internal/resp"
 )
 
 // TestMain lets the tests start the program itself: the test's own file, told so.
 func TestMain(m *testing.M) {
+	syscallshim.LaunchIfAsked()
 	if os.Getenv("OSPREYCROFT_IS_THE_PROGRAM") != "" {
 		os.Args = os.Args[:1]
 		main()
@@ -34,8 +37,9 @@
 	os.Exit(m.Run())
 }
 
-// servant is a server that takes 150 ms for each request and notes what has reached it.
+// servant is a server that takes 150 ms for each request, or hangs, and notes what has reached it.
 type servant struct {
+	hangs bool
 	mutex sync.Mutex
 	ran   map[string]bool
 }
@@ -46,11 +50,23 @@
 	return len(s.ran)
 }
 
+// received tells whether a request has reached it.
+func (s *servant) received(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ran[id]
+}
+
 // serving starts one, and gives its entry in a list.
 func serving(t *testing.T, name string) (*servant, emulator.Instance) {
 	t.Helper()
 	s := &servant{ran: map[string]bool{}}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return s, s.listen(t, name)
+}
+
+func (s *servant) listen(t *testing.T, name string) emulator.Instance {
+	t.Helper()
+	ln, err := testbed.KeepPort(t).Listen()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
@@ -60,6 +76,9 @@
 					s.mutex.Lock()
 					s.ran[string(words[2])] = true
 					s.mutex.Unlock()
+					if s.hangs {
+						return true
+					}
 					time.Sleep(150 * time.Millisecond)
 					_, err := io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
 					return err == nil
@@ -68,7 +87,7 @@
 			}()
 		}
 	}()
-	return s, emulator.Instance{ID: name, HostPort: ln.Addr().String(), Lifecycle: "in_service", Weight: 1}
+	return emulator.Instance{ID: name, HostPort: ln.Addr().String(), Lifecycle: "in_service", Weight: 1}
 }
 
 // request is one that may take so many milliseconds.
@@ -77,32 +96,49 @@
 		fmt.Appendf(nil, "c=c,t=p,d=%d,units=1,spread=1,first=0", left))
 }
 
+// anyClass is the class of the requests, with no deadline told.
+const anyClass = `{"name":"c","aim":2,"effect":"free","group":"all"}`
+
 // start starts the program and waits until it listens.
 func start(
 	t *testing.T,
 	discovery string,
 	servers ...emulator.Instance,
-) (address string, program *exec.Cmd, ended chan error,
-	log *strings.Builder) {
+) (address string, program *exec.Cmd, ended chan error, log *strings.Builder) {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address = free.Addr().String()
-	_ = free.Close()
+	return startUnder(t, nil, anyClass, discovery, servers...)
+}
+
+// startUnder does so with the program's system calls decided on, nil for none, and the settings of the requests' class.
+func startUnder(
+	t *testing.T,
+	decide syscallshim.Decide,
+	class, discovery string,
+	servers ...emulator.Instance,
+) (address string, program *exec.Cmd, ended chan error, log *strings.Builder) {
+	t.Helper()
+	address = testbed.KeepPort(t).Address()
 	path := filepath.Join(t.TempDir(), "config.json")
-	known, _ := json.Marshal(servers)
+	known, err := json.Marshal(servers)
+	require.NoError(t, err)
 	config := fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"ff","limits":{"memory_mb":192,"sockets":1024},
 		"known":{"generation":1,"reset":true,"instances":%s},
-		"settings":{"balancers":1,"classes":[{"name":"c","aim":2,"effect":"free","group":"all"}],"tariffs":[{"name":"p"}],
+		"settings":{"balancers":1,"classes":[%s],"tariffs":[{"name":"p"}],
 		"family-info":{"has-counter":false,"units-top":16},"contract":{"cold-from":0.3,"warm-within":10},
 		"permissions":{"attempts-cap":3,"dial-timeout":0.25,"idle-close":15,"retry-after":true,"max-retry-after":2},
-		"granularity":0.004}}`, address, discovery, known)
+		"granularity":0.004}}`, address, discovery, known, class)
 	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
 	program = exec.Command(os.Args[0])
 	program.Env = append(os.Environ(), "OSPREYCROFT_IS_THE_PROGRAM=1", "GW_CONFIG="+path)
 	log = &strings.Builder{}
 	program.Stderr = log
+	started := func() error { return nil }
+	if decide != nil {
+		started, err = syscallshim.Command(program, os.Args[0], decide, &syscallshim.Counts{})
+		require.NoError(t, err)
+	}
 	require.NoError(t, program.Start())
+	require.NoError(t, started())
 	ended = make(chan error, 1)
 	go func() { ended <- program.Wait() }()
 	t.Cleanup(func() { _ = program.Process.Kill() })
@@ -168,6 +204,80 @@
 	}
 }
 
+// TestStopBeforeEarliestKill: the kill comes as early as it may, at the longest deadline and 0.7 s after SIGTERM, while a server hangs
+// and clients send on open connections. The program has ended by then, and what it sent on, also to the server that hangs, has its
+// final answer. A client is served as soon as one of its requests has reached a server that answers: at the start both requests
+// that it keeps open may be with the server that hangs, which leaves it with failures alone.
+func TestStopBeforeEarliestKill(t *testing.T) {
+	for _, deadline := range []time.Duration{400 * time.Millisecond, time.Second, 3 * time.Second} {
+		t.Run(deadline.String(), func(t *testing.T) {
+			t.Parallel()
+			stopBeforeKill(t, deadline)
+		})
+	}
+}
+
+// stopBeforeKill plays it with a longest deadline.
+func stopBeforeKill(t *testing.T, deadline time.Duration) {
+	t.Helper()
+	kill := deadline + 700*time.Millisecond
+	all, entries := make([]*servant, 8), make([]emulator.Instance, 8)
+	for i := 1; i < len(all); i++ {
+		all[i], entries[i] = serving(t, fmt.Sprint("s", i))
+	}
+	hangs := &servant{hangs: true, ran: map[string]bool{}}
+	all[0], entries[0] = hangs, hangs.listen(t, "hangs")
+	class := fmt.Sprintf(`{"name":"c","aim":0.2,"deadline":%v,"effect":"free","group":"all"}`, deadline.Seconds())
+	address, program, ended, log := startUnder(t, nil, class, "127.0.0.1:1", entries...)
+	callers := make([]loadgen.Holder, 12)
+	var running sync.WaitGroup
+	for i := range callers {
+		callers[i] = loadgen.Holder{Name: fmt.Sprint("caller", i), Second: 40 * time.Millisecond, Patient: 8 * time.Second}
+		running.Go(func() {
+			callers[i].Run(address, func(id string) []byte { return request(id, int(deadline.Milliseconds())) })
+		})
+	}
+	time.Sleep(time.Second)
+	asked := time.Now()
+	require.NoError(t, program.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-ended:
+		require.NoError(t, err, log)
+		t.Logf("it ended after %v, %d requests hung", time.Since(asked), hangs.requests())
+	case <-time.After(kill):
+		_ = program.Process.Kill()
+		require.Error(t, <-ended)
+		t.Errorf("it has not ended when the kill may come\n%s", log)
+	}
+	running.Wait()
+	require.Positive(t, hangs.requests())
+	for _, c := range callers {
+		assert.Positive(t, c.Answered, c.Name)
+		if sent := c.Answered + len(c.Lost); reachedAny(all[1:], c.Name, sent) {
+			assert.Positive(t, c.Served, c.Name)
+		} else {
+			t.Logf("%s: the server that hangs has had all that was sent on of its %d requests", c.Name, sent)
+		}
+		for _, id := range c.Lost {
+			for _, s := range all {
+				assert.False(t, s.received(id), "%s was sent on and has no answer", id)
+			}
+		}
+	}
+}
+
+// reachedAny tells whether one of a client's requests, of which there are so many, has reached one of the servers.
+func reachedAny(servers []*servant, client string, requests int) bool {
+	for n := 1; n <= requests; n++ {
+		for _, s := range servers {
+			if s.received(fmt.Sprint(client, "-", n)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // TestWoken stops a real process while requests come and its list changes behind them: woken, it sends nothing to the
 // server that drains, though it reads the requests first, and serves them elsewhere.
 func TestWoken(t *testing.T) {
--- /dev/null
+++ b/cmd/ospreycroft/time_left_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/lab/testbed"
+)
+
+// TestTimeToldAfterStandstill: a request comes, on an open and on a new connection, while the process has no processor. The
+// server is told the time that the client has left, not what it had when it sent the request; also where the request is
+// read long after the process goes on, behind many other connections.
+func TestTimeToldAfterStandstill(t *testing.T) {
+	const (
+		timeout    = 3000 * time.Millisecond
+		standstill = 600 * time.Millisecond
+		slack      = 150 * time.Millisecond
+	)
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	defer func() { _ = log.Close() }()
+	server := testbed.Listen(t)
+	e := begin(t, server.Address, log)
+	line := e.counter.Accept(t)
+	address := e.client.TCP.RemoteAddr().String()
+	require.Equal(t, "+PONG", awaitReady(t, e.client))
+
+	e.suspend()
+	crowd := make([]*testbed.Conn, 0, 150)
+	for range cap(crowd) {
+		crowd = append(crowd, (&testbed.Rig{Address: address}).Dial(t))
+	}
+	fresh := (&testbed.Rig{Address: address}).Dial(t)
+	sent := time.Now()
+	e.client.Say(t, testbed.Request("open", "read", int(timeout.Milliseconds())))
+	fresh.Say(t, testbed.Request("fresh", "read", int(timeout.Milliseconds())))
+	time.Sleep(standstill)
+	require.NoError(t, e.program.Process.Signal(syscall.SIGCONT))
+	for range 2 {
+		line.Line(t)
+		line.Say(t, "ok 1\r\n")
+	}
+	for range 2 {
+		words := server.Accept(t).Command(t)
+		left, err := strconv.Atoi(regexp.MustCompile(`,d=(\d+),`).FindStringSubmatch(words[3])[1])
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Duration(left)*time.Millisecond, timeout-time.Since(sent)+slack, words[2])
+	}
+}
+
+// awaitReady is the answer to PING once the limiter is ready.
+func awaitReady(t *testing.T, c *testbed.Conn) string {
+	t.Helper()
+	answer := ping(t, c)
+	for end := time.Now().Add(testbed.Patience); answer != "+PONG" && time.Now().Before(end); answer = ping(t, c) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return answer
+}
--- a/internal/lab/distbench/cases.go
+++ b/internal/lab/distbench/cases.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return cases, f.startRelay(relay, relay.Address)
+	return cases, f.startRelay(relay)
 }
 
 func (f *Fleet) stalled(lengths) ([]Case, error) {
@@ -276,7 +276,7 @@
 	}
 	begun := publication{f.head, time.Now()}
 	for _, r := range f.relays {
-		if err := f.startRelay(r, r.Address); err != nil {
+		if err := f.startRelay(r); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/lab/distbench/fleet.go
+++ b/internal/lab/distbench/fleet.go
@@ -16,6 +16,7 @@
 	"ospreycroft/internal/distribution"
 	"ospreycroft/internal/distribution/transport"
 	"ospreycroft/internal/lab/faultproxy"
+	"ospreycroft/internal/lab/ports"
 )
 
 const (
@@ -47,6 +48,7 @@
 	distribution.RelayAddress
 	region   string
 	toSource *wire
+	port     *ports.Kept // its own, also while it is down
 }
 
 // wire is a link that is cut and healed any number of times.
@@ -98,7 +100,7 @@
 type Fleet struct {
 	options  Options
 	source   *Process
-	address  string // of the source
+	port     *ports.Kept // the source's
 	client   *transport.Client
 	relays   []*relayProcess
 	wires    map[[2]string]*wire // from a zone to a relay of another one, by zone and relay's name
@@ -111,7 +113,7 @@
 }
 
 // StartFleet starts a source with a state, its relays and all limiters; it does not wait until they have the state.
-// Errors: *StartError, *link.ListenError, and those of transport.Client.
+// Errors: *StartError, *ports.KeepError, and those of transport.Client.
 func StartFleet(options Options) (*Fleet, error) {
 	f := &Fleet{options: options, ledger: newLedger(), wires: map[[2]string]*wire{}}
 	if err := f.start(); err != nil {
@@ -126,11 +128,15 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	f.source, f.address, err = f.options.Programs.StartSource(dir, "127.0.0.1:0")
+	f.port, err = ports.Keep()
 	if err != nil {
 		return err
 	}
-	f.client = transport.NewClient(f.address, callTimeout)
+	f.source, err = f.options.Programs.StartSource(dir, f.port)
+	if err != nil {
+		return err
+	}
+	f.client = transport.NewClient(f.port.Address(), callTimeout)
 	if err := f.fill(); err != nil {
 		return err
 	}
@@ -217,18 +223,23 @@
 }
 
 func (f *Fleet) addRelay(z zone, name string) error {
-	way, err := newWire(z.name, "source", f.address)
+	way, err := newWire(z.name, "source", f.port.Address())
 	if err != nil {
 		return err
 	}
-	r := &relayProcess{region: z.region, toSource: way}
-	r.RelayAddress = distribution.RelayAddress{Name: name, Zone: z.name}
+	port, err := ports.Keep()
+	if err != nil {
+		way.Close()
+		return err
+	}
+	r := &relayProcess{region: z.region, toSource: way, port: port}
+	r.RelayAddress = distribution.RelayAddress{Name: name, Zone: z.name, Address: port.Address()}
 	f.relays = append(f.relays, r)
-	return f.startRelay(r, "127.0.0.1:0")
+	return f.startRelay(r)
 }
 
-func (f *Fleet) startRelay(r *relayProcess, listen string) (err error) {
-	r.Process, r.Address, err = f.options.Programs.StartRelay(r.toSource.Address(), r.Zone, r.Name, listen)
+func (f *Fleet) startRelay(r *relayProcess) (err error) {
+	r.Process, err = f.options.Programs.StartRelay(r.toSource.Address(), r.Zone, r.Name, r.port)
 	return err
 }
 
@@ -413,6 +424,7 @@
 			r.Kill()
 		}
 		r.toSource.Close()
+		r.port.Close()
 	}
 	for _, w := range f.wires {
 		if w != nil {
@@ -425,4 +437,7 @@
 	if f.source != nil {
 		f.source.Kill()
 	}
+	if f.port != nil {
+		f.port.Close()
+	}
 }
--- a/internal/lab/distbench/process.go
+++ b/internal/lab/distbench/process.go
@@ -6,11 +6,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"ospreycroft/internal/lab/ports"
+	"ospreycroft/internal/lab/syscallshim"
 )
 
 const (
@@ -82,12 +84,30 @@
 
 // Start starts a program with further variables in its environment. Errors: *StartError.
 func Start(program string, environment []string, arguments ...string) (*Process, error) {
+	return StartUnder(nil, program, environment, arguments...)
+}
+
+// StartUnder does so with the process's system calls decided on, nil for none; the calling program is the shim's launcher.
+// Errors: *StartError.
+func StartUnder(decide syscallshim.Decide, program string, environment []string, arguments ...string) (*Process, error) {
 	p := &Process{command: exec.Command(program, arguments...), ended: make(chan struct{})}
 	p.command.Env = append(os.Environ(), environment...)
 	p.command.Stdout = p
 	p.command.Stderr = p
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the run
-	if err := p.command.Start(); err != nil {
+	started := func() error { return nil }
+	if decide != nil {
+		var err error
+		started, err = syscallshim.Command(p.command, os.Args[0], decide, &syscallshim.Counts{})
+		if err != nil {
+			return nil, &StartError{What: program, Cause: err}
+		}
+	}
+	err := p.command.Start()
+	if err == nil {
+		err = started()
+	}
+	if err != nil {
 		return nil, &StartError{What: program, Cause: err}
 	}
 	go func() {
@@ -131,19 +151,17 @@
 	}
 }
 
-var listening = regexp.MustCompile(`event=listening address=(\S+)`)
-
-// Listening waits until a process of configdist listens, and gives its address. Errors: *StartError.
-func (p *Process) Listening() (string, error) {
+// waitUntilListening waits until a process of configdist listens. Errors: *StartError.
+func (p *Process) waitUntilListening() error {
 	for end := time.Now().Add(startWithin); time.Now().Before(end); time.Sleep(pollEvery) {
-		if found := listening.FindStringSubmatch(p.Log()); found != nil {
-			return found[1], nil
+		if strings.Contains(p.Log(), "event=listening address=") {
+			return nil
 		}
 		if ended, err := p.Ended(0); ended {
-			return "", &StartError{What: p.command.Path, Log: p.Log(), Cause: err}
+			return &StartError{What: p.command.Path, Log: p.Log(), Cause: err}
 		}
 	}
-	return "", &StartError{What: p.command.Path, Log: p.Log(), Cause: os.ErrDeadlineExceeded}
+	return &StartError{What: p.command.Path, Log: p.Log(), Cause: os.ErrDeadlineExceeded}
 }
 
 // Reachable waits until something listens at an address. Errors: *StartError.
@@ -159,27 +177,27 @@
 	return &StartError{What: p.command.Path, Log: p.Log(), Cause: os.ErrDeadlineExceeded}
 }
 
-// StartSource starts a source that keeps its state in a directory, and gives its address. Errors: *StartError.
-func (programs Programs) StartSource(dir, listen string, more ...string) (*Process, string, error) {
-	return programs.startListening(append([]string{"source", "--listen", listen, "--dir", dir}, more...))
+// StartSource starts a source that keeps its state in a directory. Its port is a kept one, so that it can be started there
+// again. Errors: *StartError.
+func (programs Programs) StartSource(dir string, port *ports.Kept, more ...string) (*Process, error) {
+	return programs.startListening(append([]string{"source", "--listen", port.Address(), "--dir", dir}, more...))
 }
 
-// StartRelay starts a relay, and gives its address. Errors: *StartError.
-func (programs Programs) StartRelay(source, zone, name, listen string) (*Process, string, error) {
+// StartRelay starts a relay on a kept port, like StartSource. Errors: *StartError.
+func (programs Programs) StartRelay(source, zone, name string, port *ports.Kept) (*Process, error) {
 	return programs.startListening(
-		[]string{"relay", "--listen", listen, "--source", source, "--zone", zone, "--name", name},
+		[]string{"relay", "--listen", port.Address(), "--source", source, "--zone", zone, "--name", name},
 	)
 }
 
-func (programs Programs) startListening(arguments []string) (*Process, string, error) {
+func (programs Programs) startListening(arguments []string) (*Process, error) {
 	p, err := Start(programs.Distribution, nil, arguments...)
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
-	address, err := p.Listening()
-	if err != nil {
+	if err := p.waitUntilListening(); err != nil {
 		p.Kill()
-		return nil, "", err
+		return nil, err
 	}
-	return p, address, nil
+	return p, nil
 }
--- a/internal/lab/distbench/run.go
+++ b/internal/lab/distbench/run.go
@@ -38,7 +38,7 @@
 }
 
 // Run plays cases on one fleet; all where none is named. A report of what was measured comes with an error too. Errors:
-// *UnknownCaseError, *StartError, *procfs.Error, *link.ListenError, those of transport.Client.
+// *UnknownCaseError, *StartError, *procfs.Error, *ports.KeepError, those of transport.Client.
 func Run(names []string, isShort bool, options Options) (*Report, error) {
 	if len(names) == 0 {
 		names = CaseNames
--- a/internal/lab/experiment/steps.go
+++ b/internal/lab/experiment/steps.go
@@ -26,6 +26,8 @@
 var ProcessFaults = map[string]string{
 	"kill": "SIGKILL at from, started again at until",
 	"stop": "SIGSTOP at from, SIGCONT at until",
+	"hup":  "SIGHUP at from: the configuration is read again",
+	"usr1": "SIGUSR1 at from: the trace is logged",
 	"term": "SIGTERM at from, SIGKILL once the longest cut-off and 0.7 s have passed, started again at until",
 }
 
--- a/internal/lab/invariants/invariants.go
+++ b/internal/lab/invariants/invariants.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	"ospreycroft/choice"
 	"ospreycroft/internal/lab/history"
@@ -18,6 +19,11 @@
 	Slack      int64   // a ceiling may be passed by what its rate gives in so long
 	SlackShare float64 // and by this share of it, in rate and at once
 	SlackUnits float64 // or by so many units at once, where that is more
+	// LeaveGrace is how long after its client has left an attempt may begin, and TimeLeftSlack by how much the time that an
+	// attempt tells its server may pass what its client has left; 0 where these are not judged, as where links to servers
+	// delay what is sent.
+	LeaveGrace    int64
+	TimeLeftSlack int64
 }
 
 // Breach is one broken rule, with the request or server at fault.
@@ -52,7 +58,7 @@
 		word = "FAIL"
 	}
 	return fmt.Sprintf(
-		"verdict=%s jobs=%d done=%d rejected=%d written-off=%d killed=%d cut-off=%d stopped=%d shots=%d "+
+		"verdict=%s requests=%d succeeded=%d rejected=%d failed=%d killed=%d cut-off=%d stopped=%d attempts=%d "+
 			"rule1=%d rule2=%d rule3=%d rule4=%d rule5=%d failed-limiters=%d",
 		word,
 		v.Requests,
@@ -132,6 +138,7 @@
 		}
 	}
 	crossed(v, shots, byID)
+	departures(v, shots, byID, t)
 	once(v, shots, byID, excused, set, t)
 	drains(v, r, byID, t)
 	for _, s := range shots {
@@ -163,6 +170,25 @@
 	}
 }
 
+// departures is the part of rule 1 about clients' time: no attempt begins once its client has left, or tells its server of
+// more time than its client has.
+func departures(v *Verdict, shots []history.Attempt, byID map[string]*history.Request, t Terms) {
+	for _, s := range shots {
+		j := byID[s.ID]
+		if j == nil {
+			continue
+		}
+		if t.LeaveGrace > 0 && j.Outcome == history.GaveUp && s.At > j.Answered+t.LeaveGrace {
+			v.breach(Breach{Rule: 1, At: s.At, What: s.ID,
+				Detail: fmt.Sprintf("an attempt began %d ms after its client had left", (s.At-j.Answered)/1e6)})
+		}
+		if over := s.At + s.TimeLeft - j.Deadline; t.TimeLeftSlack > 0 && s.TimeLeft > 0 && over > t.TimeLeftSlack {
+			v.breach(Breach{Rule: 1, At: s.At, What: s.ID,
+				Detail: fmt.Sprintf("its server was told %d ms more than its client had left", over/1e6)})
+		}
+	}
+}
+
 // down is a time in which a limiter was dead or stopped: from its kill to its restart (forever if none came).
 type down struct{ from, until int64 }
 
@@ -228,7 +254,11 @@
 			return
 		}
 	}
-	v.breach(Breach{Rule: 1, At: j.Deadline, What: j.ID, Detail: string(j.Outcome)})
+	detail := string(j.Outcome)
+	if j.Outcome == history.Late {
+		detail += fmt.Sprintf(" by %v, %v of its time unread", time.Duration(j.Answered-j.Deadline), time.Duration(j.AnswerUnread))
+	}
+	v.breach(Breach{Rule: 1, At: j.Deadline, What: j.ID, Detail: detail})
 }
 
 // once is rule 2 from the servers' side, and the half of rule 1 that says nothing is sent after the deadline.
@@ -244,7 +274,7 @@
 	for _, s := range shots {
 		j := byID[s.ID]
 		if j != nil && s.At > j.Deadline+t.Late && !excused[s.ID] {
-			v.breach(Breach{Rule: 1, At: s.At, What: s.ID, Detail: "a shot began after the client's cut-off"})
+			v.breach(Breach{Rule: 1, At: s.At, What: s.ID, Detail: "an attempt began after the client's cut-off"})
 		}
 		track := set.Classes[s.Class]
 		if track == nil || track.Idempotency == choice.Idempotent {
@@ -253,7 +283,7 @@
 		if first, seen := ran[s.ID]; seen {
 			if track.Idempotency == choice.NonIdempotent || first.Group != s.Group || s.Key == "" {
 				v.breach(Breach{Rule: 2, At: s.At, What: s.ID,
-					Detail: fmt.Sprintf("shot at %s after one at %s that may have run", s.Server, first.Server)})
+					Detail: fmt.Sprintf("attempt at %s after one at %s that may have run", s.Server, first.Server)})
 			}
 			continue
 		}
@@ -272,7 +302,7 @@
 		if j := byID[id]; j != nil && j.Outcome == history.Rejected && set.Classes[j.Class] != nil &&
 			set.Classes[j.Class].Idempotency == choice.NonIdempotent {
 			v.breach(Breach{Rule: 2, At: j.Answered, What: id,
-				Detail: fmt.Sprintf("rejected after a shot at %s that may have run", first.Server)})
+				Detail: fmt.Sprintf("rejected after an attempt at %s that may have run", first.Server)})
 		}
 	}
 }
--- a/internal/lab/invariants/invariants_test.go
+++ b/internal/lab/invariants/invariants_test.go
@@ -58,7 +58,7 @@
 	v := judge(t, []history.Request{job("j1", "order", 1, 0)},
 		[]history.Attempt{shot("j1", "s1", "a", "order", 1e6, true), shot("j1", "s2", "a", "order", 5e8, false)}, nil)
 	if v.Pass || v.Counts[2] != 1 {
-		t.Fatalf("a shot after one that may have run passed: %s", v.Line())
+		t.Fatalf("an attempt after one that may have run passed: %s", v.Line())
 	}
 }
 
@@ -86,6 +86,16 @@
 	}
 }
 
+// TestLateAnswerTellsByHowMuch: a late answer is a breach however little it was late by, and says by how much.
+func TestLateAnswerTellsByHowMuch(t *testing.T) {
+	late := job("a", "fetch", 1, 0)
+	late.Outcome, late.Answered, late.AnswerUnread = history.Late, late.Deadline+1e6, 4e6
+	v := judge(t, []history.Request{late}, nil, nil)
+	if v.Counts[1] != 1 || v.Breaches[0].Detail != "late by 1ms, 4ms of its time unread" {
+		t.Fatalf("%s %+v", v.Line(), v.Breaches)
+	}
+}
+
 func TestShotAfterDrainGrace(t *testing.T) {
 	v := judge(t, []history.Request{job("a", "fetch", 1, 0), job("b", "fetch", 1, 0)},
 		[]history.Attempt{shot("a", "s1", "a", "fetch", 2e8, true), shot("b", "s1", "a", "fetch", 5e8, true)},
--- a/internal/lab/invariants/told.go
+++ b/internal/lab/invariants/told.go
@@ -41,7 +41,7 @@
 			}
 			if s.At > told+t.Grace {
 				v.breach(Breach{Rule: 3, At: s.At, What: s.Server, Detail: fmt.Sprintf(
-					"a shot of %s began after its drain's grace; told at %.3f s", s.ID, float64(told)/1e9)})
+					"an attempt of %s began after its drain's grace; told at %.3f s", s.ID, float64(told)/1e9)})
 			}
 		}
 	}
--- /dev/null
+++ b/internal/lab/loadgen/answers.go
@@ -0,0 +1,105 @@
+package loadgen
+
+import (
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ospreycroft/internal/lab/history"
+	"ospreycroft/internal/resp"
+)
+
+// This file reads answers and tells what became of a request by them.
+
+// answerReader reads the answers on one connection, which come in the order of the commands.
+type answerReader struct {
+	conn net.Conn
+	held []byte // read and not used yet
+}
+
+func newAnswerReader(conn net.Conn) *answerReader { return &answerReader{conn: conn} }
+
+// next reads the next answer.
+func (r *answerReader) next() (resp.Value, error) {
+	chunk := make([]byte, 4096)
+	for {
+		value, used, err := resp.ReadValue(r.held)
+		if err != nil {
+			return resp.Value{}, err
+		}
+		if used > 0 {
+			r.held = r.held[used:]
+			return value, nil
+		}
+		n, err := r.conn.Read(chunk)
+		r.held = append(r.held, chunk[:n]...)
+		if n == 0 && err != nil {
+			return resp.Value{}, err
+		}
+	}
+}
+
+// conclude writes down what became of a request: its answer, or why there is none.
+func conclude(job *history.Request, now, unread int64, value resp.Value, err error) {
+	job.Answered, job.AnswerUnread = now, unread
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		job.Outcome = history.Unanswered
+	case err != nil:
+		job.Outcome = history.ConnectionBroken
+	default:
+		job.Outcome, job.RetryAfter = judge(value)
+		if job.Answered > job.Deadline {
+			job.Outcome = history.Late
+		}
+	}
+}
+
+// Pipeline sends several requests at once on one connection and writes down what becomes of each.
+func Pipeline(conn net.Conn, clock *history.Clock, commands []byte, requests []history.Request) {
+	longest := int64(0)
+	for i := range requests {
+		longest = max(longest, requests[i].Deadline)
+	}
+	_ = conn.SetDeadline(time.Now().Add(time.Duration(longest-clock.Now()) + lateAnswerWait))
+	_, err := conn.Write(commands)
+	answers := newAnswerReader(conn)
+	for i := range requests {
+		var value resp.Value
+		if err == nil {
+			value, err = answers.next()
+		}
+		conclude(&requests[i], clock.Now(), unread(conn), value, err)
+	}
+}
+
+// unread is how long ago the latest bytes came to this machine on a connection; 0 where the kernel does not tell.
+func unread(conn net.Conn) int64 {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var info *unix.TCPInfo
+	failed := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if failed != nil || err != nil {
+		return 0
+	}
+	return int64(info.Last_data_recv) * int64(time.Millisecond)
+}
+
+// judge names an answer as the protocol's table does, with a retry-after in nanoseconds where -BUSY gives one.
+func judge(v resp.Value) (history.Outcome, int64) {
+	switch {
+	case v.Kind == '$' && !v.Null,
+		v.Kind == '*' && len(v.List) > 0 && v.List[0].Kind == '$' && !v.List[0].Null:
+		return history.Succeeded, 0
+	case v.Kind == '-' && len(v.Text) >= 4 && string(v.Text[:4]) == "BUSY":
+		ms, _ := strconv.ParseInt(string(v.Text[min(len(v.Text), 5):]), 10, 64)
+		return history.Rejected, ms * int64(time.Millisecond)
+	}
+	return history.Failed, 0
+}
--- a/internal/lab/loadgen/loadgen.go
+++ b/internal/lab/loadgen/loadgen.go
@@ -3,7 +3,6 @@
 package loadgen
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -249,27 +248,19 @@
 		wait = cutOff / 2
 	}
 	_ = conn.SetDeadline(time.Now().Add(wait))
-	_, err := conn.Write(d.command(job, c, cutOff))
+	_, err := conn.Write(Command(d.e, job, c, cutOff))
 	var v resp.Value
 	if err == nil {
-		v, err = read(conn)
+		v, err = newAnswerReader(conn).next()
 	}
-	job.Answered = d.clock.Now()
-	var timeout net.Error
-	switch late := errors.As(err, &timeout) && timeout.Timeout(); {
-	case late && giveUp:
+	conclude(job, d.clock.Now(), unread(conn), v, err)
+	switch {
+	case job.Outcome == history.Unanswered && giveUp:
 		job.Outcome = history.GaveUp
-	case late:
-		job.Outcome = history.Unanswered
-	case err != nil:
+	case job.Outcome == history.ConnectionBroken:
 		_ = conn.Close()
-		job.Outcome = history.ConnectionBroken
 		return reused && job.Answered-job.Sent < int64(crossing) && !d.front.Dead(job.Limiter)
-	default:
-		job.Outcome, job.RetryAfter = judge(v)
-		if job.Answered > job.Deadline {
-			job.Outcome = history.Late
-		}
+	case err == nil:
 		select {
 		case d.pools[job.Limiter] <- conn:
 			return false
@@ -280,51 +271,20 @@
 	return false
 }
 
-// command is a request's command.
-func (d *Driver) command(job *history.Request, c experiment.Customer, cutOff time.Duration) []byte {
+// Command is the command of a customer's request, whose client waits for so long.
+func Command(e *experiment.Experiment, job *history.Request, c experiment.Customer, cutOff time.Duration) []byte {
 	list := fmt.Sprintf("c=%s,t=%s,d=%d,units=%s,spread=%d,first=%d", job.Class, job.Plan, cutOff.Milliseconds(),
 		strconv.FormatFloat(job.Units, 'g', -1, 64), c.Spread, c.First)
 	if job.Retry {
 		list += ",r=1"
 	}
-	if d.e.Settings.Classes[job.Class].Idempotency == choice.IdempotentWithKey {
+	if e.Settings.Classes[job.Class].Idempotency == choice.IdempotentWithKey {
 		list += ",k=" + job.ID // the mark by which servers know a repeat
 	}
 	words := [][]byte{[]byte("SVC.QUERY"), []byte(job.Customer), []byte(job.ID), []byte(list)}
-	if d.e.Settings.Classes[job.Class].Idempotency != choice.Idempotent {
+	if e.Settings.Classes[job.Class].Idempotency != choice.Idempotent {
 		words[0] = []byte("SVC.SUBMIT")
 		words = append(words, []byte("body of "+job.ID))
 	}
 	return resp.AppendCommand(nil, words...)
 }
-
-// read reads one whole answer.
-func read(c net.Conn) (resp.Value, error) {
-	var held []byte
-	chunk := make([]byte, 4096)
-	for {
-		n, err := c.Read(chunk)
-		held = append(held, chunk[:n]...)
-		if v, used, perr := resp.ReadValue(held); perr != nil {
-			return resp.Value{}, perr
-		} else if used > 0 {
-			return v, nil
-		}
-		if err != nil {
-			return resp.Value{}, err
-		}
-	}
-}
-
-// judge names an answer as the protocol's table does, with a retry-after in nanoseconds where -BUSY gives one.
-func judge(v resp.Value) (history.Outcome, int64) {
-	switch {
-	case v.Kind == '$' && !v.Null,
-		v.Kind == '*' && len(v.List) > 0 && v.List[0].Kind == '$' && !v.List[0].Null:
-		return history.Succeeded, 0
-	case v.Kind == '-' && len(v.Text) >= 4 && string(v.Text[:4]) == "BUSY":
-		ms, _ := strconv.ParseInt(string(v.Text[min(len(v.Text), 5):]), 10, 64)
-		return history.Rejected, ms * int64(time.Millisecond)
-	}
-	return history.Failed, 0
-}
--- a/internal/lab/logsummary/logsummary.go
+++ b/internal/lab/logsummary/logsummary.go
@@ -51,7 +51,7 @@
 		name := line[found[2]:found[3]]
 		rest := line[found[1]:]
 		switch name {
-		case "requests", "input-errors", "turned-away": // lines of counts; the last is the older name of the second
+		case "requests", "closes", "input-errors", "turned-away": // lines of counts; the last is the older name of the third
 			for _, f := range figure.FindAllStringSubmatch(rest, -1) {
 				if n, err := strconv.ParseInt(f[2], 10, 64); err == nil && n > 0 {
 					c.add(name+" "+f[1], limiter, n)
--- a/internal/lab/runner/fleet_test.go
+++ b/internal/lab/runner/fleet_test.go
@@ -42,13 +42,13 @@
 // A process that ends is a crash unless it had been asked to end or was killed.
 func TestOnlyAnUnaskedEndIsACrash(t *testing.T) {
 	for _, c := range []struct {
-		path  []happening
+		path  []processEvent
 		crash bool
 	}{
-		{[]happening{begun, exited}, true}, {[]happening{begun, answered, exited}, true},
-		{[]happening{begun, answered, stopped, exited}, true}, {[]happening{begun, answered, asked, exited}, false},
-		{[]happening{begun, stopped, shot, exited}, false}, {[]happening{begun, answered, asked, shot, exited}, false},
-		{[]happening{begun, answered, asked, exited, begun, stopped, continued, exited}, true},
+		{[]processEvent{begun, exited}, true}, {[]processEvent{begun, answered, exited}, true},
+		{[]processEvent{begun, answered, stopped, exited}, true}, {[]processEvent{begun, answered, asked, exited}, false},
+		{[]processEvent{begun, stopped, shot, exited}, false}, {[]processEvent{begun, answered, asked, shot, exited}, false},
+		{[]processEvent{begun, answered, asked, exited, begun, stopped, continued, exited}, true},
 	} {
 		s, crash := absent, false
 		for _, h := range c.path {
--- a/internal/lab/runner/process.go
+++ b/internal/lab/runner/process.go
@@ -24,130 +24,6 @@
 	termExtra   = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline, from SIGTERM
 )
 
-// StartError is a limiter whose process could not be started.
-type StartError struct {
-	Limiter      int
-	Program, Log string
-	Cause        error
-}
-
-// Error says what happened.
-func (e *StartError) Error() string {
-	return fmt.Sprintf("limiter %d: %s could not be started: %v", e.Limiter, e.Program, e.Cause)
-}
-
-// Hint says what to do about it.
-func (e *StartError) Hint() string {
-	return "build the program that limiters.program names (go build -o bin/ ./cmd/...), then see " + e.Log
-}
-
-// Unwrap gives the cause.
-func (e *StartError) Unwrap() error { return e.Cause }
-
-// ReadyTimeoutError is a limiter that did not answer PING with +PONG in time.
-type ReadyTimeoutError struct {
-	Limiter int
-	Timeout time.Duration
-	Log     string
-}
-
-// Error says what happened.
-func (e *ReadyTimeoutError) Error() string {
-	return fmt.Sprintf("limiter %d was not ready within %v", e.Limiter, e.Timeout)
-}
-
-// Hint says what to do about it.
-func (e *ReadyTimeoutError) Hint() string { return "see what it waited for in " + e.Log }
-
-// CrashError is a limiter whose process ended though nobody had asked it to.
-type CrashError struct {
-	Limiter int
-	At      int64 // nanoseconds on the run's clock
-	Log     string
-	Cause   error // how it ended, an *exec.ExitError; nil where it ended as if all were well
-}
-
-// Error says what happened.
-func (e *CrashError) Error() string {
-	return fmt.Sprintf("limiter %d ended by itself at %.3f s: %v", e.Limiter, float64(e.At)/1e9, e.Cause)
-}
-
-// Hint says what to do about it.
-func (e *CrashError) Hint() string { return "its last lines in " + e.Log + " tell why" }
-
-// Unwrap gives the cause.
-func (e *CrashError) Unwrap() error { return e.Cause }
-
-// StartSpreadError is a fleet whose processes were not all started within the time that "together" means.
-type StartSpreadError struct{ Took time.Duration }
-
-// Error says what happened.
-func (e *StartSpreadError) Error() string {
-	return fmt.Sprintf("starting all limiters took %v, more than %v", e.Took, together)
-}
-
-// Hint says what to do about it.
-func (e *StartSpreadError) Hint() string {
-	return "run fewer limiters, or with nothing else on the machine"
-}
-
-// state is where a limiter's process stands.
-type state uint8
-
-const (
-	absent   state = iota // no process
-	starting              // it has not answered +PONG
-	ready
-	paused  // SIGSTOP
-	leaving // SIGTERM
-	killed  // SIGKILL, not ended yet
-)
-
-// happening is what befalls a process.
-type happening uint8
-
-const (
-	begun happening = iota
-	answered
-	stopped
-	continued
-	asked // to end
-	shot  // killed
-	exited
-)
-
-// next is the one function by which a process's state changes; crash tells that it ended unasked. What cannot be in a
-// state leaves it as it is, and ok is false.
-func next(s state, h happening) (to state, crash, ok bool) {
-	switch h {
-	case begun:
-		return starting, false, s == absent
-	case answered:
-		if s == starting {
-			return ready, false, true
-		}
-	case stopped:
-		if s == ready || s == starting {
-			return paused, false, true
-		}
-	case continued:
-		if s == paused {
-			return ready, false, true
-		}
-	case asked:
-		if s == ready || s == starting || s == paused {
-			return leaving, false, true
-		}
-	case shot:
-		if s != absent && s != killed {
-			return killed, false, true
-		}
-	case exited:
-		return absent, s == ready || s == starting || s == paused, s != absent
-	}
-	return s, false, false
-}
-
 // limiter is one limiter of the run, through all its processes.
 type limiter struct {
 	n                     int
@@ -164,8 +40,8 @@
 	gen   int64         // and its generation
 }
 
-// moves applies a happening to limiter n and tells whether it could be; a crash is written down.
-func (l *Lab) moves(lim *limiter, h happening, cause error) bool {
+// transition applies an event to limiter n and tells whether it could be; a crash is written down.
+func (l *Lab) transition(lim *limiter, h processEvent, cause error) bool {
 	lim.mu.Lock()
 	to, crash, ok := next(lim.state, h)
 	lim.state = to
@@ -189,9 +65,9 @@
 	l.mu.Unlock()
 }
 
-// signal sends a signal to the limiter's process if the happening that goes with it can be.
-func (l *Lab) signal(lim *limiter, h happening, s syscall.Signal) bool {
-	if !l.moves(lim, h, nil) {
+// signal sends a signal to the limiter's process if the event that goes with it can be.
+func (l *Lab) signal(lim *limiter, h processEvent, s syscall.Signal) bool {
+	if !l.transition(lim, h, nil) {
 		return false
 	}
 	lim.mu.Lock()
@@ -199,6 +75,15 @@
 	return lim.cmd.Process.Signal(s) == nil
 }
 
+// sendSignal sends a signal that changes no state of the process.
+func (l *Lab) sendSignal(lim *limiter, s syscall.Signal) {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if lim.state != absent && lim.state != killed {
+		_ = lim.cmd.Process.Signal(s)
+	}
+}
+
 // begin starts limiter n's program with a configuration as DEPLOY.md gives it; its list is the present one, or the one
 // of its first start. It waits for no answer.
 func (l *Lab) begin(lim *limiter, oldList bool) error {
@@ -266,7 +151,7 @@
 	}
 	cmd.Stdout = out
 	cmd.Stderr = out
-	if err := cmd.Start(); err != nil {
+	if err := l.startCommand(lim.n, cmd); err != nil {
 		_ = out.Close()
 		return failed(err)
 	}
@@ -275,7 +160,7 @@
 	lim.cmd, lim.ended = cmd, ended
 	life := lim.life
 	lim.mu.Unlock()
-	l.moves(lim, begun, nil)
+	l.transition(lim, begun, nil)
 	l.refuse(party(lim.n), false)
 	l.lived(life, func(r *history.Process) { r.Started = l.clock.Now() })
 	go func() {
@@ -293,13 +178,32 @@
 		if planned { // of any other end the front does not know yet
 			l.front[lim.n].Store(false)
 		}
-		l.moves(lim, exited, err)
+		l.transition(lim, exited, err)
 		l.refuse(party(lim.n), true)
 		close(ended)
 	}()
 	return nil
 }
 
+// startCommand starts a limiter's command, with what the extras have prepared it for.
+func (l *Lab) startCommand(n int, cmd *exec.Cmd) (err error) {
+	started := func() error { return nil }
+	if l.extras.Command != nil {
+		if started, err = l.extras.Command(n, cmd); err != nil {
+			return err
+		}
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	if err := started(); err != nil {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		return err
+	}
+	return nil
+}
+
 // lived changes an entry of the record's lives.
 func (l *Lab) lived(life int, change func(*history.Process)) {
 	l.mu.Lock()
@@ -315,7 +219,7 @@
 	for time.Now().Before(end) {
 		if ports.Pong(lim.port.Address()) {
 			l.lived(life, func(r *history.Process) { r.Ready = l.clock.Now() })
-			l.moves(lim, answered, nil)
+			l.transition(lim, answered, nil)
 			l.front[lim.n].Store(true)
 			return nil
 		}
--- a/internal/lab/runner/runner.go
+++ b/internal/lab/runner/runner.go
@@ -6,11 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"sort"
-	"strings"
+	"os/exec"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"ospreycroft/internal/lab/emulator"
@@ -21,6 +19,28 @@
 	"ospreycroft/internal/lab/loadgen"
 )
 
+// Extras are what a run may have beside its experiment; the zero value is none.
+type Extras struct {
+	// Command prepares the command of limiter n before it is started, and gives what is to be called once it was; nil for
+	// nothing.
+	Command func(n int, command *exec.Cmd) (started func() error, err error)
+	// Beside runs beside the load on a goroutine of its own, and returns once stop is closed; nil for nothing.
+	Beside func(lab *Lab, stop <-chan struct{})
+	// LeaveGrace and TimeLeftSlack are judged as of invariants.Terms.
+	LeaveGrace, TimeLeftSlack time.Duration
+	// Lag is how late the lab itself may have written a time down, asked for once the load is over; it widens both, and how
+	// late an answer may come. nil for not at all.
+	Lag func() time.Duration
+}
+
+// lag is how late the lab itself may have written a time down.
+func (x *Extras) lag() time.Duration {
+	if x.Lag == nil {
+		return 0
+	}
+	return x.Lag()
+}
+
 // Lab is one run's emulator and limiters.
 type Lab struct {
 	e         *experiment.Experiment
@@ -37,7 +57,8 @@
 	clientScripts [][]faultproxy.Fault
 	front         []atomic.Bool // which limiters the front gives new connections
 	replaced      int
-	within        time.Duration  // a limiter must be ready within it
+	within        time.Duration // a limiter must be ready within it
+	extras        Extras
 	tasks         sync.WaitGroup // what is still to be done about limiters
 
 	mu       sync.Mutex
@@ -56,7 +77,18 @@
 // Run plays e with its files (configurations, limiters' logs) in dir. An error says that there was no run; a limiter
 // that fails is no error but fails the verdict. Where the fleet does not get up, no load is played.
 func Run(e *experiment.Experiment, dir string, log *slog.Logger, progress func(float64)) (*Result, error) {
-	lab := &Lab{e: e, dir: dir, log: log, clock: history.NewClock(), book: &history.Recorder{},
+	return RunWith(e, dir, log, progress, Extras{})
+}
+
+// RunWith is Run with something beside the experiment.
+func RunWith(
+	e *experiment.Experiment,
+	dir string,
+	log *slog.Logger,
+	progress func(float64),
+	extras Extras,
+) (*Result, error) {
+	lab := &Lab{e: e, extras: extras, dir: dir, log: log, clock: history.NewClock(), book: &history.Recorder{},
 		front: make([]atomic.Bool, e.Limiters.Count), net: faultproxy.NewNetwork(e.Seed), within: readyWithin}
 	for n := range e.Limiters.Count {
 		lab.clientScripts = append(lab.clientScripts, e.Script(n, experiment.Clients, "", ""))
@@ -81,8 +113,9 @@
 	run.Processes = append(run.Processes, lab.lives...)
 	failures := append([]error(nil), lab.failures...)
 	lab.mu.Unlock()
-	t := invariants.Terms{Late: int64(50 * time.Millisecond), Grace: experiment.Nanos(e.Grace),
-		Slack: experiment.Nanos(e.Slack), SlackShare: e.SlackShare, SlackUnits: e.SlackUnits}
+	t := invariants.Terms{Late: int64(50*time.Millisecond + extras.lag()), Grace: experiment.Nanos(e.Grace),
+		Slack: experiment.Nanos(e.Slack), SlackShare: e.SlackShare, SlackUnits: e.SlackUnits,
+		LeaveGrace: int64(extras.LeaveGrace + extras.lag()), TimeLeftSlack: int64(extras.TimeLeftSlack + extras.lag())}
 	verdict := invariants.JudgeRun(run, e.Settings, t)
 	run.Verdict, _ = json.Marshal(verdict)
 	run.Latency, _ = json.Marshal(Latencies(jobs))
@@ -94,6 +127,9 @@
 	return l.net.Address(experiment.Clients, party(n), l.limiters[n].port.Address())
 }
 
+// Record is where requests are written down, by the clock.
+func (l *Lab) Record() (*history.Recorder, *history.Clock) { return l.book, l.clock }
+
 // Open tells whether clients send to limiter n.
 func (l *Lab) Open(n int) bool { return l.front[n].Load() }
 
@@ -124,9 +160,17 @@
 	go func() { l.play(stop); close(played) }()
 	l.log.Info("load", "rate", l.e.Load.Rate, "seconds", l.e.Length, "limiters", l.e.Limiters.Count,
 		"servers", len(l.servers))
+	beside := make(chan struct{})
+	go func() {
+		defer close(beside)
+		if l.extras.Beside != nil {
+			l.extras.Beside(l, stop)
+		}
+	}()
 	driver.Run(progress)
 	close(stop)
 	<-played
+	<-beside
 	l.tasks.Wait()
 }
 
@@ -265,179 +309,6 @@
 		Weight: 1, StartedMs: started}
 }
 
-// deed is one thing that the timeline has to do.
-type deed struct {
-	at int64
-	do func(now int64)
-}
-
-// timeline lists what there is to do, in the order of its times.
-func (l *Lab) timeline(stop chan struct{}) []deed {
-	var out []deed
-	for i, f := range l.e.Faults {
-		if len(f.Limiters) > 0 && f.Link == nil {
-			for _, s := range l.e.Steps(i) {
-				out = append(out, deed{s.At, func(now int64) { l.strike(f, s, now, stop) }})
-				if s.Until > 0 {
-					out = append(out, deed{s.Until, func(now int64) { l.relieve(f, s, now, stop) }})
-				}
-			}
-			continue
-		}
-		out = append(out, deed{experiment.Nanos(f.From), func(now int64) { l.begins(f, now) }})
-		if f.Until > 0 {
-			out = append(out, deed{experiment.Nanos(f.Until), func(now int64) { l.ends(f, now) }})
-		}
-	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].at < out[j].at })
-	return out
-}
-
-// play plays the timeline until stop: every 10 ms whatever has come due.
-func (l *Lab) play(stop chan struct{}) {
-	todo := l.timeline(stop)
-	tick := time.NewTicker(10 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-tick.C:
-		}
-		now := l.clock.Now()
-		if l.counter != nil {
-			was := l.counter.Up()
-			l.counter.Tick(now)
-			if l.counter.Up() != was {
-				l.refuse(experiment.Counting, was)
-			}
-		}
-		if err := l.net.Step(now); err != nil {
-			l.log.Error("link", "error", err)
-		}
-		for len(todo) > 0 && now >= todo[0].at {
-			todo[0].do(now)
-			todo = todo[1:]
-		}
-	}
-}
-
-// refuse makes the links to a party that stopped listening refuse as well, or take connections again.
-func (l *Lab) refuse(far string, on bool) {
-	if err := l.net.SetRefusing(far, on); err != nil {
-		l.log.Error("link", "error", err)
-	}
-}
-
-// strike plays the begin of a step of a process fault.
-func (l *Lab) strike(f experiment.Fault, s experiment.Step, now int64, stop chan struct{}) {
-	l.log.Info("fault", "kind", f.Kind, "limiters", len(s.Limiters), "at_ns", now)
-	for _, n := range s.Limiters {
-		lim, event := l.limiters[n], history.Event{At: now, Kind: f.Kind, Target: party(n)}
-		switch {
-		case f.Kind == "term":
-			l.term(lim, stop)
-		case f.Kind == "kill" && l.signal(lim, shot, syscall.SIGKILL),
-			f.Kind == "stop" && l.signal(lim, stopped, syscall.SIGSTOP):
-			l.book.AddEvent(event)
-		}
-	}
-}
-
-// relieve plays the end of a step: what was stopped goes on, what was ended starts again.
-func (l *Lab) relieve(f experiment.Fault, s experiment.Step, now int64, stop chan struct{}) {
-	for _, n := range s.Limiters {
-		lim := l.limiters[n]
-		if f.Kind == "stop" {
-			if l.signal(lim, continued, syscall.SIGCONT) {
-				l.book.AddEvent(history.Event{At: now, Kind: "continue", Target: party(n)})
-			}
-			continue
-		}
-		l.task(func() { l.restart(lim, time.Duration(experiment.Nanos(f.Delay)), f.OldList, stop) })
-	}
-}
-
-// targets are the servers a timeline entry names.
-func (l *Lab) targets(target string) []*emulator.Server {
-	kind, name, _ := strings.Cut(target, ":")
-	var out []*emulator.Server
-	for _, s := range l.servers {
-		if kind == "server" && s.Name() == name || kind == "pool" && strings.HasPrefix(s.Name(), name+"-") {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-// begins plays the begin of a fault of a stand-in.
-func (l *Lab) begins(f experiment.Fault, now int64) {
-	l.log.Info("fault", "kind", f.Kind, "target", f.Target, "at_ns", now)
-	switch {
-	case f.Kind == "down" && f.Target == "discovery":
-		l.discovery.Down(true)
-		l.book.AddEvent(history.Event{At: now, Kind: "discovery-down", Target: "discovery"})
-	case f.Kind == "drain" || f.Kind == "gone" || f.Kind == "replace":
-		for _, s := range l.targets(f.Target) {
-			if f.Kind == "drain" {
-				l.list(s, "terminating", "drain", now)
-				continue
-			}
-			l.list(s, "terminated", "gone", now)
-			s.Stop()
-			l.refuse(s.Name(), true)
-			if f.Kind == "replace" {
-				l.replace(s)
-			}
-		}
-	default: // the emulator or the link plays it; the record shows it
-		l.book.AddEvent(history.Event{At: now, Kind: f.Kind, Target: f.Target, Detail: "begins"})
-	}
-}
-
-// list changes the list's entry of a server and writes the change down.
-func (l *Lab) list(s *emulator.Server, lifecycle, kind string, now int64) {
-	generation := l.discovery.Set(l.instance(s, lifecycle))
-	l.book.AddEvent(history.Event{At: now, Kind: kind, Target: s.Name(), Generation: generation})
-}
-
-// replace starts a new, cold server in the place of s, in its pool and zone.
-func (l *Lab) replace(s *emulator.Server) {
-	name, _, _ := strings.Cut(s.Name(), "-")
-	for _, p := range l.e.Servers {
-		if p.Name == name {
-			l.replaced++
-			if err := l.addServer(p, fmt.Sprintf("%s-r%d", p.Name, l.replaced), nil, false); err != nil {
-				l.log.Error("replace", "server", s.Name(), "error", err)
-			}
-		}
-	}
-}
-
-// ends plays the end of a fault of a stand-in.
-func (l *Lab) ends(f experiment.Fault, now int64) {
-	switch {
-	case f.Kind == "gone": // back, cold, at the address it had
-		for _, s := range l.targets(f.Target) {
-			if err := s.Start(); err != nil {
-				l.log.Error("back", "server", s.Name(), "error", err)
-				continue
-			}
-			l.refuse(s.Name(), false)
-			l.list(s, "in_service", "back", now)
-		}
-	case f.Kind == "drain":
-		for _, s := range l.targets(f.Target) {
-			l.list(s, "in_service", "back", now)
-		}
-	case f.Kind == "down" && f.Target == "discovery":
-		l.discovery.Down(false)
-		l.book.AddEvent(history.Event{At: now, Kind: "discovery-up", Target: "discovery"})
-	default:
-		l.book.AddEvent(history.Event{At: now, Kind: f.Kind, Target: f.Target, Detail: "ends"})
-	}
-}
-
 // close ends the limiters, then everything else.
 func (l *Lab) close() {
 	l.end()
