Failing test: a limiter ends as a client leaves between two of its results

A step of the reducer delivers several results to the controller. Delivering one can end all requests of a client that has gone, which were forgotten at once, while a result of another of them was still queued.

--- a/internal/limiter/client_departed_test.go
+++ b/internal/limiter/client_departed_test.go
@@ -51,3 +51,61 @@
 	require.Empty(t, l.requests.byID)
 	require.Equal(t, id, w.last, "another connection was opened")
 }
+
+// leavingPair makes a limiter with an idle connection to its server and two requests of one client, which has ended its
+// connection without an event that tells of it. Both wait for the counter.
+func leavingPair(t *testing.T) (l *Limiter, w *fakeSockets, idle ConnID) {
+	t.Helper()
+	l, w = newTestLimiter(t)
+	for _, class := range l.settings.Classes {
+		class.PriorityWeight = 1
+	}
+	w.say(l, 0, clientConn, command("k0", "read", "480"))
+	w.say(l, 0, counterConnID, "ok 2\r\n")
+	idle = w.last
+	l.Step(0, Connected{Conn: idle})
+	w.say(l, 0, idle, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+	w.pass(l, second/10) // the connection rests
+	w.say(l, second/10, clientConn, command("k1", "read", "480")+command("k2", "read", "480"))
+	w.gone = map[ConnID]bool{clientConn: true}
+	return l, w, idle
+}
+
+// TestClientLeavesWithTwoResultsPending: one step brings results of two requests of a client that has gone, and telling
+// the controller of the first ends the second. Whatever the results are, the controller's further call for the second
+// request finds it, nothing is sent, and both are forgotten behind it.
+func TestClientLeavesWithTwoResultsPending(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step func(l *Limiter, w *fakeSockets)
+	}{
+		{"both reservations granted", func(l *Limiter, w *fakeSockets) { w.say(l, second/10, counterConnID, "ok 4\r\nok 6\r\n") }},
+		{"both turned away by the counter", func(l *Limiter, w *fakeSockets) { w.say(l, second/10, counterConnID, "busy\r\nbusy\r\n") }},
+		{"the counter's connection lost", func(l *Limiter, _ *fakeSockets) {
+			l.Step(second/10, ConnClosed{Conn: counterConnID, Reason: PeerReset})
+		}},
+		{"no answer of the counter", func(l *Limiter, w *fakeSockets) { w.pass(l, second/10+l.settings.CounterTimeout) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, w, idle := leavingPair(t)
+			wrote := w.wrote[idle]
+			c.step(l, w)
+			require.Equal(t, wrote, w.wrote[idle])
+			require.Empty(t, l.requests.byID)
+			require.Zero(t, l.requests.heldBytes)
+		})
+	}
+}
+
+// TestIDInUseUntilTheControllerKnows: a request keeps its id through the step in which it ends. One that took the id over
+// would get what the controller is still to be told of the first.
+func TestIDInUseUntilTheControllerKnows(t *testing.T) {
+	l, w := newTestLimiter(t)
+	l.settings.CounterTimeout = 0
+	tooLate := command("same", "read", "1") // no time is left for an attempt
+	w.say(l, 0, clientConn, tooLate+command("same", "read", "480"))
+	require.Contains(t, w.wrote[clientConn], errIDInUse.Error())
+	require.Empty(t, l.requests.byID)
+	w.say(l, 0, clientConn, command("same", "read", "480"))
+	require.NotNil(t, l.requests.byID["same"])
+}
