Hold a request until the controller was told all that is pending

What a step has for the controller waits in a queue, and delivering one result can end the request of another. A request that had ended was forgotten at once, so the controller acted on one that was not there.

Change: requestTable.done; requests are forgotten behind the last result of a step, and their ids stay in use until then.

--- a/internal/limiter/client_departed_test.go
+++ b/internal/limiter/client_departed_test.go
@@ -93,6 +93,7 @@
 			require.Equal(t, wrote, w.wrote[idle])
 			require.Empty(t, l.requests.byID)
 			require.Zero(t, l.requests.heldBytes)
+			require.Empty(t, l.requests.done)
 		})
 	}
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -135,7 +135,8 @@
 	l.armTimer()
 }
 
-// deliverResults tells the controller what it is owed, in order; each call on it may bring more.
+// deliverResults tells the controller what it is owed, in order; each call on it may bring more. Requests that are done
+// are forgotten behind the last.
 func (l *Limiter) deliverResults() {
 	for i := 0; i < len(l.results); i++ {
 		switch o := l.results[i]; {
@@ -150,6 +151,7 @@
 		}
 	}
 	l.results = l.results[:0]
+	l.requests.forgetDone()
 }
 
 // maintain looks, at regular times, after idle connections, the cold start and the counts for the log.
--- a/internal/limiter/requests.go
+++ b/internal/limiter/requests.go
@@ -10,7 +10,10 @@
 
 // requestTable holds the requests that are not forgotten yet.
 type requestTable struct {
-	byID      map[string]*request
+	byID map[string]*request
+	// done are the requests that are forgotten once the controller was told all that is pending. Until then it may still
+	// act on them: results wait behind others in one step, and delivering one can end the request of another.
+	done      []*request
 	heldBytes int64 // bytes of their commands
 	lastEnd   int64 // when a request last ended
 }
@@ -105,14 +108,25 @@
 	l.forgetIfDone(q)
 }
 
-// forgetIfDone lets go of a request that has ended, once nothing of it is out.
+// forgetIfDone has a request that has ended and has nothing out forgotten, once the controller knows of its end.
 func (l *Limiter) forgetIfDone(q *request) {
-	if q.state != stateAccepted && q.openAttempts == 0 && l.requests.byID[q.id] == q {
-		l.requests.heldBytes -= q.bytes
-		delete(l.requests.byID, q.id)
+	if q.state != stateAccepted && q.openAttempts == 0 {
+		l.requests.done = append(l.requests.done, q)
 	}
 }
 
+// forgetDone lets go of the requests that are done; the controller has been told all.
+func (t *requestTable) forgetDone() {
+	for _, q := range t.done {
+		if t.byID[q.id] == q {
+			t.heldBytes -= q.bytes
+			delete(t.byID, q.id)
+		}
+	}
+	clear(t.done)
+	t.done = t.done[:0]
+}
+
 // appendCommand writes the request's command with the time that is left.
 func (q *request) appendCommand(to []byte, now int64) []byte {
 	left := strconv.AppendInt(nil, max(1, (q.deadline-now)/1e6), 10)
