--- a/cmd/testlab/main.go
+++ b/cmd/testlab/main.go
@@ -18,9 +18,11 @@
 	"ospreycroft/internal/lab/logsummary"
 	"ospreycroft/internal/lab/report"
 	"ospreycroft/internal/lab/runner"
+	"ospreycroft/internal/lab/syscallshim"
 )
 
 func main() {
+	syscallshim.LaunchIfAsked()
 	if err := root().Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -29,7 +31,8 @@
 func root() *cobra.Command {
 	top := &cobra.Command{Use: "testlab", Short: "the ospreycroft laboratory", SilenceUsage: true}
 	top.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand(), censusCommand(),
-		scaleCommand(), scaleHostCommand(), distributionCommand(), distributionHostCommand())
+		scaleCommand(), scaleHostCommand(), distributionCommand(), distributionHostCommand(),
+		soakCommand())
 	return top
 }
 
--- /dev/null
+++ b/internal/lab/soak/faults.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/sys/unix"
+
+	"ospreycroft/internal/lab/syscallshim"
+)
+
+// systemCallFaults draws what becomes of a limiter's system calls. It is asked on one goroutine a process.
+type systemCallFaults struct {
+	mutex sync.Mutex
+	rng   *rand.Rand
+	share float64 // of calls that fail or are cut short
+	// dir is where files are that a full or broken disk refuses while diskFails is set.
+	dir       string
+	diskFails atomic.Bool
+	listening func(port int) bool // tells whether clients connect to a port
+}
+
+// maxCutBytes bounds how much of a read or write that is cut short is done.
+const maxCutBytes = 40
+
+// chance draws whether something happens.
+func (f *systemCallFaults) chance(share float64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.rng.Float64() < share
+}
+
+func (f *systemCallFaults) upTo(most int) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return 1 + f.rng.IntN(most)
+}
+
+// one draws one of some errors.
+func (f *systemCallFaults) one(errors ...unix.Errno) syscallshim.Decision {
+	return syscallshim.Decision{Errno: errors[f.upTo(len(errors))-1]}
+}
+
+// decide is a syscallshim.Decide.
+func (f *systemCallFaults) decide(call syscallshim.Call) syscallshim.Decision {
+	if f.diskFails.Load() {
+		if decision := f.disk(call); decision.Errno != 0 {
+			return decision
+		}
+	}
+	if !f.chance(f.share) {
+		return syscallshim.Decision{}
+	}
+	switch call.Number {
+	case unix.SYS_SOCKET:
+		return f.one(unix.ENFILE, unix.ENOBUFS)
+	case unix.SYS_CONNECT:
+		return f.one(unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EINTR)
+	case unix.SYS_ACCEPT4:
+		return f.one(unix.ECONNABORTED, unix.ENFILE, unix.ENOBUFS, unix.EINTR)
+	case unix.SYS_READ, unix.SYS_WRITE:
+		return f.transfer(call)
+	}
+	return syscallshim.Decision{}
+}
+
+// breakShare is the share of the faults of a read or write that break the connection.
+const breakShare = 0.05
+
+// transfer draws a fault of a read or write of a socket. Only connections that the limiter has dialled break: a client's
+// would be the client's loss.
+func (f *systemCallFaults) transfer(call syscallshim.Call) syscallshim.Decision {
+	if !call.IsSocket() {
+		return syscallshim.Decision{}
+	}
+	switch {
+	case f.chance(breakShare):
+		if f.isClient(call) {
+			return syscallshim.Decision{}
+		}
+		broken := f.one(unix.ETIMEDOUT, unix.EHOSTUNREACH)
+		broken.Break = true
+		return broken
+	case f.chance(0.3):
+		return syscallshim.Decision{Errno: unix.EINTR}
+	}
+	return syscallshim.Decision{Bytes: f.upTo(maxCutBytes)}
+}
+
+// isClient tells whether a call is on a client's connection, or on one that cannot be told.
+func (f *systemCallFaults) isClient(call syscallshim.Call) bool {
+	fd, err := call.Descriptor()
+	if err != nil {
+		return true
+	}
+	defer func() { _ = unix.Close(fd) }()
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		return true
+	}
+	address, is := name.(*unix.SockaddrInet4)
+	return !is || f.listening(address.Port)
+}
+
+// disk refuses writes and syncs of the files in the directory.
+func (f *systemCallFaults) disk(call syscallshim.Call) syscallshim.Decision {
+	switch call.Number {
+	case unix.SYS_WRITE, unix.SYS_FSYNC:
+		if f.dir != "" && strings.HasPrefix(call.Path(), f.dir) {
+			return f.one(unix.ENOSPC, unix.EIO)
+		}
+	}
+	return syscallshim.Decision{}
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,293 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreycroft/internal/lab/clockstep"
+	"ospreycroft/internal/lab/runner"
+	"ospreycroft/internal/lab/syscallshim"
+)
+
+const (
+	// leaveGrace and timeLeftSlack are what the operators allow.
+	leaveGrace    = 100 * time.Millisecond
+	timeLeftSlack = 150 * time.Millisecond
+	// recordMargin is what the lab itself takes to write a time down, on a machine that plays all parties; what it is seen
+	// to take beyond that is added.
+	recordMargin = 20 * time.Millisecond
+	// lagInterval is how often the lab's own lag is measured.
+	lagInterval = 5 * time.Millisecond
+)
+
+// Finding is something that a run must not show.
+type Finding struct {
+	What   string // a broken rule, a process that failed, a line of a log
+	Detail string
+}
+
+// Report is what a run left.
+type Report struct {
+	Scenario  *Scenario
+	Result    *runner.Result
+	Calls     *syscallshim.Counts
+	Lag       time.Duration // of the lab itself, at most
+	Memory    int64         // that one limiter's process held at most, bytes
+	Findings  []Finding
+	Directory string
+}
+
+// Pass tells whether the run showed nothing that it must not.
+func (r *Report) Pass() bool { return len(r.Findings) == 0 }
+
+// Write writes the report in a few lines.
+func (r *Report) Write(w io.Writer) {
+	word := "pass"
+	if !r.Pass() {
+		word = "FAIL"
+	}
+	_, _ = fmt.Fprintf(w, "soak=%s %v calls_seen=%d calls_failed=%d calls_short=%d lab_lag=%v memory_mb=%d\n", word, r.Scenario,
+		r.Calls.Seen.Load(), r.Calls.Failed.Load(), r.Calls.Short.Load(), r.Lag.Round(time.Millisecond), r.Memory>>20)
+	_, _ = fmt.Fprintf(w, "  %s\n", r.Result.Verdict.Line())
+	for _, f := range r.Findings {
+		_, _ = fmt.Fprintf(w, "  finding %s: %s\n", f.What, f.Detail)
+	}
+}
+
+// Options are how seeds are played.
+type Options struct {
+	Program  string  // the limiter
+	Launcher string  // a program that calls syscallshim.LaunchIfAsked first
+	Length   float64 // seconds of load
+	Dir      string  // for the runs' files
+	Limiters int     // in place of what the seeds draw; 0 for that
+}
+
+// Play plays one seed. An error says that there was no run.
+func Play(seed uint64, o Options) (*Report, error) {
+	scenario, err := Draw(seed, o.Length, o.Program, o.Limiters)
+	if err != nil {
+		return nil, err
+	}
+	dir := filepath.Join(o.Dir, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	p := &play{scenario: scenario, options: o, dir: dir, counts: &syscallshim.Counts{}, ports: map[int]bool{}}
+	if err := p.prepare(); err != nil {
+		return nil, err
+	}
+	result, err := runner.RunWith(scenario.Experiment, dir, slog.New(slog.DiscardHandler), nil, runner.Extras{
+		Command: p.command, Beside: p.beside, LeaveGrace: leaveGrace + recordMargin, TimeLeftSlack: timeLeftSlack + recordMargin,
+		Lag: func() time.Duration { return time.Duration(p.lag.Load()) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{Scenario: scenario, Result: result, Calls: p.counts, Lag: time.Duration(p.lag.Load()), Memory: p.memory.peak(),
+		Directory: dir}
+	for _, breach := range result.Verdict.Breaches {
+		report.Findings = append(report.Findings, Finding{
+			What:   fmt.Sprintf("rule %d at %.3f s", breach.Rule, float64(breach.At)/1e9),
+			Detail: breach.What + " " + breach.Detail,
+		})
+	}
+	for _, failure := range result.Failures {
+		report.Findings = append(report.Findings, Finding{What: "process", Detail: failure.Error()})
+	}
+	report.Findings = append(report.Findings, overMemory(report.Memory, scenario.Experiment.Limiters.Memory)...)
+	report.Findings = append(report.Findings, p.readLogs()...)
+	return report, nil
+}
+
+// play is one run.
+type play struct {
+	scenario *Scenario
+	options  Options
+	dir      string
+	clock    *clockstep.Clock // nil where the wall clock does not step
+	faults   *systemCallFaults
+	counts   *syscallshim.Counts
+	memory   memoryMeter
+	lag      atomic.Int64 // the longest time for which the lab's own goroutines had no processor, nanoseconds
+	mutex    sync.Mutex
+	ports    map[int]bool // on which limiters listen
+}
+
+// prepare makes what limiters are started with.
+func (p *play) prepare() error {
+	if p.scenario.ClockSteps {
+		library, err := clockstep.Build(p.dir)
+		if err != nil {
+			return err
+		}
+		if p.clock, err = clockstep.New(library, filepath.Join(p.dir, "clock")); err != nil {
+			return err
+		}
+	}
+	if p.scenario.SystemCalls > 0 || p.scenario.Disk {
+		p.faults = &systemCallFaults{rng: rand.New(rand.NewPCG(p.scenario.Seed, 0x5ca1)), share: p.scenario.SystemCalls,
+			listening: p.listening}
+	}
+	if !p.scenario.Disk {
+		return nil
+	}
+	p.faults.dir = filepath.Join(p.dir, "lists")
+	if err := os.MkdirAll(p.faults.dir, 0o755); err != nil {
+		return err
+	}
+	text := fmt.Sprintf("installation = \"soak\"\n[snapshot]\npath = %q\noldest_s = 60.0\n", p.faults.dir)
+	return os.WriteFile(p.operatorPath(), []byte(text), 0o600)
+}
+
+func (p *play) operatorPath() string { return filepath.Join(p.dir, "operator.toml") }
+
+// listening tells whether clients connect to a port.
+func (p *play) listening(port int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.ports[port]
+}
+
+// command prepares a limiter's command: with its clock, its operator's file and the shim.
+func (p *play) command(_ int, command *exec.Cmd) (started func() error, err error) {
+	p.notePort(command.Env)
+	if p.clock != nil {
+		command.Env = append(command.Env, p.clock.Environment()...)
+	}
+	if p.scenario.Disk {
+		command.Env = append(command.Env, "GW_OPERATOR="+p.operatorPath())
+	}
+	supervise := func() error { return nil }
+	if p.faults != nil {
+		if supervise, err = syscallshim.Command(command, p.options.Launcher, p.faults.decide, p.counts); err != nil {
+			return nil, err
+		}
+	}
+	return func() error {
+		p.memory.add(command, p.options.Program)
+		return supervise()
+	}, nil
+}
+
+// notePort notes the port on which the limiter will listen.
+func (p *play) notePort(environment []string) {
+	for _, variable := range environment {
+		address, found := strings.CutPrefix(variable, "GW_LISTEN=")
+		if !found {
+			continue
+		}
+		_, text, _ := net.SplitHostPort(address)
+		port, _ := strconv.Atoi(text)
+		p.mutex.Lock()
+		p.ports[port] = true
+		p.mutex.Unlock()
+	}
+}
+
+// beside plays what is beside the experiment until stop.
+func (p *play) beside(lab *runner.Lab, stop <-chan struct{}) {
+	var running sync.WaitGroup
+	both := func(act func()) {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			act()
+		}()
+	}
+	both((&clients{scenario: p.scenario, lab: lab, stop: stop}).run)
+	both(func() { p.stepClock(stop) })
+	both(func() { p.failDisk(stop) })
+	both(func() { p.measureLag(stop) })
+	both(func() { p.memory.run(stop) })
+	running.Wait()
+}
+
+// measureLag measures how late the lab's own goroutines wake.
+func (p *play) measureLag(stop <-chan struct{}) {
+	for {
+		began := time.Now()
+		select {
+		case <-stop:
+			return
+		case <-time.After(lagInterval):
+		}
+		p.lag.Store(max(p.lag.Load(), int64(time.Since(began)-lagInterval)))
+	}
+}
+
+// clockSteps are the offsets of the wall clock that are drawn from.
+var clockSteps = []time.Duration{
+	0, time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second, 500 * time.Millisecond, -500 * time.Millisecond,
+}
+
+// stepClock steps the wall clock now and then.
+func (p *play) stepClock(stop <-chan struct{}) {
+	if p.clock == nil {
+		return
+	}
+	rng := rand.New(rand.NewPCG(p.scenario.Seed, 0xc10c))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(500+rng.IntN(3000)) * time.Millisecond):
+		}
+		_ = p.clock.Step(clockSteps[rng.IntN(len(clockSteps))])
+	}
+}
+
+// failDisk has the disk refuse writes for some seconds, again and again.
+func (p *play) failDisk(stop <-chan struct{}) {
+	if !p.scenario.Disk {
+		return
+	}
+	rng := rand.New(rand.NewPCG(p.scenario.Seed, 0xd15c))
+	for {
+		select {
+		case <-stop:
+			p.faults.diskFails.Store(false)
+			return
+		case <-time.After(time.Duration(300+rng.IntN(2500)) * time.Millisecond):
+		}
+		p.faults.diskFails.Store(!p.faults.diskFails.Load())
+	}
+}
+
+// bad are the beginnings of what no log may hold.
+var bad = []string{"event=panic", "panic:", "fatal error:", "event=failed"}
+
+// readLogs finds what the limiters' logs may not hold.
+func (p *play) readLogs() (findings []Finding) {
+	logs, _ := filepath.Glob(filepath.Join(p.dir, "n*.log"))
+	for _, path := range logs {
+		file, err := os.Open(path)
+		if err != nil {
+			findings = append(findings, Finding{What: "log", Detail: err.Error()})
+			continue
+		}
+		lines := bufio.NewScanner(file)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			for _, text := range bad {
+				if strings.Contains(lines.Text(), text) {
+					findings = append(findings, Finding{What: "log " + filepath.Base(path), Detail: lines.Text()})
+				}
+			}
+		}
+		_ = file.Close()
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"ospreycroft/internal/lab/syscallshim"
+)
+
+func TestMain(m *testing.M) {
+	syscallshim.LaunchIfAsked()
+	os.Exit(m.Run())
+}
+
+// ciSeeds are the seeds that CI plays: between them failing system calls, clock steps, a disk that refuses writes, a crowd,
+// clients that leave or send several requests at once, and a quiet spell.
+var ciSeeds = []uint64{5, 17, 59, 120}
+
+// ciSeconds is the load of each in CI.
+const ciSeconds = 7
+
+// TestSoak plays the seeds one after the other against the real program.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "ospreycroft")
+	output, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", program, "ospreycroft/cmd/ospreycroft").CombinedOutput()
+	require.NoError(t, err, string(output))
+	for _, seed := range ciSeeds {
+		report, err := Play(seed, Options{Program: program, Launcher: os.Args[0], Length: ciSeconds, Dir: t.TempDir()})
+		require.NoError(t, err)
+		var text strings.Builder
+		report.Write(&text)
+		t.Log(text.String())
+		require.Empty(t, report.Findings)
+		require.NotEmpty(t, report.Result.Run.Requests)
+	}
+}
+
+// TestDrawIsTheSame: a seed draws the same scenario each time, and the seeds of CI have every kind between them.
+func TestDrawIsTheSame(t *testing.T) {
+	var calls, steps, disk, crowd, leavers, pipelines, quiet bool
+	for _, seed := range ciSeeds {
+		one, err := Draw(seed, ciSeconds, "program", 0)
+		require.NoError(t, err)
+		two, err := Draw(seed, ciSeconds, "program", 0)
+		require.NoError(t, err)
+		require.Equal(t, one, two)
+		calls = calls || one.SystemCalls > 0
+		steps = steps || one.ClockSteps
+		disk = disk || one.Disk
+		crowd = crowd || one.Crowd > 0
+		leavers = leavers || one.Leavers > 0
+		pipelines = pipelines || one.Pipelines > 0
+		quiet = quiet || one.Quiet
+	}
+	require.Equal(t, []bool{true, true, true, true, true, true, true}, []bool{calls, steps, disk, crowd, leavers, pipelines, quiet})
+}
+
+// TestEverySeedCanBePlayed: what is drawn passes the experiment's own checks, also for a fleet of a given size.
+func TestEverySeedCanBePlayed(t *testing.T) {
+	for seed := range uint64(300) {
+		_, err := Draw(seed, 12, "program", 0)
+		require.NoError(t, err)
+		fleet, err := Draw(seed, 12, "program", 40)
+		require.NoError(t, err)
+		require.Equal(t, 40, fleet.Experiment.Limiters.Count)
+	}
+}
+
+// TestOverMemoryFinds: a process past its limit is a finding, and the meter sees what a process holds.
+func TestOverMemoryFinds(t *testing.T) {
+	require.Empty(t, overMemory(64<<20, 64))
+	require.Equal(t, []Finding{{What: "memory", Detail: "a limiter held 65 MB"}}, overMemory(65<<20, 64))
+	sleeper := exec.Command("sleep", "60")
+	require.NoError(t, sleeper.Start())
+	t.Cleanup(func() {
+		_ = sleeper.Process.Kill()
+		_ = sleeper.Wait()
+	})
+	var other, same memoryMeter
+	other.add(sleeper, os.Args[0])
+	other.look()
+	require.Zero(t, other.peak(), "it is not the program that was to run")
+	same.add(sleeper, sleeper.Path)
+	require.Eventually(t, func() bool { same.look(); return same.peak() > 0 }, 5*time.Second, time.Millisecond)
+}
+
+// TestReadLogsFinds: a log with a panic, a fatal error or a failed start is a finding.
+func TestReadLogsFinds(t *testing.T) {
+	dir := t.TempDir()
+	text := "time=x level=INFO event=started name=n0\ntime=x level=ERROR event=panic error=y\nfatal error: all goroutines are asleep\n"
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "n0.log"), []byte(text), 0o600))
+	findings := (&play{dir: dir}).readLogs()
+	require.Len(t, findings, 2)
+}
+
+// TestDiskFaultsHitTheDirectoryAlone: writes elsewhere go on.
+func TestDiskFaultsHitTheDirectoryAlone(t *testing.T) {
+	dir := t.TempDir()
+	inside, err := os.Create(filepath.Join(dir, "n0.snapshot.new"))
+	require.NoError(t, err)
+	defer func() { _ = inside.Close() }()
+	outside, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	defer func() { _ = outside.Close() }()
+	scenario, err := Draw(1, ciSeconds, "program", 0)
+	require.NoError(t, err)
+	scenario.Disk = true
+	p := &play{scenario: scenario, dir: dir, ports: map[int]bool{}}
+	require.NoError(t, p.prepare())
+	p.faults.dir = dir
+	p.faults.share = 0
+	write := func(file *os.File) syscallshim.Decision {
+		return p.faults.decide(syscallshim.Call{
+			PID: os.Getpid(), Number: unix.SYS_WRITE, Args: [6]uint64{uint64(file.Fd()), 0, 10},
+		})
+	}
+	require.Zero(t, write(inside))
+	p.faults.diskFails.Store(true)
+	require.Contains(t, []unix.Errno{unix.ENOSPC, unix.EIO}, write(inside).Errno)
+	require.Zero(t, write(outside))
+}
