A kernel timer wakes the poller, so that timers run in time on an idle process

The poller waits in the kernel with the one processor of the Go runtime, whose monitor takes it back after up to 20 ms on a process that timers alone have woken; no timer of the runtime runs until then.

Change: internal/sockets/wakeup_timer.go: a timerfd among what the poller waits for, set for times within these 20 ms, ends its wait when the reducer's next timer is due. Where the kernel gives none the limiter goes on as before and logs event=wakeup-timer-failed. Two processors for the runtime, tried before, cost a quarter more CPU.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -49,6 +49,7 @@
 	current     eventBatch
 	currentRead int // of the present batch's bytes
 	timerAt     int64
+	wakeup      *wakeupTimer
 	running     atomic.Bool // Run has begun, and the limiter's clock goes on as the process's
 	halted      atomic.Bool
 	traceWanted atomic.Bool   // the trace is to be logged
@@ -82,6 +83,7 @@
 		return nil, listenError(address, err)
 	}
 	<-s.accepting.began
+	s.wakeup = newWakeupTimer(s.engine)
 	return s, nil
 }
 
@@ -90,8 +92,11 @@
 	s.engine.OnOpen(s.opened)
 	into := make([]byte, readSize) // there is one poller
 	s.engine.OnRead(func(c *nbio.Conn) {
-		if l, is := c.Session().(*connection); is {
-			s.readLoop(l, c, into)
+		switch session := c.Session().(type) {
+		case *connection:
+			s.readLoop(session, c, into)
+		case *wakeupTimer:
+			s.expired()
 		}
 	})
 	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
@@ -115,6 +120,10 @@
 
 // closed takes the end of a connection.
 func (s *Sockets) closed(c *nbio.Conn, err error) {
+	if timer, is := c.Session().(*wakeupTimer); is {
+		timer.closed(c)
+		return
+	}
 	l, is := c.Session().(*connection)
 	if !is {
 		return
@@ -177,6 +186,7 @@
 			l.Step(now, limiter.TimersDue{})
 		}
 		wait := max(0, s.timerAt-clock())
+		s.wakeup.set(s.timerAt, time.Duration(wait))
 		if len(s.lingering) > 0 && l.Finished() { // nothing tells that a client's machine has all
 			wait = min(wait, lingerCheckInterval)
 		}
