Near timers wake the poller alone: the runtime's timer is a reserve 1 ms behind

Cause: with the kernel's timer and the runtime's set for the same time two threads woke for each.

Change: where the kernel's timer is set, the runtime's is set 1 ms later.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -186,7 +186,9 @@
 			l.Step(now, limiter.TimersDue{})
 		}
 		wait := max(0, s.timerAt-clock())
-		s.wakeup.set(s.timerAt, time.Duration(wait))
+		if s.wakeup.set(s.timerAt, time.Duration(wait)) {
+			wait += int64(backupDelay)
+		}
 		if len(s.lingering) > 0 && l.Finished() { // nothing tells that a client's machine has all
 			wait = min(wait, lingerCheckInterval)
 		}
--- a/internal/sockets/wakeup_timer.go
+++ b/internal/sockets/wakeup_timer.go
@@ -16,6 +16,9 @@
 // the runtime runs until then.
 const runtimeMonitorDelay = 20 * time.Millisecond
 
+// backupDelay is how much later the runtime's timer is set where the kernel's is set, too, so that one thread wakes and not two.
+const backupDelay = time.Millisecond
+
 // wakeupTimer is a timer of the kernel's that ends the poller's wait, so that the reducer runs in time although the poller
 // has the process's one processor. It is set for times within runtimeMonitorDelay; the runtime's timers do for others.
 type wakeupTimer struct {
@@ -60,21 +63,26 @@
 	return nil
 }
 
-// set has the poller woken at a time that is so far away. The poller may be woken without need: a time that it was set
-// for before is not taken back.
-func (w *wakeupTimer) set(at int64, wait time.Duration) {
-	if w.conn == nil || at == w.at || wait <= 0 || wait > runtimeMonitorDelay {
-		return
+// set has the poller woken at a time that is so far away, and tells whether it will be. The poller may be woken without
+// need: a time that it was set for before is not taken back.
+func (w *wakeupTimer) set(at int64, wait time.Duration) bool {
+	if w.conn == nil || wait <= 0 || wait > runtimeMonitorDelay {
+		return false
+	}
+	if at == w.at {
+		return true
 	}
 	w.conn.Lock()
 	defer w.conn.Unlock()
 	if closed, _ := w.conn.IsClosed(); closed {
-		return
+		return false
 	}
 	expiry := unix.ItimerSpec{Value: unix.NsecToTimespec(int64(wait))}
-	if err := unix.TimerfdSettime(w.conn.Hash(), 0, &expiry, nil); err == nil {
-		w.at = at
+	if err := unix.TimerfdSettime(w.conn.Hash(), 0, &expiry, nil); err != nil {
+		return false
 	}
+	w.at = at
+	return true
 }
 
 // expired has the reducer run before the poller goes back to wait. The count of expiries need not be read: it is cleared
