A connection that comes up while sockets are halted is closed, not added

Cause: Halt, the tests' way to end a limiter's sockets at once, stops nbio's engine.

Change: what is added and Halt exclude each other; behind Halt a dial ends with net.ErrClosed. TestDialWhileHalting, seen to fail without the change.

--- a/internal/sockets/dial.go
+++ b/internal/sockets/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 	"time"
 
@@ -76,9 +77,22 @@
 	}
 	c.SetSession(l)
 	l.conn.Store(c)
-	_, err = s.engine.AddConn(c)
+	err = s.addToEngine(c)
 	if err == nil && l.locallyClosed.Load() {
 		shutdown(c, syscall.SHUT_RDWR)
 	}
 	return err
 }
+
+// addToEngine has the poller take a connection over. An engine that is being stopped takes none: nbio panics where one is
+// added as it waits for the others to close.
+func (s *Sockets) addToEngine(c *nbio.Conn) error {
+	s.adding.RLock()
+	defer s.adding.RUnlock()
+	if s.halted.Load() {
+		_ = c.Close()
+		return net.ErrClosed
+	}
+	_, err := s.engine.AddConn(c)
+	return err
+}
--- /dev/null
+++ b/internal/sockets/halt_test.go
@@ -0,0 +1,47 @@
+package sockets
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/lab/ports"
+)
+
+// TestDialWhileHalting: a connection that comes up as the sockets are halted is closed, and the engine, which would panic over
+// one that it is given while it stops, ends.
+func TestDialWhileHalting(t *testing.T) {
+	port, err := ports.Keep()
+	require.NoError(t, err)
+	defer port.Close()
+	s, err := Listen(port.Address(), 8, 256)
+	require.NoError(t, err)
+	limiterSide, peer := tcpPair(t)
+	s.dialTCP = func(context.Context, string, string) (net.Conn, error) {
+		s.Halt()
+		return limiterSide, nil
+	}
+	require.ErrorIs(t, s.dial(t.Context(), s.newConnection(nil, nil), "any"), net.ErrClosed)
+	s.engine.Stop()
+	_, err = peer.Read(make([]byte, 1))
+	require.Error(t, err)
+}
+
+// tcpPair is both ends of a connection.
+func tcpPair(t *testing.T) (one, other net.Conn) {
+	t.Helper()
+	port, err := ports.Keep()
+	require.NoError(t, err)
+	t.Cleanup(port.Close)
+	listener, err := port.Listen()
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	one, err = net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	other, err = listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = other.Close() })
+	return one, other
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -52,6 +52,7 @@
 	wakeup      *wakeupTimer
 	running     atomic.Bool // Run has begun, and the limiter's clock goes on as the process's
 	halted      atomic.Bool
+	adding      sync.RWMutex  // held for reading while the engine takes a connection over
 	traceWanted atomic.Bool   // the trace is to be logged
 	lingering   []*connection // connections that were left and may not be closed yet
 }
@@ -198,7 +199,9 @@
 
 // Halt ends Run whatever is owed, as the end of its process would.
 func (s *Sockets) Halt() {
+	s.adding.Lock() // what is being added comes before, the rest is refused
 	s.halted.Store(true)
+	s.adding.Unlock()
 	s.wake()
 }
 
