Lab: of two restarts that wait for the end of one process, one starts the next

SIGTERM and SIGKILL overlapped on one limiter and each fault restarted it, so two processes were started on one port; the second found the address in use and ended with 1, and the first outlived the run.

Change: a restart claims the start.

--- a/internal/lab/runner/process.go
+++ b/internal/lab/runner/process.go
@@ -33,11 +33,13 @@
 	mu    sync.Mutex
 	state state
 	dead  bool // killed or crashed, and not begun again
-	cmd   *exec.Cmd
-	life  int           // of the record's lives, the present or latest
-	ended chan struct{} // closed when the present process has ended
-	known []byte        // the list of its first configuration
-	gen   int64         // and its generation
+	// claimed: a restart starts the next process now. Two faults may end one process, and each restarts the limiter.
+	claimed bool
+	cmd     *exec.Cmd
+	life    int           // of the record's lives, the present or latest
+	ended   chan struct{} // closed when the present process has ended
+	known   []byte        // the list of its first configuration
+	gen     int64         // and its generation
 }
 
 // transition applies an event to limiter n and tells whether it could be; a crash is written down.
@@ -298,13 +300,36 @@
 	case <-stop:
 		return
 	}
+	if !lim.claimStart() {
+		return
+	}
 	l.front[lim.n].Store(false)
 	l.book.AddEvent(history.Event{At: l.clock.Now(), Kind: "restart", Target: party(lim.n)})
-	if l.begin(lim, oldList) == nil {
+	err := l.begin(lim, oldList)
+	lim.releaseStart()
+	if err == nil {
 		_ = l.await(lim, lim.life, lim.ended, stop)
 	}
 }
 
+// claimStart has its caller start the limiter's next process, unless there is one or another restart starts it.
+func (lim *limiter) claimStart() bool {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if lim.state != absent || lim.claimed {
+		return false
+	}
+	lim.claimed = true
+	return true
+}
+
+// releaseStart ends the claim, once the process is there or could not be started.
+func (lim *limiter) releaseStart() {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.claimed = false
+}
+
 // term ends a limiter as a planned restart does: SIGTERM, new connections for a while yet, and SIGKILL if it still
 // lives when every client's time is over.
 func (l *Lab) term(lim *limiter, stop chan struct{}) {
