Whole-program tests: one kind of counting server and one way to suspend a process

Cause: two kinds of test server did the same under names that needed explaining (servant, counted), and TestWoken took a process for stopped by its main thread alone, where another test waits for all threads.

Change: countingServer (counting_server_test.go) in place of both, which answers at once, slowly or never; suspend for both tests. What the tests ask is unchanged.

--- a/cmd/ospreycroft/clock_test.go
+++ b/cmd/ospreycroft/clock_test.go
@@ -151,7 +151,7 @@
 		t.Run(step.String(), func(t *testing.T) {
 			clock := stepClocks(t, library)
 			place := startPlace(t, "drains")
-			drains, stays, fresh := place.server, startCounted(t, "stays"), startCounted(t, "fresh")
+			drains, stays, fresh := place.server, startCounting(t, "stays"), startCounting(t, "fresh")
 			place.Set(stays.Instance)
 			address, _, _, log := start(t, place.Address(0), drains.Instance, stays.Instance)
 			stop := startCallers(t, address, callers)
--- a/cmd/ospreycroft/end_test.go
+++ b/cmd/ospreycroft/end_test.go
@@ -266,12 +266,18 @@
 	e.ends(testbed.Patience)
 }
 
-// suspend stops the program and returns once all of its threads stand still, which the signal alone does not wait for.
+// suspend stops the program and returns once all of its threads stand still.
 func (e *ending) suspend() {
 	e.t.Helper()
-	require.NoError(e.t, e.program.Process.Signal(syscall.SIGSTOP))
-	tasks := fmt.Sprintf("/proc/%d/task/*/stat", e.program.Process.Pid)
-	require.Eventually(e.t, func() bool {
+	suspend(e.t, e.program.Process)
+}
+
+// suspend stops a process and returns once all of its threads stand still, which the signal alone does not wait for.
+func suspend(t *testing.T, process *os.Process) {
+	t.Helper()
+	require.NoError(t, process.Signal(syscall.SIGSTOP))
+	tasks := fmt.Sprintf("/proc/%d/task/*/stat", process.Pid)
+	require.Eventually(t, func() bool {
 		files, _ := filepath.Glob(tasks)
 		return len(files) > 0 && !slices.ContainsFunc(files, func(file string) bool {
 			text, _ := os.ReadFile(file)
--- a/cmd/ospreycroft/network_test.go
+++ b/cmd/ospreycroft/network_test.go
@@ -32,55 +32,10 @@
 	moveWithin = 18 * time.Second // after a publication, with faults of one relay
 )
 
-// counted is a server that answers at once and counts how often each request has reached it.
-type counted struct {
-	emulator.Instance
-	mutex sync.Mutex
-	ran   map[string]int
-}
-
-func startCounted(t *testing.T, name string) *counted {
-	t.Helper()
-	listener, err := testbed.KeepPort(t).Listen()
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &counted{ran: map[string]int{},
-		Instance: emulator.Instance{ID: name, HostPort: listener.Addr().String(), Lifecycle: "in_service", Weight: 1}}
-	go func() {
-		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
-			go s.answer(conn)
-		}
-	}()
-	return s
-}
-
-func (s *counted) answer(conn net.Conn) {
-	_ = emulator.Commands(conn, func(words [][]byte) bool {
-		s.mutex.Lock()
-		s.ran[string(words[2])]++
-		s.mutex.Unlock()
-		_, err := conn.Write([]byte("*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"))
-		return err == nil
-	})
-	_ = conn.Close()
-}
-
-func (s *counted) times(id string) int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.ran[id]
-}
-
-func (s *counted) total() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return len(s.ran)
-}
-
 // place is a discovery with one server of its own, so that the server shows which discovery a limiter asks.
 type place struct {
 	*emulator.Discovery
-	server *counted
+	server *countingServer
 }
 
 func startPlace(t *testing.T, name string) place {
@@ -89,7 +44,7 @@
 	require.NoError(t, err)
 	require.NoError(t, discovery.Start())
 	t.Cleanup(discovery.Close)
-	p := place{discovery, startCounted(t, name)}
+	p := place{discovery, startCounting(t, name)}
 	discovery.Set(p.server.Instance)
 	return p
 }
--- a/cmd/ospreycroft/pipeline_test.go
+++ b/cmd/ospreycroft/pipeline_test.go
@@ -12,9 +12,7 @@
 // TestPipelinedDeadlinesAreKept: what TestPipelinedDeadlines of the limiter plays, with a real process. The server
 // hangs. A client that sent a request with little time behind one with much saw its answer two seconds late.
 func TestPipelinedDeadlinesAreKept(t *testing.T) {
-	hangs, entry := serving(t, "s0")
-	hangs.hangs = true
-	address, _, _, _ := start(t, "127.0.0.1:1", entry)
+	address, _, _, _ := start(t, "127.0.0.1:1", startHanging(t, "hangs").Instance)
 	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
--- a/cmd/ospreycroft/stop_test.go
+++ b/cmd/ospreycroft/stop_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -37,59 +36,6 @@
 	os.Exit(m.Run())
 }
 
-// servant is a server that takes 150 ms for each request, or hangs, and notes what has reached it.
-type servant struct {
-	hangs bool
-	mutex sync.Mutex
-	ran   map[string]bool
-}
-
-func (s *servant) requests() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return len(s.ran)
-}
-
-// received tells whether a request has reached it.
-func (s *servant) received(id string) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.ran[id]
-}
-
-// serving starts one, and gives its entry in a list.
-func serving(t *testing.T, name string) (*servant, emulator.Instance) {
-	t.Helper()
-	s := &servant{ran: map[string]bool{}}
-	return s, s.listen(t, name)
-}
-
-func (s *servant) listen(t *testing.T, name string) emulator.Instance {
-	t.Helper()
-	ln, err := testbed.KeepPort(t).Listen()
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
-			go func() {
-				_ = emulator.Commands(c, func(words [][]byte) bool {
-					s.mutex.Lock()
-					s.ran[string(words[2])] = true
-					s.mutex.Unlock()
-					if s.hangs {
-						return true
-					}
-					time.Sleep(150 * time.Millisecond)
-					_, err := io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
-					return err == nil
-				})
-				_ = c.Close()
-			}()
-		}
-	}()
-	return emulator.Instance{ID: name, HostPort: ln.Addr().String(), Lifecycle: "in_service", Weight: 1}
-}
-
 // request is one that may take so many milliseconds.
 func request(id string, left int) []byte {
 	return resp.AppendCommand(nil, []byte("SVC.QUERY"), []byte("00000000000000ff"), []byte(id),
@@ -155,9 +101,10 @@
 // TestStopUnderLoad ends a real process under clients that never let go. What it has sent on it answers, it ends
 // before it may be killed, and who comes in the first half second is served.
 func TestStopUnderLoad(t *testing.T) {
-	all, entries := make([]*servant, 24), make([]emulator.Instance, 24)
+	all, entries := make([]*countingServer, 24), make([]emulator.Instance, 24)
 	for i := range all {
-		all[i], entries[i] = serving(t, fmt.Sprint("s", i))
+		all[i] = startSlow(t, fmt.Sprint("s", i))
+		entries[i] = all[i].Instance
 	}
 	address, program, ended, log := start(t, "127.0.0.1:1", entries...)
 	callers := make([]loadgen.Holder, 8)
@@ -196,7 +143,7 @@
 	for i, c := range callers {
 		for _, id := range c.Lost {
 			for _, s := range all {
-				assert.False(t, s.ran[id], "%s was sent on and has no answer", id)
+				assert.Zero(t, s.times(id), "%s was sent on and has no answer", id)
 			}
 		}
 		assert.True(t, i >= 7 || c.Served != 0, "%s: %d answers, none served", c.Name, c.Answered)
@@ -221,12 +168,12 @@
 func stopBeforeKill(t *testing.T, deadline time.Duration) {
 	t.Helper()
 	kill := deadline + 700*time.Millisecond
-	all, entries := make([]*servant, 8), make([]emulator.Instance, 8)
-	for i := 1; i < len(all); i++ {
-		all[i], entries[i] = serving(t, fmt.Sprint("s", i))
+	hangs := startHanging(t, "hangs")
+	all, entries := []*countingServer{hangs}, []emulator.Instance{hangs.Instance}
+	for i := range 7 {
+		answers := startSlow(t, fmt.Sprint("answers", i))
+		all, entries = append(all, answers), append(entries, answers.Instance)
 	}
-	hangs := &servant{hangs: true, ran: map[string]bool{}}
-	all[0], entries[0] = hangs, hangs.listen(t, "hangs")
 	class := fmt.Sprintf(`{"name":"c","aim":0.2,"deadline":%v,"effect":"free","group":"all"}`, deadline.Seconds())
 	address, program, ended, log := startUnder(t, nil, class, "127.0.0.1:1", entries...)
 	callers := make([]loadgen.Holder, 12)
@@ -243,14 +190,14 @@
 	select {
 	case err := <-ended:
 		require.NoError(t, err, log)
-		t.Logf("it ended after %v, %d requests hung", time.Since(asked), hangs.requests())
+		t.Logf("it ended after %v, %d requests hung", time.Since(asked), hangs.total())
 	case <-time.After(kill):
 		_ = program.Process.Kill()
 		require.Error(t, <-ended)
 		t.Errorf("it has not ended when the kill may come\n%s", log)
 	}
 	running.Wait()
-	require.Positive(t, hangs.requests())
+	require.Positive(t, hangs.total())
 	for _, c := range callers {
 		assert.Positive(t, c.Answered, c.Name)
 		if sent := c.Answered + len(c.Lost); reachedAny(all[1:], c.Name, sent) {
@@ -260,17 +207,17 @@
 		}
 		for _, id := range c.Lost {
 			for _, s := range all {
-				assert.False(t, s.received(id), "%s was sent on and has no answer", id)
+				assert.Zero(t, s.times(id), "%s was sent on and has no answer", id)
 			}
 		}
 	}
 }
 
 // reachedAny tells whether one of a client's requests, of which there are so many, has reached one of the servers.
-func reachedAny(servers []*servant, client string, requests int) bool {
+func reachedAny(servers []*countingServer, client string, requests int) bool {
 	for n := 1; n <= requests; n++ {
 		for _, s := range servers {
-			if s.received(fmt.Sprint(client, "-", n)) {
+			if s.times(fmt.Sprint(client, "-", n)) > 0 {
 				return true
 			}
 		}
@@ -281,8 +228,8 @@
 // TestWoken stops a real process while requests come and its list changes behind them: woken, it sends nothing to the
 // server that drains, though it reads the requests first, and serves them elsewhere.
 func TestWoken(t *testing.T) {
-	drains, leaving := serving(t, "drains")
-	stays, staying := serving(t, "stays")
+	drains, stays := startSlow(t, "drains"), startSlow(t, "stays")
+	leaving, staying := drains.Instance, stays.Instance
 	list, err := emulator.NewDiscovery(history.NewClock(), &history.Recorder{}, nil, 1)
 	require.NoError(t, err)
 	require.NoError(t, list.Start())
@@ -305,16 +252,9 @@
 		n, err := c.Read(early)
 		require.True(t, err == nil && early[0] == '$', "request %d: %q, error %v", i, early[:n], err)
 	}
-	require.Equal(t, []int{1, 1}, []int{drains.requests(), stays.requests()})
+	require.Equal(t, []int{1, 1}, []int{drains.total(), stays.total()})
 	time.Sleep(20 * time.Millisecond)
-	_ = program.Process.Signal(syscall.SIGSTOP)
-	for begun := time.Now(); ; time.Sleep(time.Millisecond) { // all its threads stand still
-		state, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", program.Process.Pid))
-		require.True(t, err == nil && time.Since(begun) <= 5*time.Second, "it does not stop: %s, error %v", state, err)
-		if strings.Contains(string(state), ") T ") {
-			break
-		}
-	}
+	suspend(t, program.Process)
 	time.Sleep(10 * time.Millisecond)
 	for i, c := range conns {
 		_, _ = c.Write(request(fmt.Sprint("job-", i), 9000))
@@ -329,6 +269,6 @@
 		line, err := bufio.NewReader(c).ReadString('\n')
 		assert.NoError(t, err, "request %d: %q", i, line)
 	}
-	assert.Equal(t, 1, drains.requests(), "the one that drains got more than the early request\n%s", log)
-	assert.Greater(t, stays.requests(), 1, "%s", log)
+	assert.Equal(t, 1, drains.total(), "the one that drains got more than the early request\n%s", log)
+	assert.Greater(t, stays.total(), 1, "%s", log)
 }
--- a/cmd/ospreycroft/system_calls_test.go
+++ b/cmd/ospreycroft/system_calls_test.go
@@ -229,7 +229,7 @@
 		return err == nil
 	}, testbed.Patience, 10*time.Millisecond)
 	kills.Store(true)
-	first.Set(startCounted(t, "second").Instance)
+	first.Set(startCounting(t, "second").Instance)
 	require.Error(t, <-ended)
 
 	written := snapshots + ".new"
