Review, case 2: a few long lists of names hold up a limiter until requests are lost

Cause: parseFields compares each name of a request's list with all before it, and the reducer looks at its timers only behind a whole batch of events.

Change: the case, with sixteen bad clients that ask for a class that does not exist and send the same again.

--- a/review/case/main.go
+++ b/review/case/main.go
@@ -30,6 +30,7 @@
 	play     func(w *world, trouble bool) (verdict, error)
 }{
 	"1": {3, nil, playManyCustomers},
+	"2": {3, nil, playLongList},
 }
 
 // The processes that the main thread starts end with it.
