Review, case 3 is now a slow discovery, whose drains are never learnt

A limiter gives up each answer of discovery half a second after its first byte and asks again, so it learns nothing from one that takes a second.

--- a/review/case/main.go
+++ b/review/case/main.go
@@ -31,7 +31,7 @@
 }{
 	"1": {3, nil, playManyCustomers},
 	"2": {3, nil, playLongList},
-	"3": {3, guardCommits, playRetuning},
+	"3": {3, askForLists, playSlowDiscovery},
 }
 
 // The processes that the main thread starts end with it.
--- a/review/case/manycustomers.go
+++ b/review/case/manycustomers.go
@@ -20,8 +20,8 @@
 	crowdClients  = 10
 	crowdAtOnce   = 300
 	crowdFrom     = 6 * time.Second
-	crowdUntil    = 26 * time.Second
-	crowdEnd      = 30 * time.Second
+	crowdUntil    = 36 * time.Second
+	crowdEnd      = 38 * time.Second
 	memoryChecked = 20 * time.Millisecond
 )
 
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -25,15 +25,10 @@
 	Record *Record
 	// Work is how long a request of a class takes.
 	Work map[string]time.Duration
-	// ResetEvery: one in so many of a class's requests is run, and the connection of its first attempt is reset then,
-	// in place of an answer.
-	ResetEvery map[string]int
 
 	mutex    sync.Mutex
 	draining map[string]bool
 	attempts []Attempt
-	runs     map[string]int // by request
-	begun    map[string]int // requests by class
 	listed   []net.Listener
 }
 
@@ -45,8 +40,8 @@
 	}
 	s.mutex.Lock()
 	s.listed = append(s.listed, listener)
-	if s.runs == nil {
-		s.runs, s.begun, s.draining = map[string]int{}, map[string]int{}, map[string]bool{}
+	if s.draining == nil {
+		s.draining = map[string]bool{}
 	}
 	s.mutex.Unlock()
 	go func() {
@@ -92,18 +87,13 @@
 		if err != nil {
 			return
 		}
-		answer := s.answer(name, words)
-		if answer == nil {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			return
-		}
-		if _, err := conn.Write(answer); err != nil {
+		if _, err := conn.Write(s.answer(name, words)); err != nil {
 			return
 		}
 	}
 }
 
-// answer runs a command and returns the answer to it, nil if the connection is reset.
+// answer runs a command and returns the answer to it.
 func (s *Servers) answer(name string, words []string) []byte {
 	switch verb := strings.ToUpper(words[0]); verb {
 	case "CLIENT", "SELECT":
@@ -120,14 +110,6 @@
 		Units: units}
 	s.mutex.Lock()
 	a.Ran = !s.draining[name]
-	reset := false
-	if a.Ran {
-		s.runs[a.ID]++
-		if every := s.ResetEvery[a.Class]; every > 0 && s.runs[a.ID] == 1 {
-			s.begun[a.Class]++
-			reset = s.begun[a.Class]%every == 0
-		}
-	}
 	s.attempts = append(s.attempts, a)
 	work, known := s.Work[a.Class]
 	s.mutex.Unlock()
@@ -137,10 +119,6 @@
 		return []byte("-BUSY\r\n")
 	}
 	time.Sleep(work)
-	if reset {
-		s.Record.Linef("server %s resets the connection of id=%s", name, a.ID)
-		return nil
-	}
 	value := Value(a.ID)
 	return []byte("*3\r\n$" + strconv.Itoa(len(value)) + "\r\n" + value + "\r\n$-1\r\n$-1\r\n")
 }
