A log line tells how long a step holds the reducer and which state takes the memory

Change: event=reducer, every five seconds: the longest step and its event, the latest timer, the most bytes queued, the runtime's memory, and the numbers of accounts, requests, timers and connections. Run reads the clock once an event, as before: the end of one step is the time of the next.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -83,6 +83,9 @@
 	return at
 }
 
+// Accounts returns the number of customers whose accounts are held.
+func (c *Controller) Accounts() int { return len(c.accounts.byCustomer) }
+
 // UpdateEndpoints applies an endpoint list: a complete one, or only the changed entries.
 func (c *Controller) UpdateEndpoints(now int64, complete bool, endpoints []Endpoint) {
 	if complete {
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -52,6 +52,14 @@
 	connClosed
 )
 
+// timersDueName is the word for the event TimersDue, which is never queued, in log lines.
+const timersDueName = "timers"
+
+// String returns the word that log lines use.
+func (k eventKind) String() string {
+	return [...]string{"client-accepted", "connected", "data", "closed"}[k]
+}
+
 // queuedEvent is an event on one connection, queued for the reducer.
 type queuedEvent struct {
 	kind   eventKind
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -58,6 +58,7 @@
 	addMutex      sync.RWMutex  // read-locked while a connection is added to the engine
 	traceWanted   atomic.Bool   // LogTrace was called and the trace is not logged yet
 	lingering     []*connection // gracefully closed connections that may still be open
+	stats         reducerStats
 }
 
 // dialFunc has the signature of net.Dialer.DialContext; tests replace the dialer.
@@ -184,16 +185,26 @@
 			l.LogTrace(limiter.AllTrace)
 		}
 		s.nextBatch()
+		s.stats.batchTaken(len(s.current.bytes))
+		now := clock()
 		for _, e := range s.current.events {
 			end := s.currentOffset + e.size
 			s.markDelivered(e)
-			e.deliver(clock(), l)
+			e.deliver(now, l)
 			s.currentOffset = end // whether or not the reducer has called Read
+			began := now
+			now = clock()
+			s.stats.stepDone(e.kind.String(), now-began)
 		}
-		if now := clock(); s.timerAt <= now {
+		if s.timerAt <= now {
+			s.stats.timersDue(now - s.timerAt)
 			l.Step(now, limiter.TimersDue{})
+			began := now
+			now = clock()
+			s.stats.stepDone(timersDueName, now-began)
 		}
-		wait := max(0, s.timerAt-clock())
+		s.stats.logIfDue(now, l)
+		wait := max(0, s.timerAt-now)
 		if s.wakeup.set(s.timerAt, time.Duration(wait)) {
 			wait += int64(backupDelay)
 		}
