Accounts take an eighth of the memory at most; customers that came once go first

Cause: accountTable made an account before a request is admitted and had no bound; evictableAt keeps each for a window of the counter, 30 s. Evidence: event=reducer accounts=207602 memory_mb=73 five seconds into the crowd. Where none can be, the new customer is rejected at once with the longest Retry-After, a new reason (accounts=). The expiry queue holds accounts by index, so that an evicted one leaves it. event=accounts-full counts both. Why it works: the number of accounts is bounded whatever is sent, and what is dropped is known to the counter. Test, on the code before: TestNewCustomersDoNotFillMemory FAIL, "" is not less than "8388608".

--- a/choice/account.go
+++ b/choice/account.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"container/list"
 	"maps"
 	"math"
 	"slices"
@@ -29,6 +30,10 @@
 	window       counterWindow
 	lastUsed     int64
 	openRequests int // requests of the customer in the request table
+	expiresAt    int64
+	expiryIndex  int           // in accountTable.expiries, notScheduled if it is not in it
+	element      *list.Element // in accountLimit.newcomers or returning
+	returning    bool          // the customer has sent more than one request
 }
 
 // resetLocalQuota sets the local quota to this limiter's part of the tokens that the quota holds. It holds at least the
@@ -93,39 +98,71 @@
 	inFlightDecaySeconds float64 // time constant with which charges of plans with MaxInFlight fade
 	byCustomer           map[uint64]*account
 	expiries             expiryQueue
+	limit                accountLimit
+	// flush adds what an account owes to the counter before the account is evicted for a new one.
+	flush func(now int64, acct *account)
 }
 
 func newAccountTable(settings *Settings, startedAt int64) accountTable {
 	return accountTable{
 		settings: settings, startedAt: startedAt, byCustomer: map[uint64]*account{},
+		limit:                newAccountLimit(settings.MemoryLimit),
 		inFlightDecaySeconds: seconds(settings.shortestObjective()) / inFlightDecayDivisor,
 	}
 }
 
-// getOrCreate returns the customer's account, marked as used now. counterAnswered is true if the counter has answered
-// since this process started, or if there is no counter.
+// getOrCreate returns the customer's account, marked as used now, or nil if there is no room for a new one.
+// counterAnswered is true if the counter has answered since this process started, or if there is no counter.
 func (t *accountTable) getOrCreate(now int64, arrival Arrival, plan *Plan, counterAnswered bool) *account {
-	acct := t.byCustomer[arrival.Customer]
-	if acct == nil {
-		acct = t.newAccount(now, arrival, plan)
-		if !counterAnswered {
-			// An earlier incarnation may have spent the local quota without the counter, so the account starts with the
-			// largest request and what has refilled since this process started.
-			filled := acct.maxCharge + acct.localQuota.rate*seconds(now-t.startedAt)
-			acct.localQuota.tokens = min(acct.localQuota.tokens, filled)
-		}
-		t.byCustomer[arrival.Customer] = acct
-		t.expiries.schedule(now, acct)
+	if acct := t.byCustomer[arrival.Customer]; acct != nil {
+		t.limit.used(acct)
+		acct.lastUsed = now
+		return acct
+	}
+	if !t.makeRoom(now) {
+		return nil
 	}
-	acct.lastUsed = now
+	acct := t.newAccount(now, arrival, plan)
+	if !counterAnswered {
+		// An earlier incarnation may have spent the local quota without the counter, so the account starts with the
+		// largest request and what has refilled since this process started.
+		filled := acct.maxCharge + acct.localQuota.rate*seconds(now-t.startedAt)
+		acct.localQuota.tokens = min(acct.localQuota.tokens, filled)
+	}
+	t.byCustomer[arrival.Customer] = acct
+	t.expiries.schedule(now, acct)
+	t.limit.added(acct)
 	return acct
 }
 
+// makeRoom evicts an account if there is no room for another one. It returns false if none can be evicted.
+func (t *accountTable) makeRoom(now int64) bool {
+	if t.limit.max == 0 || len(t.byCustomer) < t.limit.max {
+		return true
+	}
+	victim := t.limit.victim(now, t.startedAt)
+	if victim == nil {
+		return false
+	}
+	t.flush(now, victim)
+	t.expiries.remove(victim)
+	t.remove(victim)
+	t.limit.evicted++
+	return true
+}
+
+// remove removes an account that is not scheduled.
+func (t *accountTable) remove(acct *account) {
+	t.limit.removed(acct)
+	delete(t.byCustomer, acct.id)
+}
+
 func (t *accountTable) newAccount(now int64, arrival Arrival, plan *Plan) *account {
 	rate, burst, maxCharge := t.quotaOf(plan)
 	limiters := float64(max(arrival.Limiters, 1))
 	acct := &account{
 		id: arrival.Customer, plan: plan, limiters: limiters, maxCharge: maxCharge,
+		lastUsed: now, expiryIndex: notScheduled,
 		window:      newCounterWindow(arrival.Customer),
 		sharedQuota: tokenBucket{tokens: burst / limiters, burst: burst, rate: rate, updatedAt: now},
 		// The ceiling's bucket is not reset by a restart, so this limiter's part of it starts empty: all incarnations
@@ -170,7 +207,7 @@
 		if at := t.evictableAt(now, acct); at > now {
 			t.expiries.schedule(at, acct)
 		} else {
-			delete(t.byCustomer, acct.id)
+			t.remove(acct)
 		}
 	}
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,6 +60,7 @@
 		slowStart:    slowStart{settings: settings, random: random},
 		retries:      newRetryBudget(),
 	}
+	c.accounts.flush = c.reservations.flush
 	c.servers = newServerSet(settings, &c.slowStart)
 	c.concurrency = newConcurrencyLimits(settings, &c.servers)
 	c.rotation.slowStart = &c.slowStart
@@ -83,8 +84,18 @@
 	return at
 }
 
-// Accounts returns the number of customers whose accounts are held.
-func (c *Controller) Accounts() int { return len(c.accounts.byCustomer) }
+// AccountUsage is how many accounts a controller holds.
+type AccountUsage struct {
+	Held    int
+	Max     int // largest number that is held, 0 for no limit
+	Evicted int // accounts evicted since the start because a new customer's needed their memory
+}
+
+// AccountUsage returns how many accounts are held now.
+func (c *Controller) AccountUsage() AccountUsage {
+	limit := &c.accounts.limit
+	return AccountUsage{Held: len(c.accounts.byCustomer), Max: limit.max, Evicted: limit.evicted}
+}
 
 // UpdateEndpoints applies an endpoint list: a complete one, or only the changed entries.
 func (c *Controller) UpdateEndpoints(now int64, complete bool, endpoints []Endpoint) {
@@ -119,6 +130,10 @@
 	}
 	counterKnown := c.settings.CounterTimeout == 0 || c.sampling.everAnswered()
 	req.account = c.accounts.getOrCreate(now, arrival, plan, counterKnown)
+	if req.account == nil {
+		c.reject(now, req, c.settings.MaxRetryAfter, RejectedForAccounts)
+		return
+	}
 	req.account.requestStarted()
 	if req.deadline <= now || len(c.eligibleServers(now, req)) == 0 {
 		c.reject(now, req, c.capacityRetryAfter(), RejectedForCapacity)
--- a/choice/types.go
+++ b/choice/types.go
@@ -79,13 +79,15 @@
 	RejectedForLocalQuota
 	// RejectedForAttempts is for a request that no attempt served in time and that is safe to repeat.
 	RejectedForAttempts
+	// RejectedForAccounts is for a request of a new customer for whose account there is no memory.
+	RejectedForAccounts
 	// RejectReasons is the number of reasons.
 	RejectReasons
 )
 
 // String returns the word used in log lines.
 func (r RejectReason) String() string {
-	return [...]string{"plan", "capacity", "ceiling", "quota", "local_quota", "attempts"}[r]
+	return [...]string{"plan", "capacity", "ceiling", "quota", "local_quota", "attempts", "accounts"}[r]
 }
 
 // EndpointState is a server's state in the endpoint list.
@@ -147,6 +149,7 @@
 	HealthChecks    bool  // ejected servers can be health-checked
 	CanCancel       bool  // attempts can be cancelled
 	TimerResolution int64
+	MemoryLimit     int64 // memory that the process may take, in bytes; 0 if it is not limited
 }
 
 // shortestObjective is the shortest latency objective of all classes.
--- /dev/null
+++ b/internal/limiter/flood_test.go
@@ -0,0 +1,82 @@
+package limiter
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/resp"
+	"ospreycroft/internal/settings"
+)
+
+// floodMemory is the memory limit of the limiters in the flood tests, the smallest that operators set, in bytes.
+const floodMemory = 32 << 20
+
+// newFloodedLimiter returns a limiter with the memory limit of the flood tests. It knows no servers, so it rejects each
+// request at once for want of capacity.
+func newFloodedLimiter(t *testing.T) (*Limiter, *fakeSockets) {
+	t.Helper()
+	return newConfiguredLimiter(t, func(config *settings.Config) {
+		config.Memory = floodMemory
+		config.Settings.MemoryLimit = floodMemory
+		config.Known = nil
+	})
+}
+
+// floodCommand returns a command with the given customer, ID and time left in milliseconds.
+func floodCommand(customer uint64, id, timeLeft string) string {
+	fields := "c=read,t=plain,d=" + timeLeft + ",units=2,spread=1,first=0"
+	return string(resp.AppendCommand(nil, []byte("SVC.QUERY"), fmt.Appendf(nil, "%016x", customer), []byte(id),
+		[]byte(fields)))
+}
+
+// liveHeap returns the bytes of heap objects that are in use.
+func liveHeap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// flood has a client send rounds of a hundred commands, 25 ms apart, and forgets what the limiter writes. command
+// returns the text of a command by its number. It returns the growth of the live heap in bytes.
+func flood(t *testing.T, l *Limiter, w *fakeSockets, rounds int, command func(number int) string) int64 {
+	const commandsPerRound = 100
+	const roundInterval = second / 40
+	t.Helper()
+	for id := range ConnID(2000) { // the kernel takes all that is written
+		w.kernelAccepted[id] = math.MaxInt64
+	}
+	before := liveHeap()
+	now := l.now
+	for round := range rounds {
+		var text strings.Builder
+		for k := range commandsPerRound {
+			text.WriteString(command(round*commandsPerRound + k))
+		}
+		now += roundInterval
+		w.advance(l, now)
+		w.receive(l, now, clientConn, text.String())
+		clear(w.wrote)
+		w.closed = nil
+	}
+	require.NotNil(t, l.conns[clientConn], "the flooding client was closed")
+	clear(w.dialed)
+	grown := int64(liveHeap()) - int64(before)
+	runtime.KeepAlive(l)
+	return grown
+}
+
+// TestNewCustomersDoNotFillMemory guards against a limiter that is killed for memory because a client names a customer
+// never seen before in each command.
+func TestNewCustomersDoNotFillMemory(t *testing.T) {
+	l, w := newFloodedLimiter(t)
+	grown := flood(t, l, w, 1000, func(number int) string {
+		return floodCommand(uint64(1<<28+number), fmt.Sprint("new-", number), "2500")
+	})
+	require.Less(t, grown, int64(floodMemory/4), "the live heap has grown by so many bytes")
+}
--- a/internal/limiter/helper_test.go
+++ b/internal/limiter/helper_test.go
@@ -83,24 +83,33 @@
 // newPollingLimiter does the same for the limiter at the given position, with the given poll interval in nanoseconds;
 // at 0 discovery pushes changes.
 func newPollingLimiter(t *testing.T, pollInterval int64, position int) (*Limiter, *fakeSockets) {
+	t.Helper()
+	return newConfiguredLimiter(t, func(config *settings.Config) {
+		config.Settings.PollInterval = pollInterval
+		config.Settings.Position = position
+	})
+}
+
+// newConfiguredLimiter does the same as newTestLimiter, with a configuration that change has changed.
+func newConfiguredLimiter(t *testing.T, change func(config *settings.Config)) (*Limiter, *fakeSockets) {
 	t.Helper()
 	w := &fakeSockets{dialed: map[ConnID]string{}, wrote: map[ConnID]string{}, kernelAccepted: map[ConnID]int64{}}
-	l, err := New(
-		0,
-		&settings.Config{Discovery: "disco", Counter: "counter", Memory: 1 << 27, Sockets: 64, Known: []byte(knownList),
-			Settings: &settings.Settings{IdleClose: 15 * second, PollInterval: pollInterval, Settings: &choice.Settings{
-				Classes: map[string]*choice.Class{
-					"read":  {LatencyObjective: second},
-					"write": {LatencyObjective: second, Idempotency: choice.NonIdempotent},
-				},
-				Plans: map[string]*choice.Plan{"plain": {Rate: 5, Burst: 100}},
-				// With one limiter and large requests the initial capacity holds several requests.
-				CounterTimeout: second / 20, MaxRequestUnits: 8, MaxLease: 60 * second, Limiters: 1, Position: position,
-				ColdCapacity: 0.25, SlowStartWindow: 10 * second, DialTimeout: second / 4, MaxAttempts: 3,
-				MaxRetryAfter: second, TimerResolution: second / 250,
-			}}},
-		w,
-	)
+	config := &settings.Config{
+		Discovery: "disco", Counter: "counter", Memory: 1 << 27, Sockets: 64, Known: []byte(knownList),
+		Settings: &settings.Settings{IdleClose: 15 * second, Settings: &choice.Settings{
+			Classes: map[string]*choice.Class{
+				"read":  {LatencyObjective: second},
+				"write": {LatencyObjective: second, Idempotency: choice.NonIdempotent},
+			},
+			Plans: map[string]*choice.Plan{"plain": {Rate: 5, Burst: 100}},
+			// With one limiter and large requests the initial capacity holds several requests.
+			CounterTimeout: second / 20, MaxRequestUnits: 8, MaxLease: 60 * second, Limiters: 1,
+			ColdCapacity: 0.25, SlowStartWindow: 10 * second, DialTimeout: second / 4, MaxAttempts: 3,
+			MaxRetryAfter: second, TimerResolution: second / 250,
+		}},
+	}
+	change(config)
+	l, err := New(0, config, w)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/limiter/statistics.go
+++ b/internal/limiter/statistics.go
@@ -18,6 +18,7 @@
 	outcomes          outcomeCounts
 	outcomesLogged    int64 // when outcomes were last logged
 	closes            closeCounts
+	accountsEvicted   int // evictions of accounts that have been logged
 }
 
 // closeCounts counts the connections that ended since the counts were last logged, by kind of peer and reason.
@@ -47,6 +48,7 @@
 		l.logInputErrors()
 	}
 	if l.now-l.stats.outcomesLogged >= l.settings.IdleClose/outcomeLogsPerIdleClose {
+		l.logAccountLimit()
 		l.LogOutcomes()
 		l.logCloses()
 		l.stats.outcomesLogged = l.now
@@ -65,6 +67,19 @@
 	l.stats.inputErrorsLogged = l.now
 }
 
+// logAccountLimit logs how many accounts were evicted for those of new customers since the last time, and how many
+// requests were rejected because none could be, if any.
+func (l *Limiter) logAccountLimit() {
+	usage := l.controller.AccountUsage()
+	evicted := usage.Evicted - l.stats.accountsEvicted
+	rejected := l.stats.outcomes.rejected[choice.RejectedForAccounts]
+	if evicted == 0 && rejected == 0 {
+		return
+	}
+	slog.Warn("accounts-full", "held", usage.Held, "max", usage.Max, "evicted", evicted, "rejected", rejected)
+	l.stats.accountsEvicted = usage.Evicted
+}
+
 // LogOutcomes logs the counts since the last time in one line, if any is not 0.
 func (l *Limiter) LogOutcomes() {
 	counts := l.stats.outcomes
--- a/internal/limiter/usage.go
+++ b/internal/limiter/usage.go
@@ -13,7 +13,7 @@
 // Usage returns how much state the limiter holds now.
 func (l *Limiter) Usage() Usage {
 	return Usage{
-		Accounts: l.controller.Accounts(), Requests: len(l.requests.byID), Timers: len(l.timers.heap),
+		Accounts: l.controller.AccountUsage().Held, Requests: len(l.requests.byID), Timers: len(l.timers.heap),
 		Connections: len(l.conns), InputBytes: l.bufferedBytes,
 	}
 }
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -36,7 +36,7 @@
 	changed := other.Settings
 	values := []comparedValue{{"name", c.Name, other.Name}, {"listen", c.Listen, other.Listen},
 		{"counter", c.fixedCounter(c, other), other.fixedCounter(c, other)}, {"seed", c.Seed, other.Seed},
-		{"limits: memory_mb", c.Memory, other.Memory}, {"limits: sockets", c.Sockets, other.Sockets}}
+		{"limits: memory_mb", c.memoryLimits(), other.memoryLimits()}, {"limits: sockets", c.Sockets, other.Sockets}}
 	for _, s := range []comparedValue{
 		{"balancers", current.Limiters, changed.Limiters},
 		{"position", current.Position, changed.Position},
@@ -69,6 +69,9 @@
 	return keys
 }
 
+// memoryLimits returns the memory limit as the limiter and its controller have it.
+func (c *Config) memoryLimits() [2]int64 { return [2]int64{c.Memory, c.Settings.MemoryLimit} }
+
 // fixedCounter returns the counter's address if it must not change, because that would add or remove the counter, and
 // an empty text if it may.
 func (c *Config) fixedCounter(current, other *Config) string {
@@ -147,9 +150,10 @@
 	if decoded.DialTimeout <= 0 {
 		return nil, keyError("settings: permissions: dial-timeout", "missing")
 	}
+	decoded.MemoryLimit = int64(w.Limits.MemoryMB * (1 << 20))
 	return &Config{
 		Name: w.Name, Listen: w.Listen, Discovery: w.Discovery, Counter: w.Counter, Seed: int64(seed),
-		Memory: int64(w.Limits.MemoryMB * (1 << 20)), Sockets: w.Limits.Sockets, Known: w.Known, Settings: decoded,
+		Memory: decoded.MemoryLimit, Sockets: w.Limits.Sockets, Known: w.Known, Settings: decoded,
 	}, nil
 }
 
