Timers of ended requests are dropped; they stayed until the time that a client named

Cause: RequestArrived sets a timer for the deadline and nothing took it back; rejectInput's held a closed client for 2 s. Change: choice.Effects.StopTimer. A stopped timer drops its closure at once; it leaves the heap when it is due, or with all others once they are more than 4096 and more than are pending. The simulator's wire has no such action and does nothing. Why it works: the heap then holds at most what is open, twice, and 4096. Tests, on the code before (scratch copy): TestEndedRequestsLeaveNoTimers FAIL "10006" is not less than "4160", TestClosedClientsLeaveNoTimers FAIL "10005" is not less than "4160"; both pass now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -399,10 +399,17 @@
 	}
 }
 
+// stopTimer ends the timer of an ended request's deadline.
+func (c *Controller) stopTimer(req *request) {
+	if c.requests.stopTimer(req) {
+		c.effects.StopTimer(req.timer)
+	}
+}
+
 // removeIfDone removes an ended request once none of its attempts is open. If no server received the whole request, its
 // charges are refunded.
 func (c *Controller) removeIfDone(now int64, req *request) {
-	c.requests.stopTimer(req)
+	c.stopTimer(req)
 	if req.openAttempts > 0 || !c.requests.remove(req) {
 		return
 	}
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -33,6 +33,7 @@
 }
 func (e *recordedEffects) HealthCheck(server string) { e.record("health check %s", server) }
 func (e *recordedEffects) SetTimer(at, token int64)  {}
+func (e *recordedEffects) StopTimer(token int64)     {}
 func (e *recordedEffects) Log(text string)           { e.logLines = append(e.logLines, text) }
 
 const second = int64(1e9)
--- a/choice/request.go
+++ b/choice/request.go
@@ -107,8 +107,12 @@
 	t.byTimer[req.timer] = req
 }
 
-// stopTimer makes the controller ignore the request's deadline.
-func (t *requestTable) stopTimer(req *request) { delete(t.byTimer, req.timer) }
+// stopTimer makes the controller ignore the request's deadline. It returns false if it did so before.
+func (t *requestTable) stopTimer(req *request) bool {
+	_, pending := t.byTimer[req.timer]
+	delete(t.byTimer, req.timer)
+	return pending
+}
 
 // remove removes a request. It returns false if the table does not hold it, such as after its ID was reused.
 func (t *requestTable) remove(req *request) bool {
--- a/choice/types.go
+++ b/choice/types.go
@@ -245,6 +245,9 @@
 	HealthCheck(server string)
 	// SetTimer requests a call of TimerFired with the token at a time of the limiter's clock, in nanoseconds.
 	SetTimer(at, token int64)
+	// StopTimer says that TimerFired need not be called with the token any more, so that the caller can forget the timer.
+	// The token may be one that was never set.
+	StopTimer(token int64)
 	// Log writes a log line for operators.
 	Log(text string)
 }
--- a/internal/limiter/attempts.go
+++ b/internal/limiter/attempts.go
@@ -13,9 +13,11 @@
 	open          bool
 	conn          *serverConn
 	deadlineTimer *timer
-	endOffset     int64    // offset behind its last byte in its connection's output, 0 before it is written
-	location      location // of its server when it was written
-	neverRan      bool     // it has ended and the server did not run it
+	// partialWriteTimer ends a retry that the kernel has taken only in part; nil if it took the whole at once.
+	partialWriteTimer *timer
+	endOffset         int64    // offset behind its last byte in its connection's output, 0 before it is written
+	location          location // of its server when it was written
+	neverRan          bool     // it has ended and the server did not run it
 }
 
 // location is where a server is, as the endpoint list has it.
@@ -74,6 +76,7 @@
 	}
 	req := att.request
 	l.timers.cancel(att.deadlineTimer)
+	l.timers.stop(att.partialWriteTimer)
 	att.open = false
 	att.conn = nil
 	att.neverRan = reply.Outcome == choice.Overloaded || reply.Outcome == choice.ConnectFailed ||
--- a/internal/limiter/client.go
+++ b/internal/limiter/client.go
@@ -29,6 +29,7 @@
 	element         *list.Element // in clientTable.withoutRequest or withRequest
 	commandDeadline int64         // of the command that is handled, 0 if it has none
 	expiryTimer     *timer        // runs expireBlocking
+	rejectionTimer  *timer        // runs failOpenRequests
 }
 
 // answer is the answer to one command, pending while text is nil.
@@ -195,13 +196,18 @@
 	cl.closing = true
 	cl.answerDirectly("-ERR " + message)
 	if len(cl.answers) > 0 && l.conns[cl.conn.id] == cl.conn {
-		l.schedule(max(cl.connectedAt+minClientIdle, l.now+l.settings.DialTimeout), func() {
-			for len(cl.answers) > 0 && l.conns[cl.conn.id] == cl.conn {
-				req := cl.answers[0].request
-				l.results = append(l.results, pendingResult{disconnected: req.id})
-				l.endRequest(req, stateFailed, failedAnswer)
-			}
-		})
+		at := max(cl.connectedAt+minClientIdle, l.now+l.settings.DialTimeout)
+		cl.rejectionTimer = l.schedule(at, cl.failOpenRequests)
+	}
+}
+
+// failOpenRequests fails the open requests of a client whose input was rejected.
+func (cl *client) failOpenRequests() {
+	l := cl.limiter
+	for len(cl.answers) > 0 && l.conns[cl.conn.id] == cl.conn {
+		req := cl.answers[0].request
+		l.results = append(l.results, pendingResult{disconnected: req.id})
+		l.endRequest(req, stateFailed, failedAnswer)
 	}
 }
 
@@ -299,6 +305,7 @@
 func (cl *client) onClosed(reason CloseReason, _ int64) {
 	l := cl.limiter
 	l.timers.cancel(cl.expiryTimer)
+	l.timers.stop(cl.rejectionTimer)
 	l.clients.count--
 	if cl.hasRequested {
 		l.clients.withRequest.Remove(cl.element)
--- a/internal/limiter/deadlines_test.go
+++ b/internal/limiter/deadlines_test.go
@@ -73,6 +73,7 @@
 func (d *fakeEffects) Reject(string, int64, choice.RejectReason)    {}
 func (d *fakeEffects) AddToCounter(name uint64, _ float64, _ int64) { d.names = append(d.names, name) }
 func (d *fakeEffects) SetTimer(int64, int64)                        {}
+func (d *fakeEffects) StopTimer(int64)                              {}
 func (d *fakeEffects) Log(string)                                   {}
 
 // unitsSentWithRestarts returns the units that a limiter sends for one customer within a second while the counter is
--- a/internal/limiter/flood_test.go
+++ b/internal/limiter/flood_test.go
@@ -80,3 +80,36 @@
 	})
 	require.Less(t, grown, int64(floodMemory/4), "the live heap has grown by so many bytes")
 }
+
+// maxIdleTimers is an upper bound of the timers of a limiter that has no open requests: a few of its own, and those of
+// ended requests that it may keep.
+const maxIdleTimers = 64 + maxStoppedTimers
+
+// TestEndedRequestsLeaveNoTimers guards against a limiter whose memory fills with the deadlines of requests that were
+// rejected long before.
+func TestEndedRequestsLeaveNoTimers(t *testing.T) {
+	l, w := newTestLimiter(t)
+	const customer = 0xff
+	w.receive(l, 0, clientConn, floodCommand(customer, "first", "999999999"))
+	w.receive(l, 0, counterConnID, "ok 1000000\r\n") // the quota is used up, so the counter is not called any more
+	grown := flood(t, l, w, 100, func(number int) string {
+		return floodCommand(customer, fmt.Sprint("again-", number), "999999999")
+	})
+	require.Empty(t, l.requests.byID)
+	require.Less(t, l.Usage().Timers, maxIdleTimers)
+	require.Less(t, grown, int64(floodMemory/16))
+}
+
+// TestClosedClientsLeaveNoTimers guards against memory that fills with closed connections of clients that sent a request
+// and something malformed behind it.
+func TestClosedClientsLeaveNoTimers(t *testing.T) {
+	l, w := newTestLimiter(t)
+	for id := clientConn + 1; id <= clientConn+5000; id++ {
+		l.Step(l.now, ClientAccepted{Conn: id})
+		w.receive(l, l.now, id, command(fmt.Sprint("request-", id), "read", "480")+"malformed")
+		l.Step(l.now, ConnClosed{Conn: id, Reason: PeerClosed})
+	}
+	w.advance(l, l.now+second/10) // past the time-out of the calls to the counter
+	require.Empty(t, l.requests.byID)
+	require.Less(t, l.Usage().Timers, maxIdleTimers)
+}
--- a/internal/limiter/server_conn.go
+++ b/internal/limiter/server_conn.go
@@ -84,7 +84,7 @@
 	if !sc.partlyWritten(att) || att.deduplicatedUntil() == math.MaxInt64 {
 		return
 	}
-	l.schedule(att.deduplicatedUntil(), func() {
+	att.partialWriteTimer = l.schedule(att.deduplicatedUntil(), func() {
 		if sc.partlyWritten(att) {
 			l.closeConn(sc.conn, DeadlineExceeded)
 		}
--- a/internal/limiter/timers.go
+++ b/internal/limiter/timers.go
@@ -2,17 +2,22 @@
 
 import "container/heap"
 
+// maxStoppedTimers is how many stopped timers the heap keeps if fewer timers are pending.
+const maxStoppedTimers = 4096
+
 // timer calls a function at a time.
 type timer struct {
 	at, order int64
-	run       func()
-	index     int // in the heap, -1 once it has fired or was cancelled
+	run       func() // nil once it is stopped
+	index     int    // in the heap, -1 once it has fired or was cancelled
 }
 
 // timerQueue holds the pending timers, the next one first.
 type timerQueue struct {
 	heap    timerHeap
-	created int64 // timers created so far; of two for the same time the one created first fires first
+	created int64            // timers created so far; of two for the same time the one created first fires first
+	stopped int              // stopped timers in the heap
+	byToken map[int64]*timer // those of the controller
 }
 
 // cancel removes a timer, so that it does not wake the process. It does nothing if the timer is nil or no longer
@@ -23,6 +28,36 @@
 	}
 }
 
+// stop makes a timer do nothing. It does nothing if the timer is nil or no longer pending. The timer stays in the heap
+// until it is due, as removing each one costs more, but at most maxStoppedTimers and as many as are pending do.
+func (q *timerQueue) stop(t *timer) {
+	if t == nil || t.index < 0 || t.run == nil {
+		return
+	}
+	t.run = nil
+	q.stopped++
+	q.limitStopped()
+}
+
+// limitStopped removes all stopped timers from the heap if there are too many.
+func (q *timerQueue) limitStopped() {
+	if q.stopped <= max(maxStoppedTimers, len(q.heap)/2) {
+		return
+	}
+	pending := q.heap[:0]
+	for _, t := range q.heap {
+		t.index = -1
+		if t.run != nil {
+			t.index = len(pending)
+			pending = append(pending, t)
+		}
+	}
+	clear(q.heap[len(pending):])
+	q.heap = pending
+	q.stopped = 0
+	heap.Init(&q.heap)
+}
+
 // add creates a timer.
 func (q *timerQueue) add(at int64, run func()) *timer {
 	q.created++
@@ -39,7 +74,12 @@
 	if len(q.heap) == 0 || q.heap[0].at > now {
 		return nil
 	}
-	return heap.Pop(&q.heap).(*timer)
+	t := heap.Pop(&q.heap).(*timer)
+	if t.run == nil {
+		q.stopped--
+	}
+	q.limitStopped()
+	return t
 }
 
 // timerHeap implements heap.Interface, ordered by time.
@@ -91,12 +131,26 @@
 		return
 	}
 	for t := l.timers.popDue(l.now); t != nil; t = l.timers.popDue(l.now) {
-		t.run()
+		if t.run != nil {
+			t.run()
+		}
 		l.deliverResults()
 	}
 }
 
 // SetTimer implements choice.Effects.
 func (l *Limiter) SetTimer(at, token int64) {
-	l.schedule(at, func() { l.controller.TimerFired(l.now, token) })
+	if l.timers.byToken == nil {
+		l.timers.byToken = map[int64]*timer{}
+	}
+	l.timers.byToken[token] = l.schedule(at, func() {
+		delete(l.timers.byToken, token)
+		l.controller.TimerFired(l.now, token)
+	})
+}
+
+// StopTimer implements choice.Effects.
+func (l *Limiter) StopTimer(token int64) {
+	l.timers.stop(l.timers.byToken[token])
+	delete(l.timers.byToken, token)
 }
--- a/internal/simwire/actions.go
+++ b/internal/simwire/actions.go
@@ -66,6 +66,9 @@
 	in.write(action{Type: "set-timer", DueAt: &due, Ctx: &token})
 }
 
+// StopTimer does nothing: the wire has no action for it, and a timer of an ended request does nothing when it fires.
+func (in *instance) StopTimer(int64) {}
+
 // Log writes note-down.
 func (in *instance) Log(text string) {
 	in.write(action{Type: "note-down", Text: text})
