A closed connection drops its input buffer, which a request at a server kept alive

Cause: closeConn took the buffer's size off bufferedBytes, but request.client.conn still held it until the attempt's end. Change: closeConn empties the buffer behind onClosed, which may still read it (discovery's). Test, on the code before: TestClosedClientKeepsNoInput FAIL "Should be zero, but was 50019"; passes now.

--- a/internal/limiter/conn.go
+++ b/internal/limiter/conn.go
@@ -100,6 +100,7 @@
 	l.timers.cancel(c.dialTimer)
 	l.traceClose(c, reason)
 	c.handler.onClosed(reason, l.effects.Close(c.id))
+	c.input = buffer.Buffer{} // a request that outlives its client's connection must not keep the buffer
 }
 
 // connsInOrder lists the open connections by ID.
--- a/internal/limiter/flood_test.go
+++ b/internal/limiter/flood_test.go
@@ -113,3 +113,15 @@
 	require.Empty(t, l.requests.byID)
 	require.Less(t, l.Usage().Timers, maxIdleTimers)
 }
+
+// TestClosedClientKeepsNoInput guards against memory that fills with the partial commands of clients that have left,
+// while their earlier requests are at a server.
+func TestClosedClientKeepsNoInput(t *testing.T) {
+	l, w, _ := requestSent(t, "write")
+	req := l.requests.byID["j"]
+	w.receive(l, 0, clientConn, "*2\r\n$1\r\nX\r\n$60000\r\n"+strings.Repeat("x", 50000))
+	require.GreaterOrEqual(t, req.client.conn.input.Cap(), 50000)
+	l.Step(0, ConnClosed{Conn: clientConn, Reason: PeerReset})
+	require.Same(t, req, l.requests.byID["j"], "the request's attempt is still open")
+	require.Zero(t, req.client.conn.input.Cap())
+}
