A request takes twice the longest deadline at most, whatever time its client names

Cause: the deadline of an attempt that must not be repeated is the client's d, which may be 1e9 ms. Change: choice.LimitTimeout, twice the longest deadline of all classes, 60 s where a class has none. Usual requests name their class's deadline at most. Test, on the code before: TestTimeoutIsLimited FAIL, no answer after 5 s; passes now, the three tests of this kind 20 times under -race.

--- a/internal/limiter/client.go
+++ b/internal/limiter/client.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"strconv"
 
+	"ospreycroft/choice"
 	"ospreycroft/internal/buffer"
 	"ospreycroft/internal/resp"
 )
@@ -126,7 +127,7 @@
 		cl.answerError(err)
 		return
 	}
-	timeout := parsed.arrival.Timeout
+	timeout := choice.LimitTimeout(parsed.arrival.Timeout, l.settings.LongestDeadline)
 	waited := l.now - cl.conn.receivedAt
 	delay := max(waited, l.readDelay())
 	if timeout > delay {
--- a/internal/limiter/flood_test.go
+++ b/internal/limiter/flood_test.go
@@ -125,3 +125,18 @@
 	require.Same(t, req, l.requests.byID["j"], "the request's attempt is still open")
 	require.Zero(t, req.client.conn.input.Cap())
 }
+
+// TestTimeoutIsLimited guards against requests that name an enormous time and hold a server's connection for good when
+// the server does not answer.
+func TestTimeoutIsLimited(t *testing.T) {
+	l, w := newConfiguredLimiter(t, func(config *settings.Config) { config.Settings.LongestDeadline = 2 * second })
+	w.receive(l, 0, clientConn, command("j", "write", "999999999"))
+	w.receive(l, 0, counterConnID, "ok 2\r\n")
+	server := w.last
+	l.Step(0, Connected{Conn: server})
+	require.Contains(t, w.wrote[server], "SVC.SUBMIT")
+	w.advance(l, 5*second)
+	require.Contains(t, w.wrote[clientConn], "-ERR")
+	require.Contains(t, w.closed, server)
+	require.Empty(t, l.requests.byID)
+}
