Open requests and waiting answers are counted with all that they take, not their bytes alone

Cause: heldBytes counted a command's 80 bytes, an open request takes 1,064 more; answers waiting behind an open request had a bound for each client and none for all, and requests that outlived their client kept them. Change: choice/memory.go, MemoryBudget, now decides what is given up for want of memory (the divisor stood in the limiter). A request counts 2,048 bytes more, an answer 128; a quarter of the part is kept for clients of which nothing else waits. event=memory-full counts it, which nothing did before. TestRequestBytes, TestMemoryBudgetIsShared new.

--- a/choice/account_limit.go
+++ b/choice/account_limit.go
@@ -3,8 +3,6 @@
 import "container/list"
 
 const (
-	// accountMemoryDivisor: accounts may take this fraction of the memory limit, 1/8.
-	accountMemoryDivisor = 8
 	// accountBytes is the memory that one account takes at most, with its entries in all tables, in bytes.
 	accountBytes = 512
 	// evictionCandidates is how many accounts of one list are examined for each new account, so that a request costs the
@@ -29,7 +27,7 @@
 	if memory <= 0 {
 		return accountLimit{}
 	}
-	return accountLimit{max: int(max(1, memory/accountMemoryDivisor/accountBytes))}
+	return accountLimit{max: int(max(1, MemoryBudget(memory).part()/accountBytes))}
 }
 
 // added records a new account.
--- /dev/null
+++ b/choice/memory.go
@@ -0,0 +1,55 @@
+package choice
+
+const (
+	// MemoryParts is the number of equal parts of the memory limit. Customers' accounts, open requests with their
+	// answers, input buffers, output that clients have not read, and received bytes that wait for the reducer may each
+	// take one; what is left is for the program itself and the garbage collector.
+	MemoryParts = 8
+	// RequestBytes is the memory that an open request takes in addition to the bytes of its command, with its attempt,
+	// timers and entries in all tables, in bytes.
+	RequestBytes = 2048
+	// AnswerBytes is the memory of an answer that waits for those ahead of it on its connection, in bytes.
+	AnswerBytes = 128
+	// maxPipelined is how many commands of one client may wait for their answers.
+	maxPipelined = 1024
+	// reservedDivisor: this fraction of the part of requests and answers, 1/4, is kept for clients of which nothing else
+	// waits, as usual clients send one request at a time on a connection.
+	reservedDivisor = 4
+)
+
+// MemoryBudget decides what is given up when a kind of state has taken its part of the memory limit. Its value is the
+// limit in bytes.
+type MemoryBudget int64
+
+// part is the memory that one kind of state may take, in bytes.
+func (limit MemoryBudget) part() int64 { return int64(limit) / MemoryParts }
+
+// shares reports whether a client that takes ofClient bytes of a part may take more while all clients take ofAll. A
+// client that takes some already may take as much as is free without the reserve.
+func (limit MemoryBudget) shares(ofClient, ofAll int64) bool {
+	if ofClient == 0 {
+		return ofAll < limit.part()
+	}
+	return ofClient < limit.part()-limit.part()/reservedDivisor-ofAll
+}
+
+// AdmitsRequest reports whether another request of a client is accepted while the open ones take held bytes and ofClient
+// of the client's commands wait for their answers. One that is not had no effect and may be rejected; running out of
+// memory would lose all accepted requests.
+func (limit MemoryBudget) AdmitsRequest(ofClient int, held int64) bool {
+	return limit.shares(int64(ofClient)*RequestBytes, held)
+}
+
+// AdmitsCommand reports whether another command of a client is read while ofClient of its commands, and ofAll of those
+// of all clients, wait for their answers. A client of which none is read is closed behind its answers.
+func (limit MemoryBudget) AdmitsCommand(ofClient, ofAll int) bool {
+	return ofClient < maxPipelined && limit.shares(int64(ofClient)*AnswerBytes, int64(ofAll)*AnswerBytes)
+}
+
+// KeepsPartialCommand reports whether a client may go on sending a long command while all input buffers take buffered
+// bytes. A client that may not is closed behind its answers.
+func (limit MemoryBudget) KeepsPartialCommand(buffered int64) bool { return buffered <= limit.part() }
+
+// MaxUnreadOutput is how many bytes of output may wait for clients to read them. Beyond it the clients with the most of
+// it are closed.
+func (limit MemoryBudget) MaxUnreadOutput() int64 { return limit.part() }
--- a/internal/limiter/answer_order.go
+++ b/internal/limiter/answer_order.go
@@ -11,6 +11,7 @@
 func (cl *client) addAnswer() *answer {
 	pending := &answer{deadline: cl.commandDeadline}
 	cl.answers = append(cl.answers, pending)
+	cl.limiter.clients.pendingAnswers++
 	if len(cl.answers) > 1 && pending.deadline != 0 {
 		cl.scheduleExpiry(cl.limiter.sendBy(pending))
 	}
--- a/internal/limiter/client.go
+++ b/internal/limiter/client.go
@@ -10,9 +10,6 @@
 	"ospreycroft/internal/resp"
 )
 
-// maxPipelined is how many commands of one client may wait for their answers.
-const maxPipelined = 1024
-
 // client is a connection from a client. Answers go out in the order of its commands.
 type client struct {
 	limiter         *Limiter
@@ -80,18 +77,19 @@
 
 // nextCommand parses and handles one command, and returns how many bytes it used.
 func (cl *client) nextCommand(b []byte) int {
-	words, n, err := resp.ReadCommand(b, cl.limiter.scratch.words[:0])
-	cl.limiter.scratch.words = words[:0]
-	if len(cl.answers) >= maxPipelined {
+	l := cl.limiter
+	words, n, err := resp.ReadCommand(b, l.scratch.words[:0])
+	l.scratch.words = words[:0]
+	if !cl.admitsCommand() {
 		cl.flush()
 	}
-	memoryExceeded := n == 0 && len(b) > buffer.MinCapacity &&
-		cl.limiter.bufferedBytes > cl.limiter.config.Memory/bufferMemoryDivisor
-	if err == nil && (memoryExceeded || len(cl.answers) >= maxPipelined) {
+	memoryExceeded := n == 0 && len(b) > buffer.MinCapacity && !l.memory().KeepsPartialCommand(l.bufferedBytes)
+	if err == nil && (memoryExceeded || !cl.admitsCommand()) {
+		l.stats.memory.closedClients++
 		err = resp.ErrTooLong
 	}
 	if err != nil {
-		cl.limiter.stats.inputErrors.malformedCommands++
+		l.stats.inputErrors.malformedCommands++
 		cl.rejectInput(err.Error())
 		return len(b)
 	}
@@ -101,6 +99,11 @@
 	return n
 }
 
+// admitsCommand tells whether another command may wait for its answer.
+func (cl *client) admitsCommand() bool {
+	return cl.limiter.memory().AdmitsCommand(len(cl.answers), cl.limiter.clients.pendingAnswers)
+}
+
 // handleCommand handles one command.
 func (cl *client) handleCommand(words [][]byte) {
 	l := cl.limiter
@@ -146,9 +149,8 @@
 		cl.answerBusy()
 		return
 	}
-	if l.requests.heldBytes > l.config.Memory/bufferMemoryDivisor {
-		// Nothing of the request was forwarded, so it may be rejected. Running out of memory would lose all accepted
-		// requests.
+	if !l.memory().AdmitsRequest(len(cl.answers), l.requests.heldBytes) {
+		l.stats.memory.rejectedRequests++
 		cl.answerDirectly("-BUSY")
 		return
 	}
@@ -235,6 +237,7 @@
 		return
 	}
 	cl.answers = cl.answers[due:]
+	l.clients.pendingAnswers -= due
 	if len(cl.answers) == 0 {
 		cl.answers = nil // releases the memory of many pipelined answers
 	}
@@ -242,7 +245,7 @@
 	l.write(cl.conn, l.scratch.write)
 	cl.lastWrite = l.now
 	if !cl.allWritten() {
-		l.clients.closeSlowReaders(l.config.Memory / bufferMemoryDivisor)
+		l.clients.closeSlowReaders(l.memory().MaxUnreadOutput())
 	}
 	if cl.open() && (cl.closing || l.shutdown.lingerOver(l.now)) {
 		// A client that connected late is closed after its first answers.
@@ -322,4 +325,6 @@
 			l.results = append(l.results, pendingResult{disconnected: a.request.id})
 		}
 	}
+	l.clients.pendingAnswers -= len(cl.answers)
+	cl.answers = nil // a request that outlives the connection must not keep them
 }
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -27,6 +27,8 @@
 type clientTable struct {
 	limiter *Limiter
 	count   int
+	// pendingAnswers is how many answers of all clients wait to be written.
+	pendingAnswers int
 	// withoutRequest holds clients that have sent no request yet, the oldest first; withRequest holds the others, the
 	// least recently used first.
 	withoutRequest, withRequest list.List
--- a/internal/limiter/deadlines_test.go
+++ b/internal/limiter/deadlines_test.go
@@ -182,7 +182,7 @@
 // pairs.
 func TestPipelinedDeadlineTimers(t *testing.T) {
 	l, w := newTestLimiter(t)
-	const requests = maxPipelined - 1
+	const requests = 1023 // one less than may wait for their answers
 	var commands strings.Builder
 	for i := range requests {
 		commands.WriteString(command("r"+strconv.Itoa(i), "read", strconv.Itoa(3000-i)))
--- a/internal/limiter/flood_test.go
+++ b/internal/limiter/flood_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"math"
 	"runtime"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"ospreycroft/choice"
 	"ospreycroft/internal/resp"
 	"ospreycroft/internal/settings"
 )
@@ -48,9 +48,7 @@
 	const commandsPerRound = 100
 	const roundInterval = second / 40
 	t.Helper()
-	for id := range ConnID(2000) { // the kernel takes all that is written
-		w.kernelAccepted[id] = math.MaxInt64
-	}
+	w.discard = true
 	before := liveHeap()
 	now := l.now
 	for round := range rounds {
@@ -61,7 +59,6 @@
 		now += roundInterval
 		w.advance(l, now)
 		w.receive(l, now, clientConn, text.String())
-		clear(w.wrote)
 		w.closed = nil
 	}
 	require.NotNil(t, l.conns[clientConn], "the flooding client was closed")
@@ -140,3 +137,79 @@
 	require.Contains(t, w.closed, server)
 	require.Empty(t, l.requests.byID)
 }
+
+// floodAtOnce has clients connect and each send a text, all at the same time. It returns the growth of the live heap in
+// bytes.
+func floodAtOnce(l *Limiter, w *fakeSockets, clients int, text func(client int) string) int64 {
+	before := liveHeap()
+	w.discard = true
+	for client := range clients {
+		id := clientConn + 1 + ConnID(client)
+		l.Step(l.now, ClientAccepted{Conn: id})
+		w.receive(l, l.now, id, text(client))
+	}
+	w.incoming = ""
+	grown := int64(liveHeap()) - int64(before)
+	runtime.KeepAlive(l)
+	return grown
+}
+
+// newCrowdedLimiter returns a limiter with the memory limit of the flood tests and descriptors for 512 clients, whose
+// counter does not answer.
+func newCrowdedLimiter(t *testing.T) (*Limiter, *fakeSockets) {
+	t.Helper()
+	return newConfiguredLimiter(t, func(config *settings.Config) {
+		config.Memory = floodMemory
+		config.Settings.MemoryLimit = floodMemory
+		config.Sockets = 4096 // so that no idle client is evicted
+	})
+}
+
+// TestOpenRequestsDoNotFillMemory guards against a limiter that counts only the bytes of the commands of open requests,
+// which take many times that. Beyond the limit a client of which few commands wait is still served.
+func TestOpenRequestsDoNotFillMemory(t *testing.T) {
+	l, w := newCrowdedLimiter(t)
+	grown := floodAtOnce(l, w, 60, func(client int) string {
+		var text strings.Builder
+		for k := range 1000 {
+			text.WriteString(floodCommand(uint64(client), fmt.Sprint("r-", client, "-", k), "2500"))
+		}
+		return text.String()
+	})
+	require.Less(t, grown, int64(floodMemory/4), "the live heap has grown by so many bytes")
+	open := len(l.requests.byID)
+	l.Step(l.now, ClientAccepted{Conn: 50000})
+	w.receive(l, l.now, 50000, floodCommand(0xff, "usual", "480"))
+	require.Equal(t, open+1, len(l.requests.byID), "a usual client's request was rejected")
+	require.Positive(t, l.stats.memory.rejectedRequests)
+}
+
+// TestWaitingAnswersDoNotFillMemory guards against clients that have many finished answers wait behind one open request.
+func TestWaitingAnswersDoNotFillMemory(t *testing.T) {
+	l, w := newCrowdedLimiter(t)
+	const pings = 1000
+	grown := floodAtOnce(l, w, 512, func(client int) string {
+		return floodCommand(uint64(client), fmt.Sprint("r-", client), "2500") +
+			strings.Repeat("*1\r\n$4\r\nPING\r\n", pings)
+	})
+	require.Less(t, grown, int64(floodMemory/4), "the live heap has grown by so many bytes")
+	require.Positive(t, l.stats.memory.closedClients)
+	w.advance(l, l.now+second) // the requests end, and so do the clients that were rejected
+	require.Zero(t, l.clients.pendingAnswers)
+}
+
+// TestRequestBytes checks that choice.RequestBytes is enough for an open request with its entries in all tables.
+func TestRequestBytes(t *testing.T) {
+	l, w := newTestLimiter(t)
+	const requests = 1000
+	grown := floodAtOnce(l, w, 1, func(int) string {
+		var text strings.Builder
+		for k := range requests {
+			text.WriteString(floodCommand(0xff, fmt.Sprint("r-", k), "2500"))
+		}
+		return text.String()
+	})
+	require.Equal(t, requests, len(l.requests.byID))
+	require.Less(t, grown/requests, int64(choice.RequestBytes))
+	t.Logf("a request takes %d bytes", grown/requests)
+}
--- a/internal/limiter/helper_test.go
+++ b/internal/limiter/helper_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"testing"
 
 	"ospreycroft/choice"
@@ -25,6 +26,7 @@
 	limiter  *Limiter // nil until New has returned
 	wallStep int64    // by how much the wall clock was stepped, nanoseconds
 
+	discard bool            // Write keeps nothing, and the kernel takes all
 	backlog bool            // new clients wait to be accepted
 	unread  map[ConnID]bool // connections with received data that no event has reported
 }
@@ -34,10 +36,17 @@
 	w.dialed[w.last] = address
 	return w.last
 }
-func (w *fakeSockets) Read(into []byte)             { copy(into, w.incoming) }
-func (w *fakeSockets) Write(id ConnID, text []byte) { w.wrote[id] += string(text) }
-func (w *fakeSockets) Alive(id ConnID) bool         { return !w.dead[id] }
+func (w *fakeSockets) Read(into []byte) { copy(into, w.incoming) }
+func (w *fakeSockets) Write(id ConnID, text []byte) {
+	if !w.discard {
+		w.wrote[id] += string(text)
+	}
+}
+func (w *fakeSockets) Alive(id ConnID) bool { return !w.dead[id] }
 func (w *fakeSockets) Written(id ConnID) int64 {
+	if w.discard {
+		return math.MaxInt64
+	}
 	if limit, limited := w.kernelAccepted[id]; limited {
 		return limit
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -62,13 +62,8 @@
 	disconnected  string
 }
 
-const (
-	// bufferMemoryDivisor: commands of requests, input buffers, and output that waits for clients may each take this
-	// fraction of the memory limit, 1/8.
-	bufferMemoryDivisor = 8
-	// maintenancesPerIdleClose is how often maintain runs in the time after which a server closes an idle connection.
-	maintenancesPerIdleClose = 32
-)
+// maintenancesPerIdleClose is how often maintain runs in the time after which a server closes an idle connection.
+const maintenancesPerIdleClose = 32
 
 // New makes a limiter from its configuration, with the servers that this lists. Errors: see NewWithOptions.
 func New(now int64, config *settings.Config, effects Effects) (*Limiter, error) {
@@ -109,6 +104,9 @@
 	return l, nil
 }
 
+// memory decides what is given up when some kind of state has taken its part of the memory limit.
+func (l *Limiter) memory() choice.MemoryBudget { return choice.MemoryBudget(l.config.Memory) }
+
 // Step handles one event at a time now, in nanoseconds.
 func (l *Limiter) Step(now int64, event Event) {
 	l.observeClock(now)
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"ospreycroft/choice"
 	"ospreycroft/internal/buffer"
 )
 
@@ -65,7 +66,7 @@
 	})
 	t.Run("commands that exceed the memory limit are rejected", func(t *testing.T) {
 		l, w := newTestLimiter(t)
-		l.requests.heldBytes = l.config.Memory/bufferMemoryDivisor + 1
+		l.requests.heldBytes = l.config.Memory/choice.MemoryParts + 1
 		w.receive(l, 0, clientConn, command("j", "read", "480"))
 		requireText(t, w.wrote[clientConn], "-BUSY\r\n")
 	})
@@ -75,7 +76,7 @@
 		if l.bufferedBytes > buffer.MinCapacity*3 {
 			t.Fatalf("%d bytes are buffered", l.bufferedBytes)
 		}
-		l.bufferedBytes = l.config.Memory/bufferMemoryDivisor + 1
+		l.bufferedBytes = l.config.Memory/choice.MemoryParts + 1
 		w.receive(l, 0, clientConn, "*1\r\n$4\r\nECHO\r\n*1\r\n$9000\r\n")
 		if strings.HasSuffix(w.wrote[clientConn], "-ERR too long\r\n") {
 			t.Fatal("a small incomplete command was rejected")
--- a/internal/limiter/requests.go
+++ b/internal/limiter/requests.go
@@ -14,7 +14,7 @@
 	// done holds the requests to forget once all queued results are delivered. Until then the controller may still act
 	// on them, as delivering one result can end the request of another.
 	done      []*request
-	heldBytes int64 // bytes of the commands of all requests
+	heldBytes int64 // memory of all requests, bytes
 	lastEnd   int64 // when a request last ended
 }
 
@@ -44,8 +44,8 @@
 	deduplicationWindow int64
 	deduplicationScope  choice.DeduplicationScope // which servers recognize it
 	attempts            []*attempt
-	openAttempts        int // attempts that have not ended
-	bytes               int64
+	openAttempts        int   // attempts that have not ended
+	bytes               int64 // its memory, bytes
 	// words is the client's command. Its third word is also split around the value of d, which each attempt replaces.
 	words                       [][]byte
 	beforeTimeout, afterTimeout []byte
@@ -64,7 +64,7 @@
 	}
 	text := make([]byte, 0, size)
 	req := &request{
-		id: parsed.arrival.ID, client: cl, answer: a, deadline: l.now + parsed.arrival.Timeout, bytes: int64(size),
+		id: parsed.arrival.ID, client: cl, answer: a, deadline: l.now + parsed.arrival.Timeout, bytes: int64(size) + choice.RequestBytes,
 		words: make([][]byte, len(words)),
 	}
 	for i, w := range words {
--- a/internal/limiter/slow_reader_test.go
+++ b/internal/limiter/slow_reader_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"ospreycroft/choice"
 )
 
 // TestSlowestReaderClosed: answers that clients do not read exceed the memory limit. The client with the most unread
@@ -12,7 +14,7 @@
 func TestSlowestReaderClosed(t *testing.T) {
 	l, w := newTestLimiter(t)
 	const slowest, other = clientConn + 1, clientConn + 2
-	l.config.Memory = 8 * bufferMemoryDivisor << 10 // so that 8 KiB may be unread
+	l.config.Memory = 8 * choice.MemoryParts << 10 // so that 8 KiB may be unread
 	for _, id := range []ConnID{slowest, other} {
 		l.Step(0, ClientAccepted{Conn: id})
 		w.kernelAccepted[id] = 0 // the kernel accepts no bytes
--- a/internal/limiter/statistics.go
+++ b/internal/limiter/statistics.go
@@ -19,6 +19,7 @@
 	outcomesLogged    int64 // when outcomes were last logged
 	closes            closeCounts
 	accountsEvicted   int // evictions of accounts that have been logged
+	memory            memoryCounts
 }
 
 // closeCounts counts the connections that ended since the counts were last logged, by kind of peer and reason.
@@ -42,6 +43,12 @@
 	rejected            [choice.RejectReasons]int
 }
 
+// memoryCounts counts what was given up since it was last logged because some state had taken its part of the memory.
+type memoryCounts struct {
+	rejectedRequests int // requests rejected unread by the controller
+	closedClients    int // clients with too many unanswered commands, or too long a command
+}
+
 // logStatistics logs the counts that are due.
 func (l *Limiter) logStatistics() {
 	if l.now-l.stats.inputErrorsLogged >= l.settings.IdleClose {
@@ -49,6 +56,7 @@
 	}
 	if l.now-l.stats.outcomesLogged >= l.settings.IdleClose/outcomeLogsPerIdleClose {
 		l.logAccountLimit()
+		l.logMemory()
 		l.LogOutcomes()
 		l.logCloses()
 		l.stats.outcomesLogged = l.now
@@ -80,6 +88,16 @@
 	l.stats.accountsEvicted = usage.Evicted
 }
 
+// logMemory logs what was given up for want of memory since the last time, if anything was.
+func (l *Limiter) logMemory() {
+	counts := l.stats.memory
+	if counts == (memoryCounts{}) {
+		return
+	}
+	slog.Warn("memory-full", "rejected_requests", counts.rejectedRequests, "closed_clients", counts.closedClients)
+	l.stats.memory = memoryCounts{}
+}
+
 // LogOutcomes logs the counts since the last time in one line, if any is not 0.
 func (l *Limiter) LogOutcomes() {
 	counts := l.stats.outcomes
