Timers, answers and other clients get their turn within a batch of events

Cause: Run delivered a whole batch, up to 4 MiB in order of arrival, before it looked at timers and at new events. Evidence: event=reducer longest_step_ms=236.7 timers_late_ms=1336.7, so timers waited for several steps. Change: internal/sockets/delivery.go. Events of servers, the counter and discovery first, clients in turns of 4 KiB, and behind each turn late timers (5 ms) and what has come from those meanwhile. Order on a connection stays. A resumed reader's buffer is 4 KiB, as there may be one for each client. Why it works: nothing but one turn of one client stands between two looks at timers and answers.

--- /dev/null
+++ b/internal/sockets/delivery.go
@@ -0,0 +1,142 @@
+package sockets
+
+import (
+	"ospreycroft/internal/limiter"
+)
+
+// This file delivers a batch of events to the reducer. A batch may hold thousands of commands, so events from servers,
+// the counter and discovery go first, clients take turns, and what has become due meanwhile is not kept waiting.
+
+const (
+	// clientTurnBytes is how many bytes of one client are delivered before the next client's turn.
+	clientTurnBytes = 4 << 10
+	// maxTimerDelay is how late timers may be before they interrupt a batch, nanoseconds. Otherwise they run after it, so
+	// that events that have come already are known to them.
+	maxTimerDelay = 5e6
+)
+
+// clientTurns are the clients that have undelivered events in the current batch, in the order of their turns.
+type clientTurns struct {
+	waiting []*connection
+	spare   []*connection // memory for the next round
+}
+
+// pendingEvent is a client's event in the current batch that is not delivered completely.
+type pendingEvent struct {
+	event  queuedEvent // its size is what is left
+	offset int         // of the rest of its data in the batch's bytes
+}
+
+// deliverBatch delivers the current batch.
+func (s *Sockets) deliverBatch(clock func() int64, l *limiter.Limiter) {
+	offset := 0
+	for _, e := range s.current.events {
+		conn := s.connections[e.connID]
+		switch {
+		case e.taken:
+		case !e.client || conn == nil:
+			s.deliverEvent(e, offset, clock, l)
+		default:
+			if len(conn.pending) == 0 {
+				s.turns.waiting = append(s.turns.waiting, conn)
+			}
+			conn.pending = append(conn.pending, pendingEvent{e, offset})
+		}
+		offset += e.size
+	}
+	for len(s.turns.waiting) > 0 {
+		s.deliverRound(clock, l)
+	}
+}
+
+// deliverRound gives each waiting client one turn.
+func (s *Sockets) deliverRound(clock func() int64, l *limiter.Limiter) {
+	round := s.turns.waiting
+	s.turns.waiting = s.turns.spare[:0]
+	for i, conn := range round {
+		round[i] = nil
+		if s.halted.Load() {
+			conn.pending = nil
+			continue
+		}
+		s.deliverTurn(conn, clock, l)
+		if len(conn.pending) > 0 {
+			s.turns.waiting = append(s.turns.waiting, conn)
+		}
+		s.deliverDue(clock, l)
+	}
+	s.turns.spare = round
+}
+
+// deliverTurn delivers a client's next event, or a part of its data.
+func (s *Sockets) deliverTurn(conn *connection, clock func() int64, l *limiter.Limiter) {
+	next := &conn.pending[0]
+	part := *next
+	if part.event.size > clientTurnBytes {
+		part.event.size = clientTurnBytes
+		next.event.size -= clientTurnBytes
+		next.offset += clientTurnBytes
+	} else {
+		conn.pending = conn.pending[1:]
+		if len(conn.pending) == 0 {
+			conn.pending = nil
+		}
+	}
+	s.deliverEvent(part.event, part.offset, clock, l)
+}
+
+// deliverDue delivers what must not wait for the rest of the batch: timers that are late, and events that have come from
+// servers, the counter and discovery.
+func (s *Sockets) deliverDue(clock func() int64, l *limiter.Limiter) {
+	if s.peerEventsQueued.Load() {
+		s.takePeerEvents()
+		offset := 0
+		batch := s.current.bytes
+		s.current.bytes = s.interrupting.bytes
+		for _, e := range s.interrupting.events {
+			s.deliverEvent(e, offset, clock, l)
+			offset += e.size
+		}
+		s.current.bytes = batch
+	}
+	if s.timerAt+maxTimerDelay <= clock() {
+		s.deliverTimers(clock, l)
+	}
+}
+
+// takePeerEvents moves the events that are not from clients out of the queue. They stay there with their data, marked as
+// taken.
+func (s *Sockets) takePeerEvents() {
+	s.interrupting.events = s.interrupting.events[:0]
+	s.interrupting.bytes = s.interrupting.bytes[:0]
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.peerEventsQueued.Store(false)
+	for ; s.queued.searched < len(s.queued.events); s.queued.searched++ {
+		e := &s.queued.events[s.queued.searched]
+		if !e.client {
+			s.interrupting.events = append(s.interrupting.events, *e)
+			s.interrupting.bytes = append(s.interrupting.bytes,
+				s.queued.bytes[s.queued.searchedBytes:s.queued.searchedBytes+e.size]...)
+			e.taken = true
+		}
+		s.queued.searchedBytes += e.size
+	}
+}
+
+// deliverEvent delivers an event whose data begins at offset in the current batch's bytes.
+func (s *Sockets) deliverEvent(e queuedEvent, offset int, clock func() int64, l *limiter.Limiter) {
+	s.currentOffset = offset
+	s.markDelivered(e)
+	began := clock()
+	e.deliver(began, l)
+	s.stats.stepDone(e.kind.String(), clock()-began)
+}
+
+// deliverTimers tells the limiter that its timers are due.
+func (s *Sockets) deliverTimers(clock func() int64, l *limiter.Limiter) {
+	now := clock()
+	s.stats.timersDue(now - s.timerAt)
+	l.Step(now, limiter.TimersDue{})
+	s.stats.stepDone(timersDueName, clock()-now)
+}
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -17,6 +17,10 @@
 // readSize is the size of the poller's read buffer in bytes.
 const readSize = 32 << 10
 
+// resumedReadSize is the size of the read buffer of a resumed reader in bytes. There may be one for each client, and all
+// of them wait while maxQueuedBytes are queued.
+const resumedReadSize = 4 << 10
+
 // processStart is the time at which this package was initialized; it has a monotonic reading.
 var processStart = time.Now()
 
@@ -40,6 +44,8 @@
 	events   []queuedEvent
 	bytes    []byte
 	accepted []*connection // those of the clientAccepted events, to be added to Sockets.connections
+	// searched is how many of the events takePeerEvents has looked at, and searchedBytes the size of their data.
+	searched, searchedBytes int
 }
 
 // eventKind says which event of the limiter a queuedEvent is delivered as.
@@ -64,7 +70,9 @@
 type queuedEvent struct {
 	kind   eventKind
 	connID limiter.ConnID
-	size   int // number of bytes, for dataReceived
+	client bool // the connection is a client's
+	taken  bool // it was delivered while an earlier batch was
+	size   int  // number of bytes, for dataReceived
 	// arrivedAt is when the kernel received the last of these bytes, on the clock of elapsed; 0 for data from servers and
 	// data read before Run.
 	arrivedAt int64
@@ -155,7 +163,7 @@
 	if conn.backpressured.CompareAndSwap(true, false) {
 		go func() {
 			defer logging.LogPanic("resumed reader")
-			_ = s.readAvailable(conn, conn.nbConn.Load(), make([]byte, readSize), true)
+			_ = s.readAvailable(conn, conn.nbConn.Load(), make([]byte, resumedReadSize), true)
 		}()
 	}
 }
@@ -165,6 +173,7 @@
 func (s *Sockets) enqueue(conn *connection, e queuedEvent, data []byte) {
 	s.mutex.Lock()
 	e.connID = conn.id
+	e.client = conn.listener != nil
 	for len(s.queued.bytes) > maxQueuedBytes {
 		s.batchTaken.Wait()
 	}
@@ -173,6 +182,9 @@
 	}
 	s.queued.events = append(s.queued.events, e)
 	s.queued.bytes = append(s.queued.bytes, data...)
+	if !e.client {
+		s.peerEventsQueued.Store(true)
+	}
 	wasEmpty := len(s.queued.events) == 1
 	s.mutex.Unlock()
 	if wasEmpty {
@@ -188,8 +200,10 @@
 	if cap(s.current.bytes) > maxQueuedBytes {
 		s.current.bytes = nil
 	}
+	s.current.searched, s.current.searchedBytes = 0, 0
 	s.mutex.Lock()
 	s.current, s.queued = s.queued, s.current
+	s.peerEventsQueued.Store(false)
 	s.mutex.Unlock()
 	s.batchTaken.Broadcast()
 	for _, conn := range s.current.accepted {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -34,6 +34,7 @@
 	bytesDelivered atomic.Int64              // bytes of bytesRead that the reducer has been given
 	// backpressured is true while reading is stopped because maxQueuedBytesPerClient bytes are undelivered.
 	backpressured atomic.Bool
+	pending       []pendingEvent // a client's undelivered events of the current batch; used by the reducer only
 }
 
 // Sockets is the listener for clients and all connections of a limiter. Listen creates one. The methods of
@@ -58,7 +59,11 @@
 	addMutex      sync.RWMutex  // read-locked while a connection is added to the engine
 	traceWanted   atomic.Bool   // LogTrace was called and the trace is not logged yet
 	lingering     []*connection // gracefully closed connections that may still be open
+	turns         clientTurns
+	interrupting  eventBatch // events delivered in the middle of a batch
 	stats         reducerStats
+	// peerEventsQueued is true while queued may hold events that are not from clients.
+	peerEventsQueued atomic.Bool
 }
 
 // dialFunc has the signature of net.Dialer.DialContext; tests replace the dialer.
@@ -186,23 +191,11 @@
 		}
 		s.nextBatch()
 		s.stats.batchTaken(len(s.current.bytes))
-		now := clock()
-		for _, e := range s.current.events {
-			end := s.currentOffset + e.size
-			s.markDelivered(e)
-			e.deliver(now, l)
-			s.currentOffset = end // whether or not the reducer has called Read
-			began := now
-			now = clock()
-			s.stats.stepDone(e.kind.String(), now-began)
-		}
-		if s.timerAt <= now {
-			s.stats.timersDue(now - s.timerAt)
-			l.Step(now, limiter.TimersDue{})
-			began := now
-			now = clock()
-			s.stats.stepDone(timersDueName, now-began)
+		s.deliverBatch(clock, l)
+		if s.timerAt <= clock() {
+			s.deliverTimers(clock, l)
 		}
+		now := clock()
 		s.stats.logIfDue(now, l)
 		wait := max(0, s.timerAt-now)
 		if s.wakeup.set(s.timerAt, time.Duration(wait)) {
