--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -15,7 +15,7 @@
 )
 
 // extraClients are the clients that run in addition to the experiment's load: some disconnect before they are answered,
-// some pipeline requests, some stay idle and some send malformed input.
+// some pipeline requests, some stay idle, some send malformed input and some flood limiters.
 type extraClients struct {
 	scenario *Scenario
 	lab      *runner.Lab
@@ -49,6 +49,7 @@
 	startClients(c.scenario.LeavingClients, 1, c.sendAndLeave)
 	startClients(c.scenario.PipeliningClients, 4, c.sendPipelined)
 	startClients(c.scenario.MalformedClients, 2, c.sendMalformed)
+	startClients(c.scenario.FloodingClients, 5, c.sendFlood)
 	limiters := c.scenario.Experiment.Limiters.Count
 	startClients(c.scenario.IdleClients*limiters, 3, c.holdIdle)
 	running.Wait()
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -36,15 +36,17 @@
 	PipeliningClients int
 	// MalformedClients is the number of concurrent clients that send malformed input.
 	MalformedClients int
+	// FloodingClients is the number of concurrent clients that send at full speed what costs a limiter most.
+	FloodingClients int
 }
 
 // String summarizes the scenario in one line of key=value pairs.
 func (s *Scenario) String() string {
 	return fmt.Sprintf(
-		"seed=%d limiters=%d servers=%d rate=%.0f system_calls=%.3f clock_steps=%v disk=%v quiet=%v crowd=%d leavers=%d pipelines=%d malformed=%d",
+		"seed=%d limiters=%d servers=%d rate=%.0f system_calls=%.3f clock_steps=%v disk=%v quiet=%v crowd=%d leavers=%d pipelines=%d malformed=%d floods=%d",
 		s.Seed, s.Experiment.Limiters.Count, 2*s.Experiment.Servers[0].Count, s.Experiment.Load.Rate,
 		s.SystemCallFaultShare, s.ClockSteps, s.DiskFaults, s.Quiet, s.IdleClients,
-		s.LeavingClients, s.PipeliningClients, s.MalformedClients)
+		s.LeavingClients, s.PipeliningClients, s.MalformedClients, s.FloodingClients)
 }
 
 // minFaults and extraFaults bound the number of faults in a timeline, not counting the planned restarts and their
@@ -79,6 +81,7 @@
 		// are closed, which costs the lab processor time.
 		s.IdleClients = int(float64(e.Limiters.Sockets/2) / d.loadFactor)
 	}
+	s.FloodingClients = drawFloodingClients(rand.New(rand.NewPCG(seed, 0xf100d)))
 	s.PipeliningClients = drawPipeliningClients(rand.New(rand.NewPCG(seed, 0x919e)))
 	return s, nil
 }
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -21,7 +21,7 @@
 }
 
 // ciSeeds are the seeds that CI runs. Between them they have failing system calls, clock steps, disk faults, idle
-// clients, leaving and pipelining clients, and a quiet period.
+// clients, leaving, pipelining and flooding clients, and a quiet period.
 var ciSeeds = []uint64{5, 17, 59, 120}
 
 // ciSeconds is the duration of the load of each seed in CI, seconds.
@@ -48,7 +48,7 @@
 // TestDrawIsDeterministic checks that a seed draws the same scenario each time, so that a failed seed can be run again,
 // and that the CI seeds cover every kind of condition.
 func TestDrawIsDeterministic(t *testing.T) {
-	var systemCalls, steps, disk, idleClients, leavingClients, pipeliningClients, quiet bool
+	var systemCalls, steps, disk, idleClients, leavingClients, pipeliningClients, floodingClients, quiet bool
 	for _, seed := range ciSeeds {
 		first, err := Draw(seed, ciSeconds, "program", 0)
 		require.NoError(t, err)
@@ -61,10 +61,11 @@
 		idleClients = idleClients || first.IdleClients > 0
 		leavingClients = leavingClients || first.LeavingClients > 0
 		pipeliningClients = pipeliningClients || first.PipeliningClients > 0
+		floodingClients = floodingClients || first.FloodingClients > 0
 		quiet = quiet || first.Quiet
 	}
-	require.Equal(t, []bool{true, true, true, true, true, true, true},
-		[]bool{systemCalls, steps, disk, idleClients, leavingClients, pipeliningClients, quiet})
+	require.Equal(t, []bool{true, true, true, true, true, true, true, true},
+		[]bool{systemCalls, steps, disk, idleClients, leavingClients, pipeliningClients, floodingClients, quiet})
 }
 
 // TestDrawnExperimentsAreValid guards against seeds whose experiment is rejected by its own validation, also for a
