A chunked list that comes in pieces is read once, not from its start with each piece

Cause: ReadResponse gets all bytes so far and read a chunked body from its start; only the decoded size had a bound. Change: discovery.Progress keeps where the complete chunks end. Why it works: a piece costs its own bytes; what is unusual is still left to net/http's reader.

--- a/internal/discovery/response.go
+++ b/internal/discovery/response.go
@@ -28,14 +28,24 @@
 // size in bytes, 0 while it is incomplete, and an error as soon as b cannot become a valid response. Parsing is done by
 // net/http; this package decides when a response is complete and rejects forms that no discovery service sends. A
 // response without a length is never complete here, see ReadClosedResponse. Errors: *MalformedError, *TooLongError.
-func ReadResponse(b []byte) (r Response, size int, err error) { return parseResponse(b, false) }
+func ReadResponse(b []byte) (r Response, size int, err error) {
+	return parseResponse(b, false, &Progress{})
+}
+
+// ReadMore is like ReadResponse, for a response that comes in pieces: progress has what earlier calls on the same
+// response have found, so that a chunked body is not read from its start each time.
+func ReadMore(b []byte, progress *Progress) (r Response, size int, err error) {
+	return parseResponse(b, false, progress)
+}
 
 // ReadClosedResponse is like ReadResponse, but for a connection that the service has closed gracefully, which completes
 // a response without a length. It must not be used after a reset or a timeout.
-func ReadClosedResponse(b []byte) (r Response, size int, err error) { return parseResponse(b, true) }
+func ReadClosedResponse(b []byte) (r Response, size int, err error) {
+	return parseResponse(b, true, &Progress{})
+}
 
 // parseResponse implements ReadResponse and, if closed is true, ReadClosedResponse.
-func parseResponse(b []byte, closed bool) (response Response, size int, err error) {
+func parseResponse(b []byte, closed bool, progress *Progress) (response Response, size int, err error) {
 	parsed, headSize, err := parseHead(b)
 	if err != nil || parsed == nil {
 		return response, 0, err
@@ -50,7 +60,7 @@
 	case parsed.Body == http.NoBody: // the status allows no body, whatever the header says, or the length is 0
 		return response, headSize, nil
 	case len(parsed.TransferEncoding) > 0: // net/http accepts only chunked
-		response.Body, size, err = joinChunks(rest)
+		response.Body, size, err = joinChunks(rest, progress)
 		if size > 0 {
 			size += headSize
 		}
@@ -97,9 +107,14 @@
 }
 
 // joinChunks decodes a chunked body at the start of b. encodedSize is its size in b, 0 while the body is incomplete.
-func joinChunks(b []byte) (body []byte, encodedSize int, err error) {
+func joinChunks(b []byte, progress *Progress) (body []byte, encodedSize int, err error) {
+	progress.skipChunks(b)
+	if progress.encoded > maxEncodedBytes || progress.decoded > maxBodyBytes {
+		return nil, 0, &TooLongError{Part: "body", Max: maxBodyBytes}
+	}
 	// The first pass only checks whether the body is complete, since most calls find that it is not.
-	decodedSize, encodedSize, err := readChunks(b, io.Discard)
+	decodedSize, encodedSize, err := readChunks(b[progress.encoded:], io.Discard)
+	decodedSize += int64(progress.decoded)
 	if err != nil || encodedSize == 0 {
 		return nil, 0, err
 	}
--- a/internal/limiter/discovery.go
+++ b/internal/limiter/discovery.go
@@ -28,12 +28,13 @@
 	responseReceived bool   // the connection has brought a response
 	retryTimer       *timer // when to connect or call again; nil before the first wait
 	pacer            *pollpacer.Pacer
-	lastFailure      pollpacer.Failure // how the latest call without a list ended
-	revalidating     bool              // after a suspension: the next watch is answered at once
-	partialResponse  bool              // a response has begun and is not complete
-	confirmedAt      int64             // when discovery last sent or confirmed the list; 0 before the first time
-	serviceClock     int64             // discovery's clock in the response that is handled, 0 if it has none
-	failureLoggedAt  int64             // when a failure was last logged
+	lastFailure      pollpacer.Failure  // how the latest call without a list ended
+	revalidating     bool               // after a suspension: the next watch is answered at once
+	partialResponse  bool               // a response has begun and is not complete
+	progress         discovery.Progress // of that response
+	confirmedAt      int64              // when discovery last sent or confirmed the list; 0 before the first time
+	serviceClock     int64              // discovery's clock in the response that is handled, 0 if it has none
+	failureLoggedAt  int64              // when a failure was last logged
 	// awaitingSlot: the connection is open without an outstanding call; with a call rate the next one waits for its
 	// slot.
 	awaitingSlot bool
@@ -119,6 +120,7 @@
 func (d *discoveryClient) connect() {
 	d.responseReceived = false
 	d.lastFailure = pollpacer.Failed
+	d.progress = discovery.Progress{}
 	d.conn = d.limiter.dial(d, d.limiter.config.Discovery, d.pacer.DialTimeout())
 }
 
@@ -171,7 +173,10 @@
 	if d.awaitingSlot && len(b) > 0 {
 		return 0, errUnexpectedResponse
 	}
-	response, n, err := discovery.ReadResponse(b)
+	response, n, err := discovery.ReadMore(b, &d.progress)
+	if err != nil || n > 0 {
+		d.progress = discovery.Progress{}
+	}
 	if err == nil && n == 0 && len(b) > 0 && !d.partialResponse {
 		// The rest should follow at once. A response that stops there would hide changes for the whole hold time.
 		d.partialResponse = true
