--- a/choice/memory.go
+++ b/choice/memory.go
@@ -10,6 +10,10 @@
 	RequestBytes = 2048
 	// AnswerBytes is the memory of an answer that waits for those ahead of it on its connection, in bytes.
 	AnswerBytes = 128
+	// serverBytes is the memory that a server takes with its connection pool, without connections, in bytes.
+	serverBytes = 2048
+	// serverParts is how many parts of the memory all servers may take.
+	serverParts = 2
 	// maxPipelined is how many commands of one client may wait for their answers.
 	maxPipelined = 1024
 	// reservedDivisor: this fraction of the part of requests and answers, 1/4, is kept for clients of which nothing else
@@ -50,6 +54,12 @@
 // bytes. A client that may not is closed behind its answers.
 func (limit MemoryBudget) KeepsPartialCommand(buffered int64) bool { return buffered <= limit.part() }
 
+// AdmitsServer reports whether a server that was not listed before is taken into use while there are servers others. One
+// that is not is left out until others have gone; what a list tells of known servers always holds.
+func (limit MemoryBudget) AdmitsServer(servers int) bool {
+	return limit <= 0 || int64(servers)*serverBytes < serverParts*limit.part()
+}
+
 // MaxUnreadOutput is how many bytes of output may wait for clients to read them. Beyond it the clients with the most of
 // it are closed.
 func (limit MemoryBudget) MaxUnreadOutput() int64 { return limit.part() }
--- a/internal/limiter/endpoints.go
+++ b/internal/limiter/endpoints.go
@@ -15,18 +15,23 @@
 	if list.Complete {
 		d.completeLists++
 	}
-	endpoints := make([]choice.Endpoint, len(list.Endpoints))
+	endpoints := make([]choice.Endpoint, 0, len(list.Endpoints))
+	leftOut := 0
 	var outdated []*serverPool
 	clock := d.startClock(kind == coldstart.ListReceived)
 	for i := range list.Endpoints {
 		entry := &list.Endpoints[i]
 		pool := l.servers.pools[entry.ID]
+		if pool == nil && !l.memory().AdmitsServer(len(l.servers.pools)) {
+			leftOut++
+			continue
+		}
 		if pool == nil {
 			pool = l.servers.addPool(entry.ID, max(len(list.Endpoints), len(l.servers.pools)+1))
 		}
 		pool.lastListedIn = d.completeLists
 		entry.StartedAt = pool.observeStart(entry.StartedAt, &clock)
-		endpoints[i] = entry.Endpoint
+		endpoints = append(endpoints, entry.Endpoint)
 		if pool.update(entry) {
 			outdated = append(outdated, pool)
 		}
@@ -34,6 +39,9 @@
 	if list.Complete {
 		outdated = append(l.servers.markMissing(d.completeLists), outdated...)
 	}
+	if leftOut > 0 {
+		d.logFailure("servers-left-out", "servers", leftOut, "held", len(l.servers.pools))
+	}
 	if len(endpoints) > 0 || list.Complete {
 		slog.Info("list", "generation", list.Version, "complete", list.Complete, "entries", len(endpoints))
 		l.controller.UpdateEndpoints(l.now, list.Complete, endpoints)
--- a/internal/limiter/flood_test.go
+++ b/internal/limiter/flood_test.go
@@ -213,3 +213,31 @@
 	require.Less(t, grown/requests, int64(choice.RequestBytes))
 	t.Logf("a request takes %d bytes", grown/requests)
 }
+
+// TestServersDoNotFillMemory guards against a discovery service whose changes name ever new servers that never end. What
+// it tells of known servers must still be learnt.
+func TestServersDoNotFillMemory(t *testing.T) {
+	l, w := newCrowdedLimiter(t)
+	before := liveHeap()
+	change := func(version int, servers ...string) {
+		body := fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[%s]}`, version, strings.Join(servers, ","))
+		w.receive(l, l.now, discoveryConn,
+			fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	}
+	server := func(id, lifecycle string) string {
+		return fmt.Sprintf(`{"instanceId":%q,"hostPort":"127.0.0.1:9","lifecycle":%q,"weight":1}`, id, lifecycle)
+	}
+	const changes, serversPerChange = 200, 100
+	for version := range changes {
+		var servers []string
+		for k := range serversPerChange {
+			servers = append(servers, server(fmt.Sprint("new-", version, "-", k), "in_service"))
+		}
+		change(8+version, servers...)
+	}
+	grown := int64(liveHeap()) - int64(before)
+	require.Less(t, grown, int64(floodMemory/4), "the live heap has grown by so many bytes")
+	require.False(t, l.servers.pools["s"].draining)
+	change(8+changes, server("s", "terminating"))
+	require.True(t, l.servers.pools["s"].draining, "a drain was not learnt")
+}
