A counter that rejects each call is logged once a second, with the number left out

Cause: onData logged each; other lines on peers have an interval. Change: the interval of discovery's failures, and left_out= where lines were left out. Test, on the code before: TestRejectedCallsAreLoggedOnce FAIL, 100 lines, 1 expected; passes 20 times under -race.

--- a/internal/limiter/counter.go
+++ b/internal/limiter/counter.go
@@ -21,6 +21,9 @@
 	conns      []*counterConn
 	lastReply  int64 // when the counter last answered
 	loggedDown bool  // the log says that the counter does not answer
+	// rejectedLoggedAt is when a rejected call was last logged, and rejectedLeftOut how many were not since.
+	rejectedLoggedAt int64
+	rejectedLeftOut  int
 }
 
 // counterConn is one connection to the counter. Answers come in the order of the calls.
@@ -195,6 +198,22 @@
 	}
 }
 
+// logRejected logs a call that the counter rejected, at most once in failureLogInterval: it may reject each call.
+func (cc *counterClient) logRejected(c *counterCall) {
+	if cc.rejectedLoggedAt != 0 && cc.limiter.now-cc.rejectedLoggedAt < failureLogInterval {
+		cc.rejectedLeftOut++
+		return
+	}
+	rejected := &counterwire.RejectedError{Name: c.name, Amount: c.amount}
+	attrs := append([]any{"name", c.name, "amount", c.amount}, hint.Attrs(rejected)...)
+	if cc.rejectedLeftOut > 0 {
+		attrs = append(attrs, "left_out", cc.rejectedLeftOut)
+	}
+	slog.Error("counter-refused", attrs...)
+	cc.rejectedLoggedAt = cc.limiter.now
+	cc.rejectedLeftOut = 0
+}
+
 // noteReply records that the counter has answered.
 func (cc *counterClient) noteReply() {
 	cc.lastReply = cc.limiter.now
@@ -236,8 +255,7 @@
 	case counterwire.Overloaded:
 		cconn.client.finishCall(c, choice.Overloaded, 0)
 	case counterwire.Rejected:
-		rejected := &counterwire.RejectedError{Name: c.name, Amount: c.amount}
-		slog.Error("counter-refused", append([]any{"name", c.name, "amount", c.amount}, hint.Attrs(rejected)...)...)
+		cconn.client.logRejected(c)
 		cconn.client.finishCall(c, ConnRefused.counterOutcome(false), 0)
 	}
 	cconn.closeIfDrained()
--- a/internal/limiter/flood_test.go
+++ b/internal/limiter/flood_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"bytes"
 	"fmt"
 	"runtime"
 	"strings"
@@ -241,3 +242,20 @@
 	change(8+changes, server("s", "terminating"))
 	require.True(t, l.servers.pools["s"].draining, "a drain was not learnt")
 }
+
+// TestRejectedCallsAreLoggedOnce guards against a counter that rejects each call and fills the log.
+func TestRejectedCallsAreLoggedOnce(t *testing.T) {
+	l, w := newTestLimiter(t)
+	var log bytes.Buffer
+	captureLog(t, &log)
+	w.advance(l, second)
+	for name := range uint64(100) {
+		l.AddToCounter(name, 1, second)
+		w.receive(l, l.now, counterConnID, "error\r\n")
+	}
+	require.Equal(t, 1, strings.Count(log.String(), "event=counter-refused"))
+	w.advance(l, l.now+second)
+	l.AddToCounter(1000, 1, second)
+	w.receive(l, l.now, counterConnID, "error\r\n")
+	require.Contains(t, log.String(), "left_out=99")
+}
