A request takes the longest deadline at most, and timers that are 1 ms late interrupt a batch

Cause: LimitTimeout allowed twice the longest deadline, which a shutdown does not wait for. For the late ones: timers could be 5 ms late within a batch, of 8 ms that answers have; a turn under trapped system calls took up to 27 ms (event=reducer). Change: the longest deadline is the limit; timers that are 1 ms late go before the next client's turn.

--- a/choice/request.go
+++ b/choice/request.go
@@ -15,21 +15,17 @@
 	stateClientGone              // the client has disconnected
 )
 
-const (
-	// timeoutFactor: a request may take this many times the longest deadline of all classes.
-	timeoutFactor = 2
-	// longestTimeout is how long a request may take if some class has no deadline, nanoseconds.
-	longestTimeout = 60e9
-)
+// longestTimeout is how long a request may take if some class has no deadline, nanoseconds.
+const longestTimeout = 60e9
 
 // LimitTimeout returns how long a request may take if its client would wait for timeout: a request that no server
-// answers holds a connection to one until then. longestDeadline is that of all classes, 0 if some class has none. All
-// are in nanoseconds.
+// answers holds a connection to one until then, and a shutdown waits for it as long as the longest deadline at most.
+// longestDeadline is that of all classes, 0 if some class has none. All are in nanoseconds.
 func LimitTimeout(timeout, longestDeadline int64) int64 {
 	if longestDeadline <= 0 {
 		return min(timeout, longestTimeout)
 	}
-	return min(timeout, timeoutFactor*longestDeadline)
+	return min(timeout, longestDeadline)
 }
 
 // request is a request from its arrival until it has ended and none of its attempts is open.
--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -12,7 +12,7 @@
 	clientTurnBytes = 4 << 10
 	// maxTimerDelay is how late timers may be before they interrupt a batch, nanoseconds. Otherwise they run after it, so
 	// that events that have come already are known to them.
-	maxTimerDelay = 5e6
+	maxTimerDelay = 1e6
 )
 
 // clientTurns are the clients that have undelivered events in the current batch, in the order of their turns.
