--- a/choice/account_limit.go
+++ b/choice/account_limit.go
@@ -81,3 +81,16 @@
 	filled := min(ceiling.burst, ceiling.rate*seconds(now-startedAt))
 	return ceiling.refill(now) >= filled*(1-ceilingTolerance)
 }
+
+// AccountUsage is how many accounts a controller holds.
+type AccountUsage struct {
+	Held    int
+	Max     int // largest number that is held, 0 for no limit
+	Evicted int // accounts evicted since the start because a new customer's needed their memory
+}
+
+// AccountUsage returns how many accounts are held now.
+func (c *Controller) AccountUsage() AccountUsage {
+	limit := &c.accounts.limit
+	return AccountUsage{Held: len(c.accounts.byCustomer), Max: limit.max, Evicted: limit.evicted}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -84,19 +84,6 @@
 	return at
 }
 
-// AccountUsage is how many accounts a controller holds.
-type AccountUsage struct {
-	Held    int
-	Max     int // largest number that is held, 0 for no limit
-	Evicted int // accounts evicted since the start because a new customer's needed their memory
-}
-
-// AccountUsage returns how many accounts are held now.
-func (c *Controller) AccountUsage() AccountUsage {
-	limit := &c.accounts.limit
-	return AccountUsage{Held: len(c.accounts.byCustomer), Max: limit.max, Evicted: limit.evicted}
-}
-
 // UpdateEndpoints applies an endpoint list: a complete one, or only the changed entries.
 func (c *Controller) UpdateEndpoints(now int64, complete bool, endpoints []Endpoint) {
 	if complete {
@@ -398,28 +385,3 @@
 		c.outliers.checkSilent(now, s)
 	}
 }
-
-// stopTimer ends the timer of an ended request's deadline.
-func (c *Controller) stopTimer(req *request) {
-	if c.requests.stopTimer(req) {
-		c.effects.StopTimer(req.timer)
-	}
-}
-
-// removeIfDone removes an ended request once none of its attempts is open. If no server received the whole request, its
-// charges are refunded.
-func (c *Controller) removeIfDone(now int64, req *request) {
-	c.stopTimer(req)
-	if req.openAttempts > 0 || !c.requests.remove(req) {
-		return
-	}
-	if req.account == nil {
-		return
-	}
-	req.account.requestEnded(c.lastTick)
-	if len(req.attempts) > 0 && !req.reachedAnyServer {
-		req.account.refund(now, req)
-		c.reservations.cancelDeferredCharge(req)
-		c.reservations.release(now, req, req.charge)
-	}
-}
--- a/choice/request.go
+++ b/choice/request.go
@@ -135,3 +135,28 @@
 	delete(t.byID, req.id)
 	return true
 }
+
+// stopTimer ends the timer of an ended request's deadline.
+func (c *Controller) stopTimer(req *request) {
+	if c.requests.stopTimer(req) {
+		c.effects.StopTimer(req.timer)
+	}
+}
+
+// removeIfDone removes an ended request once none of its attempts is open. If no server received the whole request, its
+// charges are refunded.
+func (c *Controller) removeIfDone(now int64, req *request) {
+	c.stopTimer(req)
+	if req.openAttempts > 0 || !c.requests.remove(req) {
+		return
+	}
+	if req.account == nil {
+		return
+	}
+	req.account.requestEnded(c.lastTick)
+	if len(req.attempts) > 0 && !req.reachedAnyServer {
+		req.account.refund(now, req)
+		c.reservations.cancelDeferredCharge(req)
+		c.reservations.release(now, req, req.charge)
+	}
+}
--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -1,6 +1,8 @@
 package sockets
 
 import (
+	"sync/atomic"
+
 	"ospreycroft/internal/limiter"
 )
 
@@ -15,10 +17,15 @@
 	maxTimerDelay = 1e6
 )
 
-// clientTurns are the clients that have undelivered events in the current batch, in the order of their turns.
-type clientTurns struct {
-	waiting []*connection
-	spare   []*connection // memory for the next round
+// delivery is the state of the delivery of a batch.
+type delivery struct {
+	waiting      []*connection // clients with undelivered events, in the order of their turns
+	spare        []*connection // memory for the next round
+	interrupting eventBatch    // events of others, delivered in the middle of the batch
+	stats        reducerStats
+	// peerEventsQueued is true while Sockets.queued may hold events that are not from clients. It is set by the goroutines
+	// that queue events; all else is used by the reducer only.
+	peerEventsQueued atomic.Bool
 }
 
 // pendingEvent is a client's event in the current batch that is not delivered completely.
@@ -38,21 +45,21 @@
 			s.deliverEvent(e, offset, clock, l)
 		default:
 			if len(conn.pending) == 0 {
-				s.turns.waiting = append(s.turns.waiting, conn)
+				s.delivery.waiting = append(s.delivery.waiting, conn)
 			}
 			conn.pending = append(conn.pending, pendingEvent{e, offset})
 		}
 		offset += e.size
 	}
-	for len(s.turns.waiting) > 0 {
+	for len(s.delivery.waiting) > 0 {
 		s.deliverRound(clock, l)
 	}
 }
 
 // deliverRound gives each waiting client one turn.
 func (s *Sockets) deliverRound(clock func() int64, l *limiter.Limiter) {
-	round := s.turns.waiting
-	s.turns.waiting = s.turns.spare[:0]
+	round := s.delivery.waiting
+	s.delivery.waiting = s.delivery.spare[:0]
 	for i, conn := range round {
 		round[i] = nil
 		if s.halted.Load() {
@@ -61,11 +68,11 @@
 		}
 		s.deliverTurn(conn, clock, l)
 		if len(conn.pending) > 0 {
-			s.turns.waiting = append(s.turns.waiting, conn)
+			s.delivery.waiting = append(s.delivery.waiting, conn)
 		}
 		s.deliverDue(clock, l)
 	}
-	s.turns.spare = round
+	s.delivery.spare = round
 }
 
 // deliverTurn delivers a client's next event, or a part of its data.
@@ -88,12 +95,12 @@
 // deliverDue delivers what must not wait for the rest of the batch: timers that are late, and events that have come from
 // servers, the counter and discovery.
 func (s *Sockets) deliverDue(clock func() int64, l *limiter.Limiter) {
-	if s.peerEventsQueued.Load() {
+	if s.delivery.peerEventsQueued.Load() {
 		s.takePeerEvents()
 		offset := 0
 		batch := s.current.bytes
-		s.current.bytes = s.interrupting.bytes
-		for _, e := range s.interrupting.events {
+		s.current.bytes = s.delivery.interrupting.bytes
+		for _, e := range s.delivery.interrupting.events {
 			s.deliverEvent(e, offset, clock, l)
 			offset += e.size
 		}
@@ -107,16 +114,16 @@
 // takePeerEvents moves the events that are not from clients out of the queue. They stay there with their data, marked as
 // taken.
 func (s *Sockets) takePeerEvents() {
-	s.interrupting.events = s.interrupting.events[:0]
-	s.interrupting.bytes = s.interrupting.bytes[:0]
+	s.delivery.interrupting.events = s.delivery.interrupting.events[:0]
+	s.delivery.interrupting.bytes = s.delivery.interrupting.bytes[:0]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.peerEventsQueued.Store(false)
+	s.delivery.peerEventsQueued.Store(false)
 	for ; s.queued.searched < len(s.queued.events); s.queued.searched++ {
 		e := &s.queued.events[s.queued.searched]
 		if !e.client {
-			s.interrupting.events = append(s.interrupting.events, *e)
-			s.interrupting.bytes = append(s.interrupting.bytes,
+			s.delivery.interrupting.events = append(s.delivery.interrupting.events, *e)
+			s.delivery.interrupting.bytes = append(s.delivery.interrupting.bytes,
 				s.queued.bytes[s.queued.searchedBytes:s.queued.searchedBytes+e.size]...)
 			e.taken = true
 		}
@@ -130,13 +137,13 @@
 	s.markDelivered(e)
 	began := clock()
 	e.deliver(began, l)
-	s.stats.stepDone(e.kind.String(), clock()-began)
+	s.delivery.stats.stepDone(e.kind.String(), clock()-began)
 }
 
 // deliverTimers tells the limiter that its timers are due.
 func (s *Sockets) deliverTimers(clock func() int64, l *limiter.Limiter) {
 	now := clock()
-	s.stats.timersDue(now - s.timerAt)
+	s.delivery.stats.timersDue(now - s.timerAt)
 	l.Step(now, limiter.TimersDue{})
-	s.stats.stepDone(timersDueName, clock()-now)
+	s.delivery.stats.stepDone(timersDueName, clock()-now)
 }
--- a/internal/sockets/delivery_test.go
+++ b/internal/sockets/delivery_test.go
@@ -62,7 +62,7 @@
 		}
 		return readingsAfter == 0
 	})
-	require.Less(t, d.s.stats.latestTimer, int64(50*time.Millisecond))
+	require.Less(t, d.s.delivery.stats.latestTimer, int64(50*time.Millisecond))
 }
 
 // delivered reports whether so many pings of clients have been delivered to the limiter.
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -183,7 +183,7 @@
 	s.queued.events = append(s.queued.events, e)
 	s.queued.bytes = append(s.queued.bytes, data...)
 	if !e.client {
-		s.peerEventsQueued.Store(true)
+		s.delivery.peerEventsQueued.Store(true)
 	}
 	wasEmpty := len(s.queued.events) == 1
 	s.mutex.Unlock()
@@ -203,7 +203,7 @@
 	s.current.searched, s.current.searchedBytes = 0, 0
 	s.mutex.Lock()
 	s.current, s.queued = s.queued, s.current
-	s.peerEventsQueued.Store(false)
+	s.delivery.peerEventsQueued.Store(false)
 	s.mutex.Unlock()
 	s.batchTaken.Broadcast()
 	for _, conn := range s.current.accepted {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -59,11 +59,7 @@
 	addMutex      sync.RWMutex  // read-locked while a connection is added to the engine
 	traceWanted   atomic.Bool   // LogTrace was called and the trace is not logged yet
 	lingering     []*connection // gracefully closed connections that may still be open
-	turns         clientTurns
-	interrupting  eventBatch // events delivered in the middle of a batch
-	stats         reducerStats
-	// peerEventsQueued is true while queued may hold events that are not from clients.
-	peerEventsQueued atomic.Bool
+	delivery      delivery
 }
 
 // dialFunc has the signature of net.Dialer.DialContext; tests replace the dialer.
@@ -190,13 +186,13 @@
 			l.LogTrace(limiter.AllTrace)
 		}
 		s.nextBatch()
-		s.stats.batchTaken(len(s.current.bytes))
+		s.delivery.stats.batchTaken(len(s.current.bytes))
 		s.deliverBatch(clock, l)
 		if s.timerAt <= clock() {
 			s.deliverTimers(clock, l)
 		}
 		now := clock()
-		s.stats.logIfDue(now, l)
+		s.delivery.stats.logIfDue(now, l)
 		wait := max(0, s.timerAt-now)
 		if s.wakeup.set(s.timerAt, time.Duration(wait)) {
 			wait += int64(backupDelay)
