Exponentials round alike on all processors, so transcripts are equal on arm64 and x86-64

Cause: math.Exp is assembly of its own on x86-64 and on arm64 and differs in the last bit, so weights of counter windows, and with them what crosses the wire, differed. Found by replacing one function at a time.

--- a/choice/concurrency.go
+++ b/choice/concurrency.go
@@ -101,7 +101,7 @@
 	}
 	// A class must not fill the servers at the cost of one with a higher priority.
 	objective := min(class.LatencyObjective, l.highestPriority.LatencyObjective)
-	return max(1, seconds(objective)/promptDivisor/math.Exp(l.meanResidence))
+	return max(1, seconds(objective)/promptDivisor/exponential(l.meanResidence))
 }
 
 // observeLoad updates the mean residence time from a load report.
--- a/choice/rejection.go
+++ b/choice/rejection.go
@@ -1,7 +1,5 @@
 package choice
 
-import "math"
-
 // reject sends a final answer: the request had no effect. retryAfter is in nanoseconds; it is extended by a random
 // jitter, so that clients that were given the same time do not return together.
 func (c *Controller) reject(now int64, req *request, retryAfter int64, reason RejectReason) {
@@ -30,7 +28,7 @@
 // which the requests in flight should be done.
 func (c *Controller) capacityRetryAfter() int64 {
 	if c.concurrency.reportedAt > 0 {
-		return max(c.tickInterval, nanoseconds(math.Exp(c.concurrency.meanResidence)))
+		return max(c.tickInterval, nanoseconds(exponential(c.concurrency.meanResidence)))
 	}
 	return max(c.tickInterval, c.settings.DialTimeout)
 }
--- a/choice/reservation.go
+++ b/choice/reservation.go
@@ -58,9 +58,9 @@
 		w.total = 0
 		w.unconfirmed = 0
 		w.unconfirmedUnsent = 0
-		w.pendingAdjustment = max(w.pendingAdjustment, 0) * math.Exp(-acct.refillPeriods(length))
+		w.pendingAdjustment = max(w.pendingAdjustment, 0) * exponential(-acct.refillPeriods(length))
 	}
-	return math.Exp(acct.refillPeriods(shifted % length))
+	return exponential(acct.refillPeriods(shifted % length))
 }
 
 // reservation is what a request has added to the counter, or still has to add.
