The system call shim filters calls on arm64 too, and seeing no call is an error

Cause: the filter compared with the x86-64 architecture number and allowed all calls of any other, so nothing was intercepted and nobody was told. Change: the number of the architecture that it is built for; started waits for the program's first intercepted call and fails where none comes (each program opens files as it starts).

--- a/internal/lab/syscallshim/launch.go
+++ b/internal/lab/syscallshim/launch.go
@@ -36,7 +36,7 @@
 
 // Hint tells the operator how to resolve the error.
 func (e *Error) Hint() string {
-	return "the shim needs Linux 5.19 or later on amd64 with seccomp; run without failing system calls elsewhere"
+	return "the shim needs Linux 5.19 or later on amd64 or arm64 with seccomp; run without failing system calls elsewhere"
 }
 
 // intercepted lists the system calls that are reported to the lab.
@@ -59,7 +59,7 @@
 	equals := func(value uint32, jumpTrue, jumpFalse uint8) unix.SockFilter {
 		return unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, K: value, Jt: jumpTrue, Jf: jumpFalse}
 	}
-	program := []unix.SockFilter{load(offsetArchitecture), equals(unix.AUDIT_ARCH_X86_64, 1, 0), allow, load(offsetNumber)}
+	program := []unix.SockFilter{load(offsetArchitecture), equals(auditArchitecture, 1, 0), allow, load(offsetNumber)}
 	for _, number := range intercepted {
 		program = append(program, equals(number, 0, 1),
 			unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: unix.SECCOMP_RET_USER_NOTIF})
--- a/internal/lab/syscallshim/supervise.go
+++ b/internal/lab/syscallshim/supervise.go
@@ -72,6 +72,10 @@
 		if err != nil {
 			return err
 		}
+		if err := awaitFirstCall(listener); err != nil {
+			_ = unix.Close(listener)
+			return err
+		}
 		go supervise(listener, decide, counts)
 		return nil
 	}, nil
@@ -104,6 +108,28 @@
 	return descriptors[0], nil
 }
 
+// firstCallTimeout bounds the time until the program's first intercepted call. Each program opens files as it starts.
+const firstCallTimeout = 5 * time.Second
+
+// errNoCalls reports that a program runs whose calls the filter does not recognize.
+var errNoCalls = errors.New("no system call of the program was intercepted")
+
+// awaitFirstCall waits until an intercepted call is ready to be received, and fails if there is none.
+func awaitFirstCall(listener int) error {
+	deadline := time.Now().Add(firstCallTimeout)
+	pollFDs := []unix.PollFd{{Fd: int32(listener), Events: unix.POLLIN}}
+	for remaining := firstCallTimeout; remaining > 0; remaining = time.Until(deadline) {
+		_, err := unix.Poll(pollFDs, int(remaining.Milliseconds())+1)
+		if pollFDs[0].Revents&unix.POLLIN != 0 {
+			return nil
+		}
+		if err == nil {
+			break
+		}
+	}
+	return &Error{"first call", errNoCalls}
+}
+
 // supervise handles intercepted calls until the process has exited.
 func supervise(listener int, decide Decide, counts *Counts) {
 	defer func() { _ = unix.Close(listener) }()
--- a/internal/lab/syscallshim/syscallshim_test.go
+++ b/internal/lab/syscallshim/syscallshim_test.go
@@ -105,3 +105,14 @@
 		require.Positive(t, counts.Failed.Load())
 	}
 }
+
+// TestUnseenCallsReported checks that a program none of whose calls are intercepted is an error.
+func TestUnseenCallsReported(t *testing.T) {
+	listener, program, err := os.Pipe()
+	require.NoError(t, err)
+	require.NoError(t, program.Close())
+	var shimError *Error
+	require.ErrorAs(t, awaitFirstCall(int(listener.Fd())), &shimError)
+	require.ErrorIs(t, shimError, errNoCalls)
+	require.NoError(t, listener.Close())
+}
