--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -135,6 +135,7 @@
 func (s *Sockets) deliverEvent(e queuedEvent, offset int, clock func() int64, l *limiter.Limiter) {
 	s.currentOffset = offset
 	s.markDelivered(e)
+	s.delivery.stats.dataWaited(e)
 	began := clock()
 	e.deliver(began, l)
 	s.delivery.stats.stepDone(e.kind.String(), clock()-began)
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -76,6 +76,7 @@
 	// arrivedAt is when the kernel received the last of these bytes, on the clock of elapsed; 0 for data from servers and
 	// data read before Run.
 	arrivedAt int64
+	unreadFor int64               // how long they had waited in the kernel when they were read, nanoseconds; 0 as arrivedAt
 	reason    limiter.CloseReason // for connClosed
 }
 
@@ -126,11 +127,12 @@
 		switch {
 		case n > 0:
 			conn.bytesRead += int64(n)
-			arrivedAt := int64(0)
+			received := queuedEvent{kind: dataReceived, size: n}
 			if client && s.running.Load() {
-				arrivedAt = elapsed() - sinceLastReceive(nc)
+				received.unreadFor = sinceLastReceive(nc)
+				received.arrivedAt = elapsed() - received.unreadFor
 			}
-			s.enqueue(conn, queuedEvent{kind: dataReceived, size: n, arrivedAt: arrivedAt}, buf[:n])
+			s.enqueue(conn, received, buf[:n])
 		case err == nil:
 			return errPeerClosed
 		case errors.Is(err, syscall.EAGAIN):
--- a/internal/sockets/reducer_stats.go
+++ b/internal/sockets/reducer_stats.go
@@ -16,6 +16,8 @@
 	longestStep     int64
 	longestStepKind string // the event of that step
 	latestTimer     int64  // longest time between the time set by SetTimer and the delivery of TimersDue
+	longestUnread   int64  // longest time that a client's bytes waited in the kernel
+	longestQueued   int64  // longest time that a client's bytes waited between the kernel and the limiter
 	queuedBytes     int    // largest number of received bytes in one batch
 	loggedAt        int64
 }
@@ -31,6 +33,15 @@
 // timersDue records by how much the timers are late.
 func (r *reducerStats) timersDue(late int64) { r.latestTimer = max(r.latestTimer, late) }
 
+// dataWaited records how long the data of an event has waited, if that is known.
+func (r *reducerStats) dataWaited(e queuedEvent) {
+	if e.arrivedAt == 0 {
+		return
+	}
+	r.longestUnread = max(r.longestUnread, e.unreadFor)
+	r.longestQueued = max(r.longestQueued, elapsed()-e.arrivedAt-e.unreadFor)
+}
+
 // batchTaken records the number of received bytes in a batch.
 func (r *reducerStats) batchTaken(bytes int) { r.queuedBytes = max(r.queuedBytes, bytes) }
 
@@ -44,7 +55,8 @@
 	}
 	usage := l.Usage()
 	slog.Info("reducer", "longest_step_ms", milliseconds(r.longestStep), "longest_step", r.longestStepKind,
-		"timers_late_ms", milliseconds(r.latestTimer), "queued_bytes", r.queuedBytes, "memory_mb", runtimeMegabytes(),
+		"timers_late_ms", milliseconds(r.latestTimer), "unread_ms", milliseconds(r.longestUnread),
+		"queued_ms", milliseconds(r.longestQueued), "queued_bytes", r.queuedBytes, "memory_mb", runtimeMegabytes(),
 		"accounts", usage.Accounts, "requests", usage.Requests, "timers", usage.Timers,
 		"connections", usage.Connections, "input_bytes", usage.InputBytes)
 	*r = reducerStats{loggedAt: now}
