--- a/cmd/testlab/main.go
+++ b/cmd/testlab/main.go
@@ -32,7 +32,7 @@
 	root := &cobra.Command{Use: "testlab", Short: "the ospreycroft test lab", SilenceUsage: true}
 	root.AddCommand(runCommand(), checkCommand(), judgeCommand(), reportCommand(), sweepCommand(), censusCommand(),
 		scaleCommand(), scaleHostCommand(), distributionCommand(), distributionHostCommand(),
-		soakCommand())
+		soakCommand(), floodCommand())
 	return root
 }
 
