The poller gets its turn each millisecond while the reducer is busy

Cause: the limiter runs Go code on one processor. A poller that returns from epoll finds it taken and waits in the scheduler's global run queue, which is looked at once in 61 runs of goroutines of the local queue; there the reducer and the readers of the flooding clients, which wake each other, take up to 10 ms a run. Evidence: unread_ms up to 2692 with queued_ms at most 50 and timers at most 19 ms late. Change: the reducer calls runtime.Gosched each millisecond between steps, which puts it behind the poller in that queue.

--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"runtime"
 	"sync/atomic"
 
 	"ospreycroft/internal/limiter"
@@ -15,6 +16,10 @@
 	// maxTimerDelay is how late timers may be before they interrupt a batch, nanoseconds. Otherwise they run after it, so
 	// that events that have come already are known to them.
 	maxTimerDelay = 1e6
+	// maxHold is how long the reducer works before it lets the poller run, nanoseconds. With a single processor
+	// (GOMAXPROCS=1) the Go scheduler may otherwise leave a poller that has returned from the kernel waiting for seconds:
+	// it looks at the global run queue, where the poller is, only after many runs of other goroutines.
+	maxHold = 1e6
 )
 
 // delivery is the state of the delivery of a batch.
@@ -22,6 +27,7 @@
 	waiting      []*connection // clients with undelivered events, in the order of their turns
 	spare        []*connection // memory for the next round
 	interrupting eventBatch    // events of others, delivered in the middle of the batch
+	yieldedAt    int64         // when the reducer last let other goroutines run
 	stats        reducerStats
 	// peerEventsQueued is true while Sockets.queued may hold events that are not from clients. It is set by the goroutines
 	// that queue events; all else is used by the reducer only.
@@ -106,11 +112,21 @@
 		}
 		s.current.bytes = batch
 	}
-	if s.timerAt+maxTimerDelay <= clock() {
+	now := clock()
+	s.delivery.yield(now)
+	if s.timerAt+maxTimerDelay <= now {
 		s.deliverTimers(clock, l)
 	}
 }
 
+// yield lets other goroutines run if the reducer has run for maxHold.
+func (d *delivery) yield(now int64) {
+	if now-d.yieldedAt >= maxHold {
+		runtime.Gosched()
+		d.yieldedAt = now
+	}
+}
+
 // takePeerEvents moves the events that are not from clients out of the queue. They stay there with their data, marked as
 // taken.
 func (s *Sockets) takePeerEvents() {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -173,6 +173,7 @@
 			s.engine.Stop()
 			return
 		}
+		s.delivery.yield(clock())
 		select {
 		case <-s.wakeups:
 		case <-timer.C:
