Clients' turns go on with what has just come, and many full senders share one queue

What callers saw: with 120 clients at full speed on one connection each, others got answers late or never even with a poller that gets its turn: queued_ms up to 406, unread_ms up to 1428. Change: events are taken between turns; a client without a turn in the present round goes first (as new flows do in fair queueing); undelivered bytes of all clients share 1 MiB, 4 KiB for one at least; taken batches count in the 4 MiB. Tests: driver and nextEvent hand events their data through Sockets.data, as the field that held the offset is gone.

--- a/internal/sockets/backpressure_test.go
+++ b/internal/sockets/backpressure_test.go
@@ -118,7 +118,7 @@
 	t.Cleanup(func() { // a poller that is blocked in enqueue could not be stopped
 		for range 50 {
 			d.s.nextBatch()
-			d.s.batchTaken.Broadcast()
+			d.s.bytesReleased.Broadcast()
 			time.Sleep(time.Millisecond)
 		}
 	})
--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -7,14 +7,16 @@
 	"ospreycroft/internal/limiter"
 )
 
-// This file delivers a batch of events to the reducer. A batch may hold thousands of commands, so events from servers,
-// the counter and discovery go first, clients take turns, and what has become due meanwhile is not kept waiting.
+// This file delivers queued events to the reducer. Thousands of commands may be queued, so events from servers, the
+// counter and discovery go first, clients take turns, and what comes or becomes due meanwhile is not kept waiting. A
+// client that has just sent something goes before those that have had a turn already, so that clients which send at full
+// speed delay only each other.
 
 const (
 	// clientTurnBytes is how many bytes of one client are delivered before the next client's turn.
 	clientTurnBytes = 4 << 10
-	// maxTimerDelay is how late timers may be before they interrupt a batch, nanoseconds. Otherwise they run after it, so
-	// that events that have come already are known to them.
+	// maxTimerDelay is how late timers may be before they go before clients' events, nanoseconds. Otherwise they run
+	// after these, so that events that have come already are known to them.
 	maxTimerDelay = 1e6
 	// maxHold is how long the reducer works before it lets the poller run, nanoseconds. With a single processor
 	// (GOMAXPROCS=1) the Go scheduler may otherwise leave a poller that has returned from the kernel waiting for seconds:
@@ -22,145 +24,162 @@
 	maxHold = 1e6
 )
 
-// delivery is the state of the delivery of a batch.
+// delivery is the state of the delivery of events.
 type delivery struct {
-	waiting      []*connection // clients with undelivered events, in the order of their turns
-	spare        []*connection // memory for the next round
-	interrupting eventBatch    // events of others, delivered in the middle of the batch
-	yieldedAt    int64         // when the reducer last let other goroutines run
+	fresh        fifo[*connection] // clients with undelivered events that have had no turn in this round
+	waiting      fifo[*connection] // other clients with undelivered events
+	round        int64             // a round gives each of the waiting clients one turn; the first is 1
+	turnsLeft    int               // in this round
+	spareBatches []*eventBatch     // memory for further batches
+	now          int64             // the latest reading of the limiter's clock
+	yieldedAt    int64             // when the reducer last let other goroutines run
 	stats        reducerStats
-	// peerEventsQueued is true while Sockets.queued may hold events that are not from clients. It is set by the goroutines
-	// that queue events; all else is used by the reducer only.
-	peerEventsQueued atomic.Bool
+	// The goroutines that read and queue events use these two as well.
+	eventsQueued atomic.Bool  // Sockets.queued may hold events
+	clientLimit  atomic.Int64 // how many bytes of one client may be undelivered
 }
 
-// pendingEvent is a client's event in the current batch that is not delivered completely.
+// pendingEvent is a client's event that is not delivered completely.
 type pendingEvent struct {
 	event  queuedEvent // its size is what is left
-	offset int         // of the rest of its data in the batch's bytes
+	batch  *eventBatch
+	offset int // of the rest of its data in the batch's bytes
 }
 
-// deliverBatch delivers the current batch.
-func (s *Sockets) deliverBatch(clock func() int64, l *limiter.Limiter) {
+// closedChannel is always ready to receive from.
+var closedChannel = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// clientsWait reports whether clients wait for their turns.
+func (d *delivery) clientsWait() bool { return d.fresh.len()+d.waiting.len() > 0 }
+
+// ready returns a channel that can be received from while clients wait for their turns.
+func (d *delivery) ready() <-chan struct{} {
+	if d.clientsWait() {
+		return closedChannel
+	}
+	return nil
+}
+
+// yield lets other goroutines run if the reducer has run for maxHold.
+func (d *delivery) yield() {
+	if d.now-d.yieldedAt >= maxHold {
+		runtime.Gosched()
+		d.yieldedAt = d.now
+	}
+}
+
+// takeEvents takes the queued events. It delivers those that are not from clients, and has the others' clients wait for
+// their turns.
+func (s *Sockets) takeEvents(clock func() int64, l *limiter.Limiter) {
+	if !s.delivery.eventsQueued.Load() {
+		return
+	}
+	s.nextBatch()
+	batch := s.current
+	s.delivery.stats.batchTaken(len(batch.bytes))
 	offset := 0
-	for _, e := range s.current.events {
-		conn := s.connections[e.connID]
-		switch {
-		case e.taken:
-		case !e.client || conn == nil:
-			s.deliverEvent(e, offset, clock, l)
-		default:
-			if len(conn.pending) == 0 {
-				s.delivery.waiting = append(s.delivery.waiting, conn)
-			}
-			conn.pending = append(conn.pending, pendingEvent{e, offset})
+	for _, e := range batch.events {
+		if conn := s.connections[e.connID]; e.client && conn != nil {
+			s.addPending(conn, pendingEvent{e, batch, offset})
+		} else {
+			s.deliverEvent(e, batch.bytes[offset:offset+e.size], clock, l)
 		}
 		offset += e.size
 	}
-	for len(s.delivery.waiting) > 0 {
-		s.deliverRound(clock, l)
-	}
+	waiting := int64(s.delivery.fresh.len() + s.delivery.waiting.len())
+	s.delivery.clientLimit.Store(
+		max(minQueuedBytesPerClient, min(maxQueuedBytesPerClient, sharedQueueBytes/max(waiting, 1))))
 }
 
-// deliverRound gives each waiting client one turn.
-func (s *Sockets) deliverRound(clock func() int64, l *limiter.Limiter) {
-	round := s.delivery.waiting
-	s.delivery.waiting = s.delivery.spare[:0]
-	for i, conn := range round {
-		round[i] = nil
-		if s.halted.Load() {
-			conn.pending = nil
-			continue
+// addPending appends an event to those of its client, which waits for its turn from then on.
+func (s *Sockets) addPending(conn *connection, e pendingEvent) {
+	d := &s.delivery
+	if conn.pending.len() == 0 {
+		if conn.lastTurn == d.round {
+			d.waiting.push(conn)
+		} else {
+			d.fresh.push(conn)
 		}
+	}
+	conn.pending.push(e)
+	e.batch.undelivered++
+}
+
+// deliverTurns gives waiting clients their turns for maxHold, or until none waits.
+func (s *Sockets) deliverTurns(clock func() int64, l *limiter.Limiter) {
+	end := s.delivery.now + maxHold
+	for s.delivery.clientsWait() && !s.halted.Load() {
+		conn := s.delivery.nextClient()
 		s.deliverTurn(conn, clock, l)
-		if len(conn.pending) > 0 {
-			s.delivery.waiting = append(s.delivery.waiting, conn)
+		if conn.pending.len() > 0 {
+			s.delivery.waiting.push(conn)
+		}
+		s.takeEvents(clock, l)
+		if s.timerAt+maxTimerDelay <= s.delivery.now {
+			s.deliverTimers(clock, l)
+		}
+		if s.delivery.now >= end {
+			return
 		}
-		s.deliverDue(clock, l)
 	}
-	s.delivery.spare = round
+	s.delivery.round++
+	s.delivery.turnsLeft = 0
+}
+
+// nextClient removes and returns the client whose turn it is. There must be one.
+func (d *delivery) nextClient() (conn *connection) {
+	if d.fresh.len() > 0 {
+		conn = d.fresh.pop()
+	} else {
+		if d.turnsLeft == 0 {
+			d.round++
+			d.turnsLeft = d.waiting.len()
+		}
+		d.turnsLeft--
+		conn = d.waiting.pop()
+	}
+	conn.lastTurn = d.round
+	return conn
 }
 
 // deliverTurn delivers a client's next event, or a part of its data.
 func (s *Sockets) deliverTurn(conn *connection, clock func() int64, l *limiter.Limiter) {
-	next := &conn.pending[0]
+	next := conn.pending.front()
 	part := *next
 	if part.event.size > clientTurnBytes {
 		part.event.size = clientTurnBytes
 		next.event.size -= clientTurnBytes
 		next.offset += clientTurnBytes
 	} else {
-		conn.pending = conn.pending[1:]
-		if len(conn.pending) == 0 {
-			conn.pending = nil
-		}
-	}
-	s.deliverEvent(part.event, part.offset, clock, l)
-}
-
-// deliverDue delivers what must not wait for the rest of the batch: timers that are late, and events that have come from
-// servers, the counter and discovery.
-func (s *Sockets) deliverDue(clock func() int64, l *limiter.Limiter) {
-	if s.delivery.peerEventsQueued.Load() {
-		s.takePeerEvents()
-		offset := 0
-		batch := s.current.bytes
-		s.current.bytes = s.delivery.interrupting.bytes
-		for _, e := range s.delivery.interrupting.events {
-			s.deliverEvent(e, offset, clock, l)
-			offset += e.size
-		}
-		s.current.bytes = batch
-	}
-	now := clock()
-	s.delivery.yield(now)
-	if s.timerAt+maxTimerDelay <= now {
-		s.deliverTimers(clock, l)
+		conn.pending.pop()
+		part.batch.undelivered--
 	}
-}
-
-// yield lets other goroutines run if the reducer has run for maxHold.
-func (d *delivery) yield(now int64) {
-	if now-d.yieldedAt >= maxHold {
-		runtime.Gosched()
-		d.yieldedAt = now
+	s.deliverEvent(part.event, part.batch.bytes[part.offset:part.offset+part.event.size], clock, l)
+	if part.batch.undelivered == 0 && part.batch != s.current {
+		s.release(part.batch)
 	}
 }
 
-// takePeerEvents moves the events that are not from clients out of the queue. They stay there with their data, marked as
-// taken.
-func (s *Sockets) takePeerEvents() {
-	s.delivery.interrupting.events = s.delivery.interrupting.events[:0]
-	s.delivery.interrupting.bytes = s.delivery.interrupting.bytes[:0]
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.delivery.peerEventsQueued.Store(false)
-	for ; s.queued.searched < len(s.queued.events); s.queued.searched++ {
-		e := &s.queued.events[s.queued.searched]
-		if !e.client {
-			s.delivery.interrupting.events = append(s.delivery.interrupting.events, *e)
-			s.delivery.interrupting.bytes = append(s.delivery.interrupting.bytes,
-				s.queued.bytes[s.queued.searchedBytes:s.queued.searchedBytes+e.size]...)
-			e.taken = true
-		}
-		s.queued.searchedBytes += e.size
-	}
-}
-
-// deliverEvent delivers an event whose data begins at offset in the current batch's bytes.
-func (s *Sockets) deliverEvent(e queuedEvent, offset int, clock func() int64, l *limiter.Limiter) {
-	s.currentOffset = offset
+// deliverEvent delivers an event with its data.
+func (s *Sockets) deliverEvent(e queuedEvent, data []byte, clock func() int64, l *limiter.Limiter) {
+	s.data = data
 	s.markDelivered(e)
 	s.delivery.stats.dataWaited(e)
 	began := clock()
 	e.deliver(began, l)
-	s.delivery.stats.stepDone(e.kind.String(), clock()-began)
+	s.delivery.now = clock()
+	s.delivery.stats.stepDone(e.kind.String(), s.delivery.now-began)
 }
 
 // deliverTimers tells the limiter that its timers are due.
 func (s *Sockets) deliverTimers(clock func() int64, l *limiter.Limiter) {
-	now := clock()
-	s.delivery.stats.timersDue(now - s.timerAt)
-	l.Step(now, limiter.TimersDue{})
-	s.delivery.stats.stepDone(timersDueName, clock()-now)
+	began := clock()
+	s.delivery.stats.timersDue(began - s.timerAt)
+	l.Step(began, limiter.TimersDue{})
+	s.delivery.now = clock()
+	s.delivery.stats.stepDone(timersDueName, s.delivery.now-began)
 }
--- a/internal/sockets/delivery_test.go
+++ b/internal/sockets/delivery_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/limiter"
 )
 
 // queuePings has clients connect and send commands in small pieces, until events of that number are queued.
@@ -105,3 +107,33 @@
 	}, func() bool { return answeredAt > 0 && d.delivered(clients*rounds) })
 	require.Less(t, answeredAt, readings/2, "the answer came at the end of the batch")
 }
+
+// TestClientWithinBatch guards against commands that wait until all that was queued before them is handled.
+func TestClientWithinBatch(t *testing.T) {
+	d := newDriver(t, 256, nil)
+	other := d.dialClient()
+	var otherID limiter.ConnID
+	d.stepUntil("the client is accepted", func() bool {
+		for id, conn := range d.s.connections {
+			if conn.listener != nil {
+				otherID = id
+			}
+		}
+		return otherID > 0
+	})
+	const clients, rounds = 10, 50
+	queuePings(d, clients, rounds)
+	readings, answeredAt := 0, 0
+	runWithClock(d, func() int64 {
+		readings++
+		if readings == 20 {
+			send(t, other, ping)
+			time.Sleep(100 * time.Millisecond) // the poller reads it
+		}
+		if answeredAt == 0 && d.s.Written(otherID) > 0 {
+			answeredAt = readings
+		}
+		return d.now
+	}, func() bool { return answeredAt > 0 && d.delivered(clients*rounds+1) })
+	require.Less(t, answeredAt, readings/2, "the answer came at the end of the batch")
+}
--- a/internal/sockets/driver_test.go
+++ b/internal/sockets/driver_test.go
@@ -65,12 +65,14 @@
 func (d *driver) step(later int64) {
 	d.now += later
 	d.s.nextBatch()
+	rest := d.s.current.bytes
 	for _, e := range d.s.current.events {
-		end := d.s.currentOffset + e.size
+		d.s.data = rest[:e.size]
+		rest = rest[e.size:]
 		d.s.markDelivered(e)
 		e.deliver(d.now, d.l)
-		d.s.currentOffset = end
 	}
+	d.s.release(d.s.current)
 	d.l.Step(d.now, limiter.TimersDue{})
 }
 
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"runtime"
+	"sync"
 	"syscall"
 	"time"
 
@@ -27,7 +28,7 @@
 // elapsed returns the monotonic time since processStart in nanoseconds.
 func elapsed() int64 { return int64(time.Since(processStart)) }
 
-// maxQueuedBytes is how many bytes may be queued for the reducer. Above it enqueue blocks, so the poller stops
+// maxQueuedBytes is how many received bytes may wait for the reducer. Above it enqueue blocks, so the poller stops
 // reading and the kernel's receive buffers fill up.
 const maxQueuedBytes = 4 << 20
 
@@ -35,17 +36,43 @@
 // io.EOF does not tell this from a reset.
 var errPeerClosed = errors.New("the peer closed the connection")
 
-// maxQueuedBytesPerClient is how many bytes of one client may be undelivered. Without this limit a client that sends
-// continuously would keep the poller busy and delay all other connections.
-const maxQueuedBytesPerClient = 64 << 10
+const (
+	// maxQueuedBytesPerClient is how many bytes of one client may be undelivered. Without this limit a client that sends
+	// continuously would keep the poller busy and delay all other connections.
+	maxQueuedBytesPerClient = 64 << 10
+	// minQueuedBytesPerClient is the same limit where very many clients have undelivered bytes.
+	minQueuedBytesPerClient = clientTurnBytes
+	// sharedQueueBytes is what all clients with undelivered bytes share. It is well below maxQueuedBytes, as a batch is
+	// kept until all of it is delivered, and the poller must not block for want of room.
+	sharedQueueBytes = maxQueuedBytes / 4
+)
 
 // eventBatch is a queue of events for the reducer, with the received bytes of all of them, in order.
 type eventBatch struct {
-	events   []queuedEvent
-	bytes    []byte
-	accepted []*connection // those of the clientAccepted events, to be added to Sockets.connections
-	// searched is how many of the events takePeerEvents has looked at, and searchedBytes the size of their data.
-	searched, searchedBytes int
+	events      []queuedEvent
+	bytes       []byte
+	accepted    []*connection // those of the clientAccepted events, to be added to Sockets.connections
+	undelivered int           // events that wait for their clients' turns; used by the reducer only
+	held        bool          // its bytes count in Sockets.heldBytes; used by the reducer only
+}
+
+const (
+	// maxSpareBatches is how many delivered batches are kept for reuse, and maxSpareBytes the size of the data buffers
+	// with which they are.
+	maxSpareBatches = 8
+	maxSpareBytes   = 256 << 10
+)
+
+// emptyBatch returns an empty batch, with the memory of an earlier one if there is any.
+func (d *delivery) emptyBatch() *eventBatch {
+	last := len(d.spareBatches) - 1
+	if last < 0 {
+		return &eventBatch{}
+	}
+	b := d.spareBatches[last]
+	d.spareBatches = d.spareBatches[:last]
+	b.events, b.bytes, b.accepted = b.events[:0], b.bytes[:0], b.accepted[:0]
+	return b
 }
 
 // eventKind says which event of the limiter a queuedEvent is delivered as.
@@ -71,7 +98,6 @@
 	kind   eventKind
 	connID limiter.ConnID
 	client bool // the connection is a client's
-	taken  bool // it was delivered while an earlier batch was
 	size   int  // number of bytes, for dataReceived
 	// arrivedAt is when the kernel received the last of these bytes, on the clock of elapsed; 0 for data from servers and
 	// data read before Run.
@@ -120,10 +146,15 @@
 	conn.readMutex.Lock()
 	defer conn.readMutex.Unlock()
 	for {
-		if client && (conn.locallyClosed.Load() || conn.isBackpressured()) {
-			return nil // nbio reports a close even if data before it is unread
+		size := len(buf)
+		if client {
+			limit := s.delivery.clientLimit.Load()
+			if conn.locallyClosed.Load() || conn.isBackpressured(limit) {
+				return nil // nbio reports a close even if data before it is unread
+			}
+			size = min(size, int(limit))
 		}
-		n, err := nc.Read(buf)
+		n, err := nc.Read(buf[:size])
 		switch {
 		case n > 0:
 			conn.bytesRead += int64(n)
@@ -143,15 +174,15 @@
 	}
 }
 
-// isBackpressured reports whether reading must stop because maxQueuedBytesPerClient bytes are undelivered;
-// markDelivered then resumes it. The second comparison prevents a lost wakeup: either it sees a delivery that
-// happened after the first one, or markDelivered sees the backpressured flag.
-func (c *connection) isBackpressured() bool {
-	if c.bytesRead-c.bytesDelivered.Load() < maxQueuedBytesPerClient {
+// isBackpressured reports whether reading must stop because limit bytes are undelivered; markDelivered then resumes it.
+// The second comparison prevents a lost wakeup: either it sees a delivery that happened after the first one, or
+// markDelivered sees the backpressured flag.
+func (c *connection) isBackpressured(limit int64) bool {
+	if c.bytesRead-c.bytesDelivered.Load() < limit {
 		return false
 	}
 	c.backpressured.Store(true)
-	return c.bytesRead-c.bytesDelivered.Load() >= maxQueuedBytesPerClient
+	return c.bytesRead-c.bytesDelivered.Load() >= limit
 }
 
 // markDelivered counts an event's bytes as delivered and resumes reading if it had stopped. Reading resumes on a new
@@ -163,58 +194,80 @@
 	}
 	conn.bytesDelivered.Add(int64(e.size))
 	if conn.backpressured.CompareAndSwap(true, false) {
-		go func() {
-			defer logging.LogPanic("resumed reader")
-			_ = s.readAvailable(conn, conn.nbConn.Load(), make([]byte, resumedReadSize), true)
-		}()
+		go s.resumeReading(conn)
 	}
 }
 
+// readBuffers holds buffers of resumed readers.
+var readBuffers = sync.Pool{New: func() any { return new([resumedReadSize]byte) }}
+
+// resumeReading reads what a client has sent while it was backpressured.
+func (s *Sockets) resumeReading(conn *connection) {
+	defer logging.LogPanic("resumed reader")
+	buf := readBuffers.Get().(*[resumedReadSize]byte)
+	defer readBuffers.Put(buf)
+	_ = s.readAvailable(conn, conn.nbConn.Load(), buf[:], true)
+}
+
 // enqueue queues an event on a connection, with the data received, and wakes the reducer if the queue was empty. It
-// blocks while more than maxQueuedBytes are queued.
+// blocks while more than maxQueuedBytes wait.
 func (s *Sockets) enqueue(conn *connection, e queuedEvent, data []byte) {
 	s.mutex.Lock()
 	e.connID = conn.id
 	e.client = conn.listener != nil
-	for len(s.queued.bytes) > maxQueuedBytes {
-		s.batchTaken.Wait()
+	for len(s.queued.bytes)+s.heldBytes > maxQueuedBytes {
+		s.bytesReleased.Wait()
 	}
 	if e.kind == clientAccepted {
 		s.queued.accepted = append(s.queued.accepted, conn)
 	}
 	s.queued.events = append(s.queued.events, e)
 	s.queued.bytes = append(s.queued.bytes, data...)
-	if !e.client {
-		s.delivery.peerEventsQueued.Store(true)
-	}
 	wasEmpty := len(s.queued.events) == 1
+	s.delivery.eventsQueued.Store(true)
 	s.mutex.Unlock()
 	if wasEmpty {
 		s.wake()
 	}
 }
 
-// nextBatch makes the queued events the current batch and reuses the previous batch's memory for the queue. A data
-// buffer that has grown beyond maxQueuedBytes is not kept.
+// nextBatch makes the queued events the current batch.
 func (s *Sockets) nextBatch() {
-	s.current.events, s.current.bytes, s.current.accepted, s.currentOffset =
-		s.current.events[:0], s.current.bytes[:0], s.current.accepted[:0], 0
-	if cap(s.current.bytes) > maxQueuedBytes {
-		s.current.bytes = nil
+	if s.current.undelivered == 0 {
+		s.release(s.current)
 	}
-	s.current.searched, s.current.searchedBytes = 0, 0
+	empty := s.delivery.emptyBatch()
 	s.mutex.Lock()
-	s.current, s.queued = s.queued, s.current
-	s.delivery.peerEventsQueued.Store(false)
+	s.current, s.queued = s.queued, empty
+	s.heldBytes += len(s.current.bytes)
+	s.delivery.eventsQueued.Store(false)
 	s.mutex.Unlock()
-	s.batchTaken.Broadcast()
+	s.current.held = true
 	for _, conn := range s.current.accepted {
 		s.connections[conn.id] = conn
 	}
 }
 
-// hasQueued reports whether events are queued for the reducer.
+// release makes room for further received bytes once a batch is delivered. It keeps the batch for reuse.
+func (s *Sockets) release(b *eventBatch) {
+	if !b.held {
+		return
+	}
+	b.held = false
+	if len(s.delivery.spareBatches) < maxSpareBatches && cap(b.bytes) <= maxSpareBytes {
+		s.delivery.spareBatches = append(s.delivery.spareBatches, b)
+	}
+	s.mutex.Lock()
+	s.heldBytes -= len(b.bytes)
+	s.mutex.Unlock()
+	s.bytesReleased.Broadcast()
+}
+
+// hasQueued reports whether events wait for the reducer.
 func (s *Sockets) hasQueued() bool {
+	if s.delivery.clientsWait() {
+		return true
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return len(s.queued.events) > 0
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -34,32 +34,35 @@
 	bytesDelivered atomic.Int64              // bytes of bytesRead that the reducer has been given
 	// backpressured is true while reading is stopped because maxQueuedBytesPerClient bytes are undelivered.
 	backpressured atomic.Bool
-	pending       []pendingEvent // a client's undelivered events of the current batch; used by the reducer only
+	// The fields below are a client's and used by the reducer only.
+	pending  fifo[pendingEvent] // undelivered events
+	lastTurn int64              // round of the latest turn
 }
 
 // Sockets is the listener for clients and all connections of a limiter. Listen creates one. The methods of
 // limiter.Effects may be called only from the goroutine that calls Run; Halt and LogTrace from any.
 type Sockets struct {
-	engine     *nbio.Engine
-	dialTCP    dialFunc
-	listener   *acceptLimiter
-	wakeups    chan struct{} // holds an element while Run has something new to look at
-	mutex      sync.Mutex
-	lastID     limiter.ConnID // of the newest connection; guarded by mutex
-	batchTaken sync.Cond      // signals that nextBatch has emptied queued
-	queued     eventBatch     // guarded by mutex
+	engine        *nbio.Engine
+	dialTCP       dialFunc
+	listener      *acceptLimiter
+	wakeups       chan struct{} // holds an element while Run has something new to look at
+	mutex         sync.Mutex
+	lastID        limiter.ConnID // of the newest connection; guarded by mutex
+	queued        *eventBatch    // guarded by mutex
+	heldBytes     int            // received bytes of batches that are taken and not released; guarded by mutex
+	bytesReleased sync.Cond      // signals that heldBytes has decreased
 	// The fields below are used only by the reducer's goroutine, except for running, halted, addMutex and traceWanted.
-	connections   map[limiter.ConnID]*connection
-	current       eventBatch // the batch being delivered
-	currentOffset int        // position of the current event's data in current.bytes
-	timerAt       int64      // limiter's time at which TimersDue is next due, nanoseconds
-	wakeup        *wakeupTimer
-	running       atomic.Bool   // Run has begun, so the limiter's clock advances with the process's
-	halted        atomic.Bool   // Halt was called
-	addMutex      sync.RWMutex  // read-locked while a connection is added to the engine
-	traceWanted   atomic.Bool   // LogTrace was called and the trace is not logged yet
-	lingering     []*connection // gracefully closed connections that may still be open
-	delivery      delivery
+	connections map[limiter.ConnID]*connection
+	current     *eventBatch // the batch taken last
+	data        []byte      // the current event's
+	timerAt     int64       // limiter's time at which TimersDue is next due, nanoseconds
+	wakeup      *wakeupTimer
+	running     atomic.Bool   // Run has begun, so the limiter's clock advances with the process's
+	halted      atomic.Bool   // Halt was called
+	addMutex    sync.RWMutex  // read-locked while a connection is added to the engine
+	traceWanted atomic.Bool   // LogTrace was called and the trace is not logged yet
+	lingering   []*connection // gracefully closed connections that may still be open
+	delivery    delivery
 }
 
 // dialFunc has the signature of net.Dialer.DialContext; tests replace the dialer.
@@ -77,7 +80,11 @@
 		wakeups: make(chan struct{}, 1), connections: map[limiter.ConnID]*connection{},
 		listener: newAcceptLimiter(maxClientConns(maxClients, descriptors)),
 	}
-	s.batchTaken.L = &s.mutex
+	s.queued = &eventBatch{}
+	s.current = &eventBatch{}
+	s.delivery.round = 1
+	s.delivery.clientLimit.Store(maxQueuedBytesPerClient)
+	s.bytesReleased.L = &s.mutex
 	s.engine = nbio.NewEngine(nbio.Config{
 		Name: "ospreycroft", Network: "tcp", Addrs: []string{address}, NPoller: 1,
 		// In level-triggered mode nbio may stop waiting for writability if a connection is written to just after it
@@ -173,8 +180,9 @@
 			s.engine.Stop()
 			return
 		}
-		s.delivery.yield(clock())
+		s.delivery.yield()
 		select {
+		case <-s.delivery.ready():
 		case <-s.wakeups:
 		case <-timer.C:
 		case <-stop:
@@ -186,23 +194,30 @@
 		if s.traceWanted.CompareAndSwap(true, false) {
 			l.LogTrace(limiter.AllTrace)
 		}
-		s.nextBatch()
-		s.delivery.stats.batchTaken(len(s.current.bytes))
-		s.deliverBatch(clock, l)
-		if s.timerAt <= clock() {
-			s.deliverTimers(clock, l)
-		}
-		now := clock()
-		s.delivery.stats.logIfDue(now, l)
-		wait := max(0, s.timerAt-now)
-		if s.wakeup.set(s.timerAt, time.Duration(wait)) {
-			wait += int64(backupDelay)
+		s.delivery.now = clock()
+		s.takeEvents(clock, l)
+		s.deliverTurns(clock, l)
+		s.delivery.stats.logIfDue(s.delivery.now, l)
+		if s.delivery.clientsWait() {
+			continue
 		}
-		if len(s.lingering) > 0 && l.Finished() { // no event reports that a client has received everything
-			wait = min(wait, lingerCheckInterval)
+		if s.timerAt <= s.delivery.now {
+			s.deliverTimers(clock, l)
 		}
-		timer.Reset(time.Duration(wait))
+		s.armTimer(timer, s.delivery.now, l.Finished())
+	}
+}
+
+// armTimer sets the timers that wake Run when the limiter's timers are due.
+func (s *Sockets) armTimer(timer *time.Timer, now int64, finished bool) {
+	wait := max(0, s.timerAt-now)
+	if s.wakeup.set(s.timerAt, time.Duration(wait)) {
+		wait += int64(backupDelay)
+	}
+	if len(s.lingering) > 0 && finished { // no event reports that a client has received everything
+		wait = min(wait, lingerCheckInterval)
 	}
+	timer.Reset(time.Duration(wait))
 }
 
 // Halt makes Run return without finishing requests, as if the process had been killed.
@@ -247,4 +262,4 @@
 func (s *Sockets) WallClock() int64 { return time.Now().UnixNano() }
 
 // Read implements limiter.Effects.
-func (s *Sockets) Read(into []byte) { copy(into, s.current.bytes[s.currentOffset:]) }
+func (s *Sockets) Read(into []byte) { copy(into, s.data) }
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -52,6 +52,7 @@
 		select {
 		case <-s.wakeups:
 			s.nextBatch()
+			s.data = s.current.bytes
 		case <-time.After(testTimeout):
 			t.Fatal("no event")
 		}
@@ -60,7 +61,7 @@
 	s.current.events = s.current.events[1:]
 	data := make([]byte, e.size)
 	s.Read(data)
-	s.currentOffset += e.size
+	s.data = s.data[e.size:]
 	return e, string(data)
 }
 
