The flood rig sends from processes of its own, so that the usual clients are not delayed by the lab

Cause: 120 senders in the lab's process kept its own readers from their turn: connections that the limiter had closed between requests were seen to end 69 to 206 ms after a request, so they counted as lost (a client sends these once more). Change: a process for each flooded limiter's senders.

--- a/cmd/testlab/flood.go
+++ b/cmd/testlab/flood.go
@@ -16,7 +16,10 @@
 	c := &cobra.Command{Use: "flood",
 		Short: "flood real limiters and count the answers that other clients got late or never",
 		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(*cobra.Command, []string) (err error) {
+			if options.Launcher, err = os.Executable(); err != nil {
+				return err
+			}
 			for _, name := range names {
 				kind, found := flood.KindByName(name)
 				if !found {
--- a/cmd/testlab/main.go
+++ b/cmd/testlab/main.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"ospreycroft/internal/lab/experiment"
+	"ospreycroft/internal/lab/flood"
 	"ospreycroft/internal/lab/history"
 	"ospreycroft/internal/lab/invariants"
 	"ospreycroft/internal/lab/logsummary"
@@ -23,6 +24,7 @@
 
 func main() {
 	syscallshim.LaunchIfRequested()
+	flood.SendIfRequested()
 	if err := rootCommand().Execute(); err != nil {
 		os.Exit(1)
 	}
--- a/internal/lab/flood/flood.go
+++ b/internal/lab/flood/flood.go
@@ -26,6 +26,7 @@
 // Options configure a run.
 type Options struct {
 	Program  string        // path of the limiter program
+	Launcher string        // path of a program that calls SendIfRequested first
 	Dir      string        // for the run's files
 	Kinds    []Kind        // played one after the other
 	Limiters int           // number of limiters
@@ -127,7 +128,7 @@
 	ByKind     map[string]*Counts
 	PeakMemory int64         // of any limiter, bytes
 	Lag        time.Duration // largest delay of the lab's own goroutines
-	Failures   []error       // of the limiters' processes
+	Failures   []error       // of the limiters' processes and the senders'
 	Worst      []string      // a line for each late or lost request
 }
 
@@ -178,6 +179,7 @@
 	mutex   sync.Mutex
 	pids    []int
 	peak    int64
+	failed  []error // of the senders
 }
 
 // Run runs the floods. An error means that the run did not take place.
@@ -195,7 +197,7 @@
 		return nil, err
 	}
 	report := &Report{Options: o, ByKind: map[string]*Counts{}, PeakMemory: r.peak, Lag: time.Duration(r.maxLag.Load()),
-		Failures: result.Failures}
+		Failures: append(result.Failures, r.failed...)}
 	for _, kind := range o.Kinds {
 		report.ByKind[kind.Name] = &Counts{}
 	}
@@ -275,14 +277,20 @@
 	time.Sleep(pause)
 	_, clock := lab.Record()
 	from := clock.Now()
-	until := time.Now().Add(r.options.Length)
-	var senders sync.WaitGroup
+	var senders []*exec.Cmd
 	for _, limiter := range limiters {
-		for range r.options.Clients {
-			senders.Go(func() { Send(lab.Address(limiter), kind, r.options.Unread, until) })
+		sender, err := startSenders(r.options.Launcher, lab.Address(limiter), kind, &r.options)
+		if err != nil {
+			r.failed = append(r.failed, err)
+			continue
+		}
+		senders = append(senders, sender)
+	}
+	for _, sender := range senders {
+		if err := sender.Wait(); err != nil {
+			r.failed = append(r.failed, err)
 		}
 	}
-	senders.Wait()
 	for _, limiter := range limiters {
 		r.spans = append(r.spans, span{kind.Name, limiter, from, clock.Now()})
 	}
@@ -365,8 +373,9 @@
 		c.Failed++
 	}
 	if verdict != "" {
-		r.Worst = append(r.Worst, fmt.Sprintf("%s %s limiter=%d id=%s class=%s sent=%.3f wait_ms=%d lateness_ms=%d outcome=%s",
+		r.Worst = append(r.Worst, fmt.Sprintf("%s %s limiter=%d id=%s class=%s sent=%.3f wait_ms=%d took_ms=%d lateness_ms=%d outcome=%s resent=%v",
 			verdict, kind, request.Limiter, request.ID, request.Class, float64(request.Sent)/1e9,
-			(request.Deadline-request.Sent)/1e6, lateness/1e6, request.Outcome))
+			(request.Deadline-request.Sent)/1e6, (request.Answered-request.Sent)/1e6, lateness/1e6, request.Outcome,
+			request.Resent))
 	}
 }
--- a/internal/lab/flood/flood_test.go
+++ b/internal/lab/flood/flood_test.go
@@ -1,6 +1,7 @@
 package flood
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -10,6 +11,12 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestMain lets the test binary serve as the sender of floods.
+func TestMain(m *testing.M) {
+	SendIfRequested()
+	os.Exit(m.Run())
+}
+
 // TestOthersAnsweredDuringFlood guards against answers of usual clients that are late or lost while others flood.
 func TestOthersAnsweredDuringFlood(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "ospreycroft")
@@ -18,7 +25,8 @@
 	require.NoError(t, err, string(output))
 	for _, unread := range []bool{false, true} {
 		report, err := Run(Options{
-			Program: program, Dir: t.TempDir(), Kinds: Kinds, Limiters: 2, Clients: 6, Length: time.Second, Unread: unread, Seed: 1,
+			Program: program, Launcher: os.Args[0], Dir: t.TempDir(), Kinds: Kinds, Limiters: 2, Clients: 6,
+			Length: time.Second, Unread: unread, Seed: 1,
 		})
 		require.NoError(t, err)
 		var text strings.Builder
--- a/internal/lab/flood/sender.go
+++ b/internal/lab/flood/sender.go
@@ -1,21 +1,63 @@
 package flood
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/exec"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// senderVariable is the environment variable with the arguments of a process that only sends a flood.
+const senderVariable = "OSPREYCROFT_FLOOD_SENDER"
+
 const (
 	dialTimeout = time.Second
 	// stopCheckInterval bounds how long a blocked write or read continues after the flood's end.
 	stopCheckInterval = 100 * time.Millisecond
 )
 
-// blockNumbers numbers the blocks of all senders.
+// blockNumbers numbers the blocks of all senders of a process.
 var blockNumbers atomic.Int64
 
+// SendIfRequested sends a flood and exits if the process was started by startSenders. Otherwise it does nothing.
+func SendIfRequested() {
+	arguments := os.Getenv(senderVariable)
+	if arguments == "" {
+		return
+	}
+	var address, name string
+	var clients int
+	var length time.Duration
+	var unread bool
+	_, err := fmt.Sscan(arguments, &address, &name, &clients, (*int64)(&length), &unread)
+	kind, found := KindByName(name)
+	if err != nil || !found {
+		fmt.Fprintln(os.Stderr, "flood sender: invalid arguments:", arguments)
+		os.Exit(1)
+	}
+	until := time.Now().Add(length)
+	var senders sync.WaitGroup
+	for range clients {
+		senders.Go(func() { Send(address, kind, unread, until) })
+	}
+	senders.Wait()
+	os.Exit(0)
+}
+
+// startSenders starts a process whose clients flood the address. A process of its own keeps the flood from delaying the
+// usual clients, which share the lab's. launcher is a program that calls SendIfRequested first.
+func startSenders(launcher, address string, kind Kind, o *Options) (*exec.Cmd, error) {
+	command := exec.Command(launcher)
+	command.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %d %d %v", senderVariable, address, kind.Name, o.Clients,
+		o.Length, o.Unread))
+	command.Stderr = os.Stderr
+	return command, command.Start()
+}
+
 // Send floods the address until the given time, on one connection at a time: a connection that the limiter ends is
 // followed by another at once. With unread the sender reads none of its answers.
 func Send(address string, kind Kind, unread bool, until time.Time) {
