The lab tells a connection that ended before its end was read from one that ended later

A request that crosses with the close of a resting connection is sent once more, which the lab decides by the time at which it saw the end, up to its own lag too late. Change: the time since the kernel's latest segment counts for ends, the request's record has reused, the finding's text both.

--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -61,13 +61,16 @@
 	Sent          int64   `json:"sent"`
 	Deadline      int64   `json:"cut_off"` // when the client stops waiting for an answer
 	Answered      int64   `json:"answered"`
-	// AnswerUnread is how long the answer waited in the client's receive buffer before the lab read it, in nanoseconds.
-	// This delay is the lab's own and is included in Answered. Its resolution is that of the kernel's timer.
+	// AnswerUnread is how long the answer, or the end of the connection, waited in the client's kernel before the lab
+	// read it, in nanoseconds. This delay is the lab's own and is included in Answered. Its resolution is that of the
+	// kernel's timer.
 	AnswerUnread int64   `json:"answer_unread,omitempty"`
 	Outcome      Outcome `json:"outcome"`
 	// Resent tells that the first connection was closed at once, so that the client sent the request again on a new
 	// connection. Sent is the time of the second sending.
-	Resent     bool  `json:"crossed,omitempty"`
+	Resent bool `json:"crossed,omitempty"`
+	// Reused tells that the connection had carried requests before.
+	Reused     bool  `json:"reused,omitempty"`
 	RetryAfter int64 `json:"retry_after,omitempty"` // of a rejection, in nanoseconds; 0 if it had none
 }
 
--- a/internal/lab/loadgen/loadgen.go
+++ b/internal/lab/loadgen/loadgen.go
@@ -246,6 +246,7 @@
 			return false
 		}
 	}
+	request.Reused = reused
 	request.Sent = d.clock.Now()
 	request.Deadline = request.Sent + int64(timeout)
 	wait := timeout + lateAnswerWait
@@ -258,13 +259,14 @@
 	if err == nil {
 		value, err = newAnswerReader(conn).next()
 	}
-	recordOutcome(request, d.clock.Now(), sinceLastReceived(conn), value, err)
+	recordOutcome(request, conn, d.clock.Now(), value, err)
 	switch {
 	case request.Outcome == history.Unanswered && giveUp:
 		request.Outcome = history.GaveUp
 	case request.Outcome == history.ConnectionBroken:
 		_ = conn.Close()
-		return reused && request.Answered-request.Sent < int64(closeRaceWindow) && !d.fleet.Disrupted(request.Limiter)
+		ended := request.Answered - request.AnswerUnread
+		return reused && ended-request.Sent < int64(closeRaceWindow) && !d.fleet.Disrupted(request.Limiter)
 	case err == nil:
 		select {
 		case d.idle[request.Limiter] <- conn:
