An id whose request may have run does not run again after its client has left

Cause: a request was forgotten once its client had gone and its attempt had ended, whatever the attempt had done, so the same id on another connection was a new request. Found by reading; shown by the test with the reducer in memory. Change: ids of non-idempotent and keyed requests that may have run are kept for the longest deadline (60 s without one), up to an eighth of a part of the memory; such an id gets -ERR id is in use, which promises nothing.

--- a/choice/memory.go
+++ b/choice/memory.go
@@ -10,6 +10,10 @@
 	RequestBytes = 2048
 	// AnswerBytes is the memory of an answer that waits for those ahead of it on its connection, in bytes.
 	AnswerBytes = 128
+	// abandonedIDBytes is the memory that the id of an abandoned request takes, in bytes.
+	abandonedIDBytes = 256
+	// abandonedIDsDivisor: the ids of abandoned requests may take this fraction of a part, 1/8.
+	abandonedIDsDivisor = 8
 	// serverBytes is the memory that a server takes with its connection pool, without connections, in bytes.
 	serverBytes = 2048
 	// serverParts is how many parts of the memory all servers may take.
@@ -54,6 +58,12 @@
 // bytes. A client that may not is closed behind its answers.
 func (limit MemoryBudget) KeepsPartialCommand(buffered int64) bool { return buffered <= limit.part() }
 
+// KeepsAbandonedID reports whether another id of an abandoned request is remembered beside others. Otherwise the one
+// that would be forgotten first gives way to it.
+func (limit MemoryBudget) KeepsAbandonedID(others int) bool {
+	return int64(others)*abandonedIDBytes < limit.part()/abandonedIDsDivisor
+}
+
 // AdmitsServer reports whether a server that was not listed before is taken into use while there are servers others. One
 // that is not is left out until others have gone; what a list tells of known servers always holds.
 func (limit MemoryBudget) AdmitsServer(servers int) bool {
--- a/choice/retry.go
+++ b/choice/retry.go
@@ -110,3 +110,16 @@
 	expected := nanoseconds(lostFactor * a.request.units * s.pace.seconds / s.pace.units)
 	return now-a.sentAt > max(expected, a.request.class.LatencyObjective/minLostDivisor)
 }
+
+// maxAbandonedIDLifetime is how long the id of an abandoned request is remembered if some class has no deadline,
+// nanoseconds.
+const maxAbandonedIDLifetime = 60e9
+
+// AbandonedIDLifetime returns how long, in nanoseconds, the id of a request that may have run is not accepted again
+// after its client has left. No client waits for longer than the longest deadline of all classes, 0 for no deadline.
+func AbandonedIDLifetime(longestDeadline int64) int64 {
+	if longestDeadline == 0 {
+		return maxAbandonedIDLifetime
+	}
+	return longestDeadline
+}
--- a/internal/limiter/client.go
+++ b/internal/limiter/client.go
@@ -139,7 +139,7 @@
 		// After a suspension it is not certain how long the request waited, so its deadline may have passed.
 		cl.commandDeadline = l.now + timeout - waited
 	}
-	if l.requests.byID[parsed.arrival.ID] != nil {
+	if l.requests.byID[parsed.arrival.ID] != nil || l.requests.abandoned.contains(l.now, parsed.arrival.ID) {
 		cl.answerError(errIDInUse)
 		return
 	}
--- a/internal/limiter/requests.go
+++ b/internal/limiter/requests.go
@@ -16,6 +16,7 @@
 	done      []*request
 	heldBytes int64 // memory of all requests, bytes
 	lastEnd   int64 // when a request last ended
+	abandoned abandonedRequests
 }
 
 // requestState is the state of a request; only endRequest changes it.
@@ -36,6 +37,7 @@
 
 type request struct {
 	id       string
+	class    string
 	state    requestState
 	client   *client
 	answer   *answer // the client's pending answer
@@ -64,8 +66,8 @@
 	}
 	text := make([]byte, 0, size)
 	req := &request{
-		id: parsed.arrival.ID, client: cl, answer: a, deadline: l.now + parsed.arrival.Timeout, bytes: int64(size) + choice.RequestBytes,
-		words: make([][]byte, len(words)),
+		id: parsed.arrival.ID, class: parsed.arrival.Class, client: cl, answer: a, deadline: l.now + parsed.arrival.Timeout,
+		bytes: int64(size) + choice.RequestBytes, words: make([][]byte, len(words)),
 	}
 	for i, w := range words {
 		text = append(text, w...)
@@ -111,6 +113,7 @@
 // forgetIfDone marks a request as done if it has ended and no attempt is open.
 func (l *Limiter) forgetIfDone(req *request) {
 	if req.state != stateAccepted && req.openAttempts == 0 {
+		l.rememberAbandoned(req)
 		l.requests.done = append(l.requests.done, req)
 	}
 }
