A server listed at the address of another takes its place, and nothing new is sent for the other

Cause: pools are kept by the server's ID. Until a list removed the old ID, its attempts and connections went to the address, where the new process listens, beside the new server's own share and with the old one's zone and warmth. Change: a ready entry at the address of another server marks that one as gone if it started later, or if only the new one is listed (choice.TakesOverAddress); event=server-replaced. Two that are listed alike are both kept. Shown with the reducer in memory, not with processes.

--- a/choice/server.go
+++ b/choice/server.go
@@ -89,3 +89,13 @@
 		credit: rotationCredit{slowStart: c.slowStart.initialCredit(hash, c.servers.count(), c.servers.subsetSize())},
 	}
 }
+
+// TakesOverAddress reports whether a server that is listed as ready at the address of another shows that the other is
+// gone, as only one process can listen there: the one that started later or, if they started alike, the one that is
+// listed while the other is not. The starts are those of Endpoint.
+func TakesOverAddress(startedAt, otherStartedAt int64, otherListed bool) bool {
+	if startedAt != otherStartedAt {
+		return startedAt > otherStartedAt
+	}
+	return !otherListed
+}
--- a/internal/limiter/endpoints.go
+++ b/internal/limiter/endpoints.go
@@ -39,6 +39,9 @@
 	if list.Complete {
 		outdated = append(l.servers.markMissing(d.completeLists), outdated...)
 	}
+	replaced := l.servers.markReplaced(list)
+	outdated = append(outdated, replaced...)
+	endpoints = withReplaced(endpoints, replaced)
 	if leftOut > 0 {
 		d.logFailure("servers-left-out", "servers", leftOut, "held", len(l.servers.pools))
 	}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -80,6 +80,7 @@
 	l.servers = serverPools{
 		limiter:      l,
 		pools:        map[string]*serverPool{},
+		byAddress:    map[string]*serverPool{},
 		maxReuseIdle: l.settings.IdleClose / idleCloseDivisor,
 	}
 	l.counter = counterClient{limiter: l, lastReply: now}
--- a/internal/limiter/server_pools.go
+++ b/internal/limiter/server_pools.go
@@ -27,6 +27,7 @@
 type serverPools struct {
 	limiter      *Limiter
 	pools        map[string]*serverPool // by the server's ID
+	byAddress    map[string]*serverPool // the server listed at an address; it may have left it or be draining
 	poolsSeen    int64                  // servers that were ever listed
 	connCount    int                    // connections to servers, including those being dialled
 	idle         list.List              // idle connections, the least recently used first
@@ -195,6 +196,9 @@
 func (p *serverPool) forgetIfEmpty() {
 	if l := p.limiter; p.removed && len(p.conns) == 0 && l.servers.pools[p.id] == p {
 		delete(l.servers.pools, p.id)
+		if l.servers.byAddress[p.address] == p {
+			delete(l.servers.byAddress, p.address)
+		}
 	}
 }
 
