--- a/internal/lab/flood/sender.go
+++ b/internal/lab/flood/sender.go
@@ -75,21 +75,34 @@
 // sendOn floods one connection until it ends or until is reached.
 func sendOn(conn net.Conn, kind Kind, unread bool, until time.Time) {
 	_ = conn.SetDeadline(until)
-	if !unread {
+	if !unread && !kind.Stall && !kind.Leave {
 		go func() { _, _ = io.Copy(io.Discard, conn) }()
 	}
 	for time.Now().Before(until) {
-		text := kind.Block(blockNumbers.Add(1))
-		size := kind.PieceBytes
-		if size == 0 {
-			size = len(text)
+		if !kind.send(conn) || kind.Leave {
+			return
 		}
-		for len(text) > 0 {
-			written, err := conn.Write(text[:min(size, len(text))])
-			if err != nil {
-				return
-			}
-			text = text[written:]
+		if kind.Stall {
+			_, _ = io.Copy(io.Discard, conn)
+			return
 		}
 	}
 }
+
+// send writes one block, and reports whether it could be written.
+func (k *Kind) send(conn net.Conn) bool {
+	text := k.Block(blockNumbers.Add(1))
+	size := k.PieceBytes
+	if size == 0 {
+		size = len(text)
+	}
+	for len(text) > 0 {
+		written, err := conn.Write(text[:min(size, len(text))])
+		if err != nil {
+			return false
+		}
+		text = text[written:]
+		time.Sleep(k.PieceDelay)
+	}
+	return true
+}
