The poller yields once a millisecond while clients wait, not behind each connection

What callers saw: with 240 clients that send long requests at full speed, others got 76 of 326 answers late (unread_ms 508). Cause: the poller yields behind each connection that it has read, so that an idle process runs the reducer at once. With 240 connections to read, each yield costs a turn of the reducer and of all resumed readers. Change: while clients wait for the reducer anyway, the poller yields once in maxHold.

--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -34,7 +34,8 @@
 	now          int64             // the latest reading of the limiter's clock
 	yieldedAt    int64             // when the reducer last let other goroutines run
 	stats        reducerStats
-	// The goroutines that read and queue events use these two as well.
+	// The goroutines that read and queue events use these as well.
+	backlogged   atomic.Bool  // clients wait for their turns
 	eventsQueued atomic.Bool  // Sockets.queued may hold events
 	clientLimit  atomic.Int64 // how many bytes of one client may be undelivered
 }
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -135,9 +135,20 @@
 	if closeErr != nil {
 		_ = nc.CloseWithError(closeErr)
 	}
-	// The poller blocks in a system call next. If the process has a single processor (GOMAXPROCS=1), the poller keeps it
-	// until the runtime's monitor takes it back. Yield to let the reducer run first.
+	s.yieldPoller()
+}
+
+// yieldPoller lets the reducer run. The poller may block in a system call next, and if the process has a single
+// processor (GOMAXPROCS=1), the poller keeps it until the runtime's monitor takes it back. While clients wait for the
+// reducer anyway, the poller yields once in maxHold only: it may have hundreds of connections to read before a client
+// that has sent one request.
+func (s *Sockets) yieldPoller() {
+	now := elapsed()
+	if s.delivery.backlogged.Load() && now-s.pollerYieldedAt < maxHold {
+		return
+	}
 	runtime.Gosched()
+	s.pollerYieldedAt = elapsed()
 }
 
 // readAvailable reads and queues data until the kernel has no more, or until a client has sent too much. It returns the
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -51,6 +51,8 @@
 	queued        *eventBatch    // guarded by mutex
 	heldBytes     int            // received bytes of batches that are taken and not released; guarded by mutex
 	bytesReleased sync.Cond      // signals that heldBytes has decreased
+	// pollerYieldedAt is when the poller last let the reducer run, on the clock of elapsed; used by the poller only.
+	pollerYieldedAt int64
 	// The fields below are used only by the reducer's goroutine, except for running, halted, addMutex and traceWanted.
 	connections map[limiter.ConnID]*connection
 	current     *eventBatch // the batch taken last
@@ -198,7 +200,9 @@
 		s.takeEvents(clock, l)
 		s.deliverTurns(clock, l)
 		s.delivery.stats.logIfDue(s.delivery.now, l)
-		if s.delivery.clientsWait() {
+		backlogged := s.delivery.clientsWait()
+		s.delivery.backlogged.Store(backlogged)
+		if backlogged {
 			continue
 		}
 		if s.timerAt <= s.delivery.now {
