A poller that blocks while clients wait is woken after a millisecond by the kernel's timer

Cause: the poller may enter the kernel with the only Go processor while the reducer waits for it; the runtime's monitor, which has gone to sleep for 10 ms a check, takes it back at the second. Measured: one runtime.Gosched took up to 19 ms. Change: the reducer sets the kernel's timer, which ends the poller's wait, before it yields while clients wait. No test of its own: the delay depends on the machine. The rest is not traced (a guess: the garbage collector's worker).

--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -65,12 +65,18 @@
 	return nil
 }
 
-// yield lets other goroutines run if the reducer has run for maxHold.
-func (d *delivery) yield() {
-	if d.now-d.yieldedAt >= maxHold {
-		runtime.Gosched()
-		d.yieldedAt = d.now
+// yield lets other goroutines run if the reducer has run for maxHold. If clients wait, the kernel's timer wakes the poller
+// maxHold later: the poller may block in the kernel and keep the only Go processor.
+func (s *Sockets) yield() {
+	d := &s.delivery
+	if d.now-d.yieldedAt < maxHold {
+		return
+	}
+	if d.clientsWait() {
+		s.wakeup.set(d.now+maxHold, maxHold)
 	}
+	runtime.Gosched()
+	d.yieldedAt = d.now
 }
 
 // takeEvents takes the queued events. It delivers those that are not from clients, and has the others' clients wait for
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -183,7 +183,7 @@
 			s.engine.Stop()
 			return
 		}
-		s.delivery.yield()
+		s.yield()
 		select {
 		case <-s.delivery.ready():
 		case <-s.wakeups:
