The soak floods at full speed, read and unread, and clients send up to 1000 requests and leave

Change: half of the flooding clients' floods are those of testlab flood, from a process of their own; a quarter of the leaving clients send up to 1000 requests at once; attempts that begin more than 0.1 s after they left are findings as before.

--- a/internal/lab/flood/flood.go
+++ b/internal/lab/flood/flood.go
@@ -294,7 +294,7 @@
 	from := clock.Now()
 	var senders []*exec.Cmd
 	for _, limiter := range limiters {
-		sender, err := startSenders(r.options.Launcher, lab.Address(limiter), kind, &r.options)
+		sender, err := StartSenders(lab.Address(limiter), kind, &r.options)
 		if err != nil {
 			r.failed = append(r.failed, err)
 			continue
--- a/internal/lab/flood/sender.go
+++ b/internal/lab/flood/sender.go
@@ -23,7 +23,7 @@
 // blockNumbers numbers the blocks of all senders of a process.
 var blockNumbers atomic.Int64
 
-// SendIfRequested sends a flood and exits if the process was started by startSenders. Otherwise it does nothing.
+// SendIfRequested sends a flood and exits if the process was started by StartSenders. Otherwise it does nothing.
 func SendIfRequested() {
 	arguments := os.Getenv(senderVariable)
 	if arguments == "" {
@@ -48,10 +48,11 @@
 	os.Exit(0)
 }
 
-// startSenders starts a process whose clients flood the address. A process of its own keeps the flood from delaying the
-// usual clients, which share the lab's. launcher is a program that calls SendIfRequested first.
-func startSenders(launcher, address string, kind Kind, o *Options) (*exec.Cmd, error) {
-	command := exec.Command(launcher)
+// StartSenders starts a process whose clients flood the address with one kind; the options used are Launcher, Clients,
+// Length and Unread. A process of its own keeps the flood from delaying the usual clients, which share the lab's. The
+// caller has to wait for the process, which ends by itself.
+func StartSenders(address string, kind Kind, o *Options) (*exec.Cmd, error) {
+	command := exec.Command(o.Launcher)
 	command.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %d %d %v", senderVariable, address, kind.Name, o.Clients,
 		o.Length, o.Unread))
 	command.Stderr = os.Stderr
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -19,6 +19,7 @@
 type extraClients struct {
 	scenario *Scenario
 	lab      *runner.Lab
+	launcher string // path of a program that calls flood.SendIfRequested first
 	stop     <-chan struct{}
 	nextID   atomic.Int64
 }
@@ -26,6 +27,9 @@
 const (
 	dialTimeout            = time.Second
 	maxPipelined           = 6                      // requests that a client pipelines at most
+	maxBurst               = 1000                   // requests that a client sends at most before it leaves
+	burstShare             = 0.25                   // share of the leaving clients that send so many
+	burstWriteTimeout      = time.Second            // for a burst that the limiter does not read
 	maxStayBeforeLeaving   = 150 * time.Millisecond // upper bound of the time until a leaving client disconnects
 	malformedClientTimeout = 4 * time.Second        // the limiter owes an error or a close within 3 s
 )
@@ -77,14 +81,19 @@
 	return conn.(*net.TCPConn)
 }
 
-// sendAndLeave pipelines some requests and disconnects soon after, by FIN or by RST. The requests are recorded as given
-// up.
+// sendAndLeave pipelines some requests, or very many, and disconnects soon after, by FIN or by RST. The requests are
+// recorded as given up.
 func (c *extraClients) sendAndLeave(rng *rand.Rand) {
-	conn, requests, text := c.preparePipelined(rng)
+	limit := maxPipelined
+	if rng.Float64() < burstShare {
+		limit = maxBurst
+	}
+	conn, requests, text := c.preparePipelined(rng, limit)
 	if conn == nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
+	_ = conn.SetWriteDeadline(time.Now().Add(burstWriteTimeout))
 	_, _ = conn.Write(text)
 	time.Sleep(time.Duration(rng.Int64N(int64(maxStayBeforeLeaving))))
 	if rng.IntN(2) == 0 {
@@ -101,7 +110,7 @@
 
 // sendPipelined pipelines some requests with different deadlines and waits for all answers.
 func (c *extraClients) sendPipelined(rng *rand.Rand) {
-	conn, requests, text := c.preparePipelined(rng)
+	conn, requests, text := c.preparePipelined(rng, maxPipelined)
 	if conn == nil {
 		return
 	}
@@ -113,9 +122,11 @@
 	}
 }
 
-// preparePipelined draws some requests of one customer and connects to one of its limiters. text holds the encoded
-// requests. conn is nil if the limiter cannot be reached.
-func (c *extraClients) preparePipelined(rng *rand.Rand) (conn *net.TCPConn, requests []history.Request, text []byte) {
+// preparePipelined draws up to limit requests of one customer and connects to one of its limiters. text holds the
+// encoded requests. conn is nil if the limiter cannot be reached.
+func (c *extraClients) preparePipelined(
+	rng *rand.Rand, limit int,
+) (conn *net.TCPConn, requests []history.Request, text []byte) {
 	e := c.scenario.Experiment
 	customer := e.Load.Customers[rng.IntN(len(e.Load.Customers))]
 	limiter := (customer.First + rng.IntN(customer.Spread)) % e.Limiters.Count
@@ -124,7 +135,7 @@
 		return nil, nil, nil
 	}
 	_, clock := c.lab.Record()
-	requests = make([]history.Request, 1+rng.IntN(maxPipelined))
+	requests = make([]history.Request, 1+rng.IntN(limit))
 	for i := range requests {
 		track := e.Load.Classes[rng.IntN(len(e.Load.Classes))]
 		cutOff := time.Duration(experiment.Nanos(track.Timeout))
--- a/internal/lab/soak/floods.go
+++ b/internal/lab/soak/floods.go
@@ -11,23 +11,26 @@
 	"time"
 
 	"ospreycroft/internal/lab/experiment"
+	"ospreycroft/internal/lab/flood"
 	"ospreycroft/internal/lab/history"
 	"ospreycroft/internal/lab/loadgen"
 	"ospreycroft/internal/resp"
 )
 
-// Flooding clients send at full speed what costs a limiter most for each byte, and read what they are sent. Their valid
-// requests are recorded and judged like any others.
+// Flooding clients send what costs a limiter most for each byte. Some read what they are sent before they go on; their
+// valid requests are recorded and judged like any others. The others send at full speed and may read nothing.
 
 const (
-	maxFloodingClients = 4                // that are drawn for a seed
-	floodedSeedShare   = 0.4              // share of seeds with flooding clients
-	floodLength        = time.Second      // of one flood
-	floodCommands      = 300              // commands that are sent at once
-	pieceBytes         = 100              // size of the pieces of a flood in pieces
-	floodReadTimeout   = 10 * time.Second // for the answers to what was sent at once
-	usualTimeout       = 2500 * time.Millisecond
-	enormousTimeout    = 999999999 * time.Millisecond
+	maxFloodingClients  = 4                // that are drawn for a seed
+	fullSpeedShare      = 0.5              // share of the floods that wait for no answers
+	maxFullSpeedSenders = 12               // connections of one of these
+	floodedSeedShare    = 0.4              // share of seeds with flooding clients
+	floodLength         = time.Second      // of one flood
+	floodCommands       = 300              // commands that are sent at once
+	pieceBytes          = 100              // size of the pieces of a flood in pieces
+	floodReadTimeout    = 10 * time.Second // for the answers to what was sent at once
+	usualTimeout        = 2500 * time.Millisecond
+	enormousTimeout     = 999999999 * time.Millisecond
 )
 
 // drawFloodingClients draws the number of flooding clients. Like drawQuiet it needs a random generator of its own.
@@ -38,8 +41,8 @@
 	return 1 + rng.IntN(maxFloodingClients)
 }
 
-// flood is what a flooding client sends at once, again and again.
-type flood struct {
+// pacedFlood is what a flooding client sends at once, again and again, each time once it is answered.
+type pacedFlood struct {
 	name   string
 	pieces bool // it is written in pieces
 	text   func(c *extraClients, limiter int) floodText
@@ -52,8 +55,8 @@
 	requests []history.Request // the requests in it, if all are valid; otherwise none
 }
 
-// floods are all floods.
-var floods = []flood{
+// floods are all paced floods.
+var floods = []pacedFlood{
 	{"customers never seen again", false, func(c *extraClients, limiter int) floodText {
 		return c.floodRequests(limiter, usualTimeout, func(number int64) string {
 			return fmt.Sprintf("%016x", 1<<28+number)
@@ -108,6 +111,10 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
+	if rng.Float64() < fullSpeedShare {
+		c.sendAtFullSpeed(rng, limiter)
+		return
+	}
 	chosen := floods[rng.IntN(len(floods))]
 	in := bufio.NewReader(conn)
 	reused := false
@@ -134,6 +141,17 @@
 	}
 }
 
+// sendAtFullSpeed floods a limiter from a process of its own with commands that are not recorded.
+func (c *extraClients) sendAtFullSpeed(rng *rand.Rand, limiter int) {
+	options := flood.Options{
+		Launcher: c.launcher, Clients: 1 + rng.IntN(maxFullSpeedSenders), Length: floodLength, Unread: rng.IntN(2) == 0,
+	}
+	sender, err := flood.StartSenders(c.lab.Address(limiter), flood.Kinds[rng.IntN(len(flood.Kinds))], &options)
+	if err == nil {
+		_ = sender.Wait()
+	}
+}
+
 // recordFlood sends requests, waits for the answers and records them. reused says that the connection has carried
 // requests before: the limiter may close it between requests, and what crosses with that is sent once more on a new
 // connection. recordFlood reports whether the connection can be used again.
@@ -173,7 +191,7 @@
 }
 
 // write writes a text whole or in pieces.
-func (f flood) write(conn net.Conn, text []byte) error {
+func (f pacedFlood) write(conn net.Conn, text []byte) error {
 	size := len(text)
 	if f.pieces {
 		size = pieceBytes
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -71,7 +71,7 @@
 // Options configure how seeds are run.
 type Options struct {
 	Program  string  // path of the limiter program
-	Launcher string  // path of a program that calls syscallshim.LaunchIfRequested first
+	Launcher string  // path of a program that calls syscallshim.LaunchIfRequested and flood.SendIfRequested first
 	Length   float64 // seconds of load
 	Dir      string  // for the runs' files, in a directory for each seed
 	Limiters int     // number of limiters; if 0, each seed draws it
@@ -212,7 +212,7 @@
 			task()
 		}()
 	}
-	start((&extraClients{scenario: p.scenario, lab: lab, stop: stop}).run)
+	start((&extraClients{scenario: p.scenario, lab: lab, launcher: p.options.Launcher, stop: stop}).run)
 	start(func() { p.stepClock(stop) })
 	start(func() { p.failDisk(stop) })
 	start(func() { p.measureLag(stop) })
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -11,12 +11,14 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"ospreycroft/internal/lab/flood"
 	"ospreycroft/internal/lab/syscallshim"
 )
 
-// TestMain lets the test binary serve as the launcher of the system call shim.
+// TestMain lets the test binary serve as the launcher of the system call shim and as the sender of floods.
 func TestMain(m *testing.M) {
 	syscallshim.LaunchIfRequested()
+	flood.SendIfRequested()
 	os.Exit(m.Run())
 }
 
