--- a/internal/ci/knownred/main/main.go
+++ b/internal/ci/knownred/main/main.go
@@ -38,10 +38,13 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return err
 	}
-	entries, err := knownred.Parse(string(text))
+	entries, commands, err := knownred.Parse(string(text))
 	if err != nil {
 		return fmt.Errorf("KNOWN-RED.txt: %w", err)
 	}
+	for _, c := range commands {
+		_, _ = fmt.Fprintln(out, "fails sometimes, not run:", c.Line)
+	}
 	var packages []string
 	if len(entries) > 0 {
 		packages, err = outputLines(root, errOut, "go", "list", "./...")
--- a/internal/ci/knownred/main/main_test.go
+++ b/internal/ci/knownred/main/main_test.go
@@ -28,8 +28,9 @@
 
 func TestRun(t *testing.T) {
 	const (
-		red = "scratch/a TestRed: always fails (issue 1)\n"
-		sub = "scratch/a TestTable/red: always fails (issue 2)\n"
+		red     = "scratch/a TestRed: always fails (issue 1)\n"
+		command = "$ bin/testlab soak --first 7120: lost answers, 2 of 5 (issue 3)\n"
+		sub     = "scratch/a TestTable/red: always fails (issue 2)\n"
 	)
 	root := t.TempDir()
 	write := func(name, text string) {
@@ -57,6 +58,10 @@
 				"still red: " + red, "still red: " + sub,
 				"--- PASS: TestRedLonger", "--- PASS: TestTable/redder", "--- PASS: TestRed ", "ok  \tscratch/b"},
 			[]string{"--- FAIL", "=== RUN   TestTable/red\n"}},
+		{"a command", red + sub + command, "", []string{"fails sometimes, not run: " + command, "still red: " + red},
+			[]string{"--- FAIL"}},
+		{"a command alone", command, "exit status", []string{"fails sometimes, not run: " + command, "--- FAIL: TestRed "},
+			nil},
 		{"one left out", red, "exit status", []string{"--- FAIL: TestTable/red "}, []string{"--- FAIL: TestRed"}},
 		{"a green one", red + sub + strings.Replace(red, "/a", "/b", 1), "scratch/b TestRed passes now",
 			[]string{"passes now: take the line out: scratch/b TestRed"}, nil},
