--- a/internal/ci/knownred/knownred.go
+++ b/internal/ci/knownred/knownred.go
@@ -24,7 +24,7 @@
 }
 
 var commandPattern = regexp.MustCompile(
-	`^\$ ((?:\S+ )+--(?:first|seed)[= ][0-9]+(?: \S+)*?): (\S(?:.*\S)?) \(issue ([1-9][0-9]*)\)$`)
+	`^\$ ((?:[^\s:]+ )+--(?:first|seed)[= ][0-9]+(?: [^\s:]+)*): (\S(?:.*\S)?) \(issue ([1-9][0-9]*)\)$`)
 
 var entryPattern = regexp.MustCompile(`^([^\s:]+) ((?:Test|Fuzz|Example)\S*): (\S(?:.*\S)?) \(issue ([1-9][0-9]*)\)$`)
 
