Partial answers of servers are given up when input buffers take their part of the memory

Change: beyond a part and a quarter (choice.KeepsPartialAnswer) a server in the middle of an answer longer than 4 KiB is disconnected; clients alone stop at one part. Counted as partial_answers= in event=memory-full. Result: a case of TestBounds' table in limiter_test with the reducer in memory; not seen in a process.

--- a/choice/memory.go
+++ b/choice/memory.go
@@ -58,6 +58,13 @@
 // bytes. A client that may not is closed behind its answers.
 func (limit MemoryBudget) KeepsPartialCommand(buffered int64) bool { return buffered <= limit.part() }
 
+// KeepsPartialAnswer reports whether a server may go on sending a long answer while all input buffers take buffered bytes.
+// A server that may not is disconnected, and its attempt counts as one that may have run. Clients alone cannot take what
+// is left to servers here.
+func (limit MemoryBudget) KeepsPartialAnswer(buffered int64) bool {
+	return buffered <= limit.part()+limit.part()/reservedDivisor
+}
+
 // KeepsAbandonedID reports whether another id of an abandoned request is remembered beside others. Otherwise the one
 // that would be forgotten first gives way to it.
 func (limit MemoryBudget) KeepsAbandonedID(others int) bool {
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -86,6 +86,19 @@
 			t.Fatalf("client got %q", w.wrote[clientConn][len(w.wrote[clientConn])-60:])
 		}
 	})
+	t.Run("incomplete answers that exceed the memory limit are given up", func(t *testing.T) {
+		l, w, id := requestSent(t, "read")
+		l.bufferedBytes = l.config.Memory/choice.MemoryParts + 1 // as many as clients may take
+		w.receive(l, 0, id, "*3\r\n$9000\r\n")
+		if slices.Contains(w.closed, id) {
+			t.Fatal("a small incomplete answer was given up")
+		}
+		l.bufferedBytes = l.config.Memory / choice.MemoryParts * 2
+		w.receive(l, 0, id, strings.Repeat("x", buffer.MinCapacity))
+		if !slices.Contains(w.closed, id) {
+			t.Fatal("a long incomplete answer was kept")
+		}
+	})
 	t.Run("a client that does not read its answers is closed", func(t *testing.T) {
 		l, w := newTestLimiter(t)
 		w.kernelAccepted[clientConn], l.conns[clientConn].bytesSent = 0, l.config.Memory
--- a/internal/limiter/server_conn.go
+++ b/internal/limiter/server_conn.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"ospreycroft/choice"
+	"ospreycroft/internal/buffer"
 	"ospreycroft/internal/resp"
 )
 
@@ -31,6 +32,7 @@
 var (
 	errUnexpectedResponse = errors.New("answer without a command or call in flight")
 	errEarlyResponse      = errors.New("answer to a command that is not fully written")
+	errNoMemory           = errors.New("partial answers take their part of the memory")
 )
 
 // onConnected writes the command for which the connection was opened or reused.
@@ -157,6 +159,10 @@
 	}
 	l := sc.pool.limiter
 	if n == 0 {
+		if len(bytes) > buffer.MinCapacity && !l.memory().KeepsPartialAnswer(l.bufferedBytes) {
+			l.stats.memory.partialAnswers++
+			return 0, errNoMemory
+		}
 		sc.startResponseTimer()
 		return 0, nil
 	}
--- a/internal/limiter/statistics.go
+++ b/internal/limiter/statistics.go
@@ -47,6 +47,7 @@
 type memoryCounts struct {
 	rejectedRequests int // requests rejected unread by the controller
 	closedClients    int // clients with too many unanswered commands, or too long a command
+	partialAnswers   int // answers of servers that were given up before they were whole
 }
 
 // logStatistics logs the counts that are due.
@@ -94,7 +95,8 @@
 	if counts == (memoryCounts{}) {
 		return
 	}
-	slog.Warn("memory-full", "rejected_requests", counts.rejectedRequests, "closed_clients", counts.closedClients)
+	slog.Warn("memory-full", "rejected_requests", counts.rejectedRequests, "closed_clients", counts.closedClients,
+		"partial_answers", counts.partialAnswers)
 	l.stats.memory = memoryCounts{}
 }
 
