Clients that stop half way through a command give way to those that wait to be accepted

Cause: only idle clients made room; a client with an incomplete command had 2 s whatever waited. Change: while the accept queue has to wait, a command that is incomplete for a dial timeout gets its error and close (choice.KeepsStalledClient).

--- a/internal/lab/testbed/evict_test.go
+++ b/internal/lab/testbed/evict_test.go
@@ -92,3 +92,34 @@
 		})
 	}
 }
+
+// TestStalledClientsGiveWay guards against requests on new connections that wait behind clients which stopped half way
+// through a command and hold all connections.
+func TestStalledClientsGiveWay(t *testing.T) {
+	server := Listen(t)
+	config := Config(server)
+	config.Sockets = 64
+	r := Start(t, config)
+	half := Request("stalled", "write", 4000)
+	half = half[:len(half)/2]
+	var stalled []*Conn
+	for range config.Sockets {
+		c := r.Dial(t)
+		c.Send(t, half)
+		stalled = append(stalled, c)
+	}
+	time.Sleep(20 * time.Millisecond)
+	client := r.Dial(t)
+	start := time.Now()
+	client.Send(t, Request("usual", "read", 1500))
+	serving := server.Accept(t)
+	require.Equal(t, "usual", serving.ReadCommand(t)[2])
+	serving.SendServed(t, "v")
+	require.Equal(t, "$v", client.ReadAnswer(t))
+	require.Less(t, time.Since(start), 1500*time.Millisecond)
+	for _, c := range stalled {
+		text, err := c.ReadToEnd(t)
+		require.NoError(t, err)
+		require.Equal(t, "-ERR too slow\r\n", text)
+	}
+}
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 
+	"ospreycroft/choice"
 	"ospreycroft/internal/settings"
 )
 
@@ -50,11 +51,31 @@
 // kept its connection after one request, new requests would come only as fast as connections are closed.
 func (t *clientTable) nearLimit() bool { return t.count >= t.limiter.config.Sockets/evictionDivisor }
 
-// evictIdle closes idle clients while nearLimit: first those that never sent a request, then the least recently used.
+// evictIdle closes idle clients while nearLimit: first those that never sent a request, then the least recently used. If
+// no connection is left even so, it ends clients whose commands stay incomplete.
 func (t *clientTable) evictIdle() {
 	since := t.limiter.now - t.limiter.settings.DialTimeout/newClientGraceDivisor
 	for t.nearLimit() && (t.closeFirstIdle(&t.withoutRequest, since) || t.closeFirstIdle(&t.withRequest, since)) {
 	}
+	if t.nearLimit() && t.limiter.effects.HasBacklog() {
+		t.rejectStalled(&t.withoutRequest)
+		t.rejectStalled(&t.withRequest)
+	}
+}
+
+// rejectStalled rejects the incomplete commands of clients that keep others from being accepted.
+func (t *clientTable) rejectStalled(clients *list.List) {
+	for e := clients.Front(); e != nil; {
+		cl := e.Value.(*client)
+		e = e.Next()
+		incompleteFor := t.limiter.now - cl.lastUsed
+		if !cl.partialCommand || cl.inputDiscarded || len(cl.answers) > 0 ||
+			choice.KeepsStalledClient(incompleteFor, t.limiter.settings.DialTimeout) {
+			continue
+		}
+		t.limiter.stats.inputErrors.silentClients++
+		cl.rejectInput("too slow")
+	}
 }
 
 // closeFirstIdle closes the first idle client of a list that was last used at since or before, and tells whether there
