--- a/internal/lab/flood/kinds.go
+++ b/internal/lab/flood/kinds.go
@@ -23,6 +23,8 @@
 	Stall bool
 	// Leave has a client close its connection behind each block, without reading its answers.
 	Leave bool
+	// Valid tells that the requests are valid, so servers see attempts of requests that no record has.
+	Valid bool
 }
 
 const (
@@ -70,7 +72,7 @@
 			return []string{"SVC.QUERY", "00000000000000ff", fmt.Sprintf("l%x-%x", number, i),
 				"c=fetch,t=house,d=300,units=1,spread=1,first=0"}
 		})
-	}, Leave: true},
+	}, Leave: true, Valid: true},
 	{Name: "malformed", Block: func(int64) []byte { return []byte("*99999999\r\n") }},
 }
 
