--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -62,8 +62,8 @@
 	Deadline      int64   `json:"cut_off"` // when the client stops waiting for an answer
 	Answered      int64   `json:"answered"`
 	// AnswerUnread is how long the answer, or the end of the connection, waited in the client's kernel before the lab
-	// read it, in nanoseconds. This delay is the lab's own and is included in Answered. Its resolution is that of the
-	// kernel's timer.
+	// read it, in nanoseconds; 0 for a reset. This delay is the lab's own and is included in Answered. Its resolution is
+	// that of the kernel's timer.
 	AnswerUnread int64   `json:"answer_unread,omitempty"`
 	Outcome      Outcome `json:"outcome"`
 	// Resent tells that the first connection was closed at once, so that the client sent the request again on a new
--- a/internal/lab/loadgen/answers.go
+++ b/internal/lab/loadgen/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"time"
@@ -47,8 +48,11 @@
 func recordOutcome(request *history.Request, conn net.Conn, now int64, value resp.Value, err error) {
 	sinceData, sinceSegment := sinceReceived(conn)
 	request.Answered, request.AnswerUnread = now, sinceData
-	if err != nil {
+	switch {
+	case errors.Is(err, io.EOF):
 		request.AnswerUnread = sinceSegment
+	case err != nil:
+		request.AnswerUnread = 0 // the kernel does not tell when a reset came
 	}
 	var timeout net.Error
 	switch {
