--- a/internal/sockets/backpressure_test.go
+++ b/internal/sockets/backpressure_test.go
@@ -245,3 +245,26 @@
 	defer d.s.mutex.Unlock()
 	return d.s.lastID
 }
+
+// TestFullQueueIsReleasedOnceDelivered guards against a reader that stays blocked although all that it waits for has been
+// delivered, as no further event can come then.
+func TestFullQueueIsReleasedOnceDelivered(t *testing.T) {
+	d := newDriver(t, 64, nil)
+	const pieces = 8
+	server := &connection{id: 1 << 30}
+	queued := make(chan struct{})
+	go func() {
+		defer close(queued)
+		for range pieces {
+			d.s.enqueue(server, queuedEvent{kind: dataReceived, size: maxQueuedBytes / 4}, make([]byte, maxQueuedBytes/4))
+		}
+	}()
+	require.Eventually(t, func() bool { return d.queuedBytes(server.id) > maxQueuedBytes }, testTimeout, time.Millisecond)
+	d.s.takeEvents(func() int64 { return d.now }, d.l)
+	select {
+	case <-queued:
+	case <-time.After(testTimeout):
+		d.s.release(d.s.current)
+		t.Fatal("the reader is still blocked")
+	}
+}
--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -97,6 +97,9 @@
 		}
 		offset += e.size
 	}
+	if batch.undelivered == 0 {
+		s.release(batch)
+	}
 	s.delivery.waitingClients.Store(int64(s.delivery.fresh.len() + s.delivery.waiting.len()))
 }
 
@@ -164,7 +167,7 @@
 		part.batch.undelivered--
 	}
 	s.deliverEvent(part.event, part.batch.bytes[part.offset:part.offset+part.event.size], clock, l)
-	if part.batch.undelivered == 0 && part.batch != s.current {
+	if part.batch.undelivered == 0 {
 		s.release(part.batch)
 	}
 }
