An attempt of a process that was held up tells the time that is left when it is written

The limiter was stopped for 554 ms (SIGSTOP) between the start of a step and the write; in a flood the reducer is nearly always in a step. Change: Effects.SinceStep; from one timer tick on, the hold-up counts for the time told, the deadline and outdated attempts.

--- a/internal/lab/simfleet/process.go
+++ b/internal/lab/simfleet/process.go
@@ -215,6 +215,9 @@
 // HasBacklog always returns false: the simulated network has no accept queue.
 func (p *process) HasBacklog() bool { return false }
 
+// SinceStep implements limiter.Effects: a step takes no time here.
+func (p *process) SinceStep() int64 { return 0 }
+
 // WallClock returns the limiter's clock, since the simulation has no steps of the wall clock.
 func (p *process) WallClock() int64 { return p.clock() }
 
--- a/internal/limiter/attempts.go
+++ b/internal/limiter/attempts.go
@@ -94,8 +94,7 @@
 // outdated tells whether the attempt must not be written any more: it was decided on longer ago than a running process
 // may take to get the list and to dial, or servers may no longer recognize the request from an earlier attempt. The
 // controller then decides again.
-func (att *attempt) outdated() bool {
-	now := att.conn.pool.limiter.now
+func (att *attempt) outdated(now int64) bool {
 	return now-att.decidedAt > suspensionDialTimeouts*att.conn.pool.limiter.settings.DialTimeout ||
 		now >= att.deduplicatedUntil()
 }
--- a/internal/limiter/events.go
+++ b/internal/limiter/events.go
@@ -72,6 +72,8 @@
 	CloseGracefully(id ConnID, after, most int64) bool
 	// HasBacklog tells whether clients wait in the kernel to be accepted.
 	HasBacklog() bool
+	// SinceStep is how long ago the present call of Step began. It is long only if the process was held up meanwhile.
+	SinceStep() int64
 	// SetTimer asks for TimersDue at a time; it replaces the time set before.
 	SetTimer(at int64)
 	// WallClock is the machine's wall clock in nanoseconds of Unix time, which may be stepped. The times given to Step
--- a/internal/limiter/helper_test.go
+++ b/internal/limiter/helper_test.go
@@ -26,9 +26,10 @@
 	limiter  *Limiter // nil until New has returned
 	wallStep int64    // by how much the wall clock was stepped, nanoseconds
 
-	discard bool            // Write keeps nothing, and the kernel takes all
-	backlog bool            // new clients wait to be accepted
-	unread  map[ConnID]bool // connections with received data that no event has reported
+	discard   bool            // Write keeps nothing, and the kernel takes all
+	backlog   bool            // new clients wait to be accepted
+	sinceStep int64           // what SinceStep returns
+	unread    map[ConnID]bool // connections with received data that no event has reported
 }
 
 func (w *fakeSockets) Dial(address string, _ int64) ConnID {
@@ -67,6 +68,7 @@
 func (w *fakeSockets) SetTimer(at int64)                          { w.timerAt = at }
 func (w *fakeSockets) CloseGracefully(id ConnID, _, _ int64) bool { return !w.unread[id] }
 func (w *fakeSockets) HasBacklog() bool                           { return w.backlog }
+func (w *fakeSockets) SinceStep() int64                           { return w.sinceStep }
 
 // advance runs the timers up to a time, each when it is due.
 func (w *fakeSockets) advance(l *Limiter, to int64) {
--- a/internal/limiter/server_conn.go
+++ b/internal/limiter/server_conn.go
@@ -38,7 +38,11 @@
 // onConnected writes the command for which the connection was opened or reused.
 func (sc *serverConn) onConnected() {
 	l := sc.pool.limiter
-	sc.dropEndedAttempt()
+	now := l.now
+	if since := l.effects.SinceStep(); since >= l.settings.TimerResolution {
+		now += since // a process that was held up must not send what is over, nor tell too much time
+	}
+	sc.dropEndedAttempt(now)
 	if sc.attempt == nil && sc.healthCheckTimer == nil {
 		sc.release()
 		return
@@ -47,7 +51,7 @@
 	if sc.healthCheckTimer != nil {
 		l.scratch.write = resp.AppendCommand(l.scratch.write, []byte("SELECT"), []byte("0"))
 	} else {
-		l.scratch.write = sc.attempt.request.appendCommand(l.scratch.write, l.now)
+		l.scratch.write = sc.attempt.request.appendCommand(l.scratch.write, now)
 	}
 	l.write(sc.conn, l.scratch.write)
 	sc.writtenAt = l.now
@@ -59,8 +63,8 @@
 }
 
 // dropEndedAttempt ends the connection's attempt if it must not be written any more: its request has ended while the
-// connection came up, its server is draining, or the attempt is outdated.
-func (sc *serverConn) dropEndedAttempt() {
+// connection came up, its deadline is over at now, its server is draining, or the attempt is outdated.
+func (sc *serverConn) dropEndedAttempt(now int64) {
 	l := sc.pool.limiter
 	att := sc.attempt
 	if att == nil {
@@ -73,7 +77,7 @@
 	if att == nil {
 		return
 	}
-	if att.request.state != stateAccepted || l.now >= att.request.deadline || sc.pool.draining || att.outdated() {
+	if att.request.state != stateAccepted || now >= att.request.deadline || sc.pool.draining || att.outdated(now) {
 		sc.attempt = nil
 		l.endAttempt(att, choice.AttemptResult{Outcome: DeadlineExceeded.outcome(false)})
 	}
--- a/internal/limiter/walk_environment_test.go
+++ b/internal/limiter/walk_environment_test.go
@@ -176,6 +176,7 @@
 
 // HasBacklog implements Effects.
 func (w *walkEnvironment) HasBacklog() bool { return false }
+func (w *walkEnvironment) SinceStep() int64 { return 0 }
 
 // SetTimer implements Effects.
 func (w *walkEnvironment) SetTimer(at int64) { w.timerAt = at }
--- a/internal/sockets/delivery.go
+++ b/internal/sockets/delivery.go
@@ -178,16 +178,23 @@
 	s.markDelivered(e)
 	s.delivery.stats.dataWaited(e)
 	began := clock()
+	s.stepBegan = elapsed()
 	e.deliver(began, l)
 	s.delivery.now = clock()
 	s.delivery.stats.stepDone(e.kind.String(), s.delivery.now-began)
 }
 
+// step passes an event that is not a connection's to the limiter; now is the limiter's time.
+func (s *Sockets) step(now int64, l *limiter.Limiter, event limiter.Event) {
+	s.stepBegan = elapsed()
+	l.Step(now, event)
+}
+
 // deliverTimers tells the limiter that its timers are due.
 func (s *Sockets) deliverTimers(clock func() int64, l *limiter.Limiter) {
 	began := clock()
 	s.delivery.stats.timersDue(began - s.timerAt)
-	l.Step(began, limiter.TimersDue{})
+	s.step(began, l, limiter.TimersDue{})
 	s.delivery.now = clock()
 	s.delivery.stats.stepDone(timersDueName, s.delivery.now-began)
 }
--- a/internal/sockets/driver_test.go
+++ b/internal/sockets/driver_test.go
@@ -70,10 +70,11 @@
 		d.s.data = rest[:e.size]
 		rest = rest[e.size:]
 		d.s.markDelivered(e)
+		d.s.stepBegan = elapsed()
 		e.deliver(d.now, d.l)
 	}
 	d.s.release(d.s.current)
-	d.l.Step(d.now, limiter.TimersDue{})
+	d.s.step(d.now, d.l, limiter.TimersDue{})
 }
 
 // stepUntil steps, without advancing the clock, until the condition holds.
@@ -126,20 +127,20 @@
 		"idle timeout": func(d *driver) {
 			for range 40 {
 				d.now += 1e8
-				d.l.Step(d.now, limiter.TimersDue{})
+				d.s.step(d.now, d.l, limiter.TimersDue{})
 			}
 		},
 		"shutdown": func(d *driver) {
-			d.l.Step(d.now, limiter.ShutdownRequested{})
+			d.s.step(d.now, d.l, limiter.ShutdownRequested{})
 			d.now += 4e8
-			d.l.Step(d.now, limiter.TimersDue{})
+			d.s.step(d.now, d.l, limiter.TimersDue{})
 			d.now += 11e7
-			d.l.Step(d.now, limiter.TimersDue{})
+			d.s.step(d.now, d.l, limiter.TimersDue{})
 		},
 		"connection limit reached": func(d *driver) {
 			d.now += 7e7
 			for id := range limiter.ConnID(8) { // fills the limiter: a quarter of its 32 descriptors
-				d.l.Step(d.now, limiter.ClientAccepted{Conn: 1000 + id})
+				d.s.step(d.now, d.l, limiter.ClientAccepted{Conn: 1000 + id})
 			}
 		},
 	} {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -59,6 +59,7 @@
 	current     *eventBatch // the batch taken last
 	data        []byte      // the current event's
 	timerAt     int64       // limiter's time at which TimersDue is next due, nanoseconds
+	stepBegan   int64       // when the present step of the limiter began, on the clock of elapsed
 	wakeup      *wakeupTimer
 	running     atomic.Bool   // Run has begun, so the limiter's clock advances with the process's
 	halted      atomic.Bool   // Halt was called
@@ -190,9 +191,9 @@
 		case <-timer.C:
 		case <-stop:
 			stop = nil
-			l.Step(clock(), limiter.ShutdownRequested{})
+			s.step(clock(), l, limiter.ShutdownRequested{})
 		case config := <-reloaded:
-			l.Step(clock(), limiter.ConfigReloaded{Config: config})
+			s.step(clock(), l, limiter.ConfigReloaded{Config: config})
 		}
 		if s.traceWanted.CompareAndSwap(true, false) {
 			l.LogTrace(limiter.AllTrace)
@@ -263,6 +264,9 @@
 // SetTimer implements limiter.Effects.
 func (s *Sockets) SetTimer(at int64) { s.timerAt = at }
 
+// SinceStep implements limiter.Effects.
+func (s *Sockets) SinceStep() int64 { return elapsed() - s.stepBegan }
+
 // WallClock implements limiter.Effects.
 func (s *Sockets) WallClock() int64 { return time.Now().UnixNano() }
 
--- a/internal/sockets/watch_test.go
+++ b/internal/sockets/watch_test.go
@@ -39,7 +39,7 @@
 	moveDiscovery := func() (net.Conn, string) { // reloads with a new discovery address and returns the first call there
 		discovery := listenLoopback(t)
 		defer func() { _ = discovery.Close() }()
-		d.l.Step(d.now, limiter.ConfigReloaded{Config: &settings.Config{Discovery: discovery.Addr().String(),
+		d.s.step(d.now, d.l, limiter.ConfigReloaded{Config: &settings.Config{Discovery: discovery.Addr().String(),
 			Settings: &settings.Settings{Settings: &choice.Settings{}}}})
 		c, err := discovery.Accept()
 		require.NoError(t, err)
