A test's server closes its connections, whose descriptors waited for the garbage collector

Traced: the descriptors left were CLOSE-WAIT sockets of the test's own server, which returned at the end of file without a close, so they stayed until a collection happened to run within the 10 s. Change: it closes them. The bounds of the test are as they were.

--- a/internal/lab/testbed/clients_test.go
+++ b/internal/lab/testbed/clients_test.go
@@ -184,6 +184,7 @@
 func serveAll(p *Peer) {
 	for c, err := p.ln.Accept(); err == nil; c, err = p.ln.Accept() {
 		go func() {
+			defer func() { _ = c.Close() }()
 			b := make([]byte, 1<<16)
 			for n, err := c.Read(b); err == nil; n, err = c.Read(b) {
 				_, _ = io.WriteString(c, strings.Repeat(ServedAnswer("value"), strings.Count(string(b[:n]), "SVC.")))
