--- a/cmd/ospreycroft/distribution_test.go
+++ b/cmd/ospreycroft/distribution_test.go
@@ -182,7 +182,9 @@
 	require.NotContains(t, l.Log(), "event=config-version")
 	n.startRelay(t, 1)
 	l.awaitRequestsTo(t, second, addressChangeTimeout)
-	require.NoError(t, os.RemoveAll(n.stateDir))
+	require.Eventually(t, func() bool { // the limiter may write a state meanwhile
+		return os.RemoveAll(n.stateDir) == nil
+	}, eventTimeout, time.Millisecond)
 	_ = n.publishAddress(t, distribution.EndpointDiscovery, first.Address(0))
 	l.awaitRequestsTo(t, first, addressChangeTimeout)
 	require.True(t, l.WaitForOutput("event=config-state-unwritten", 1, eventTimeout), l.Log())
