--- a/internal/lab/testbed/departed_flood_test.go
+++ b/cmd/ospreycroft/departed_flood_test.go
@@ -1,4 +1,4 @@
-package testbed
+package main
 
 import (
 	"fmt"
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ospreycroft/internal/lab/emulator"
+	"ospreycroft/internal/lab/testbed"
 )
 
 // TestRequestsOfDepartedClientNotSent guards against attempts for a client that sent very much and closed its connection
@@ -17,40 +20,32 @@
 		requests   = 6000
 		leaveGrace = 100 * time.Millisecond
 	)
-	server := Listen(t)
-	config := Config(server)
-	config.Settings.Plans["plain"].Rate = 1e6
-	config.Settings.Plans["plain"].Burst = 1e6
-	r := Start(t, config)
+	server := testbed.ReservePort(t)
+	listener, err := server.Listen()
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	limiter := startWithServers(t, "127.0.0.1:1", inService("s", listener.Addr().String(), "a"))
 	var mutex sync.Mutex
 	var received []time.Time
 	go func() {
-		for {
-			conn, err := server.ln.Accept()
-			if err != nil {
-				return
-			}
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
 			go func() {
-				defer func() { _ = conn.Close() }()
-				buf := make([]byte, 4096)
-				for {
-					n, err := conn.Read(buf)
-					if err != nil {
-						return
-					}
+				_ = emulator.ReadCommands(conn, func([][]byte) bool {
 					mutex.Lock()
 					received = append(received, time.Now())
 					mutex.Unlock()
-					_, _ = conn.Write([]byte(strings.Repeat(ServedAnswer("v"), strings.Count(string(buf[:n]), "SVC."))))
-				}
+					_, err := conn.Write([]byte(testbed.ServedAnswer("v")))
+					return err == nil
+				})
+				_ = conn.Close()
 			}()
 		}
 	}()
 	for round := range 5 {
-		client := r.Dial(t)
+		client := limiter.Dial(t)
 		var text strings.Builder
 		for i := range requests {
-			text.WriteString(Request(fmt.Sprintf("leaver-%d-%d", round, i), "read", 2000))
+			text.WriteString(testbed.Request(fmt.Sprintf("leaver-%d-%d", round, i), "read", 2000))
 		}
 		_ = client.TCP.SetWriteBuffer(text.Len())
 		client.Send(t, text.String())
