--- a/internal/limiter/abandoned.go
+++ b/internal/limiter/abandoned.go
@@ -16,20 +16,24 @@
 func (a *abandonedRequests) contains(now int64, id string) bool { return now < a.until[id] }
 
 // add remembers an id until a time that is not before those of the ids added earlier. It drops the ids whose time is over
-// at now, and the oldest if the memory for them is full.
-func (a *abandonedRequests) add(now int64, id string, until int64, budget choice.MemoryBudget) {
+// at now, and the oldest if the memory for them is full; it returns how many of these were dropped before their time.
+func (a *abandonedRequests) add(now int64, id string, until int64, budget choice.MemoryBudget) (dropped int) {
 	for len(a.order) > 0 && (now >= a.until[a.order[0]] || !budget.KeepsAbandonedID(len(a.order))) {
+		if now < a.until[a.order[0]] {
+			dropped++
+		}
 		delete(a.until, a.order[0])
 		a.order = a.order[1:]
 	}
 	if a.contains(now, id) {
-		return
+		return dropped
 	}
 	if a.until == nil {
 		a.until = map[string]int64{}
 	}
 	a.until[id] = until
 	a.order = append(a.order, id)
+	return dropped
 }
 
 // rememberAbandoned remembers the id of a request whose client has left, if another run of it could do harm.
@@ -39,7 +43,7 @@
 		return
 	}
 	until := l.now + choice.AbandonedIDLifetime(l.settings.LongestDeadline)
-	l.requests.abandoned.add(l.now, req.id, until, l.memory())
+	l.stats.memory.abandonedIDs += l.requests.abandoned.add(l.now, req.id, until, l.memory())
 }
 
 // mayHaveRun reports whether a server may have run one of the request's attempts.
--- a/internal/limiter/abandoned_test.go
+++ b/internal/limiter/abandoned_test.go
@@ -61,9 +61,11 @@
 	require.False(t, l.requests.abandoned.contains(3*second, "j"))
 	require.Equal(t, 1, l.requests.abandoned.len())
 	budget := choice.MemoryBudget(1 << 20)
+	dropped := 0
 	for i := range 10000 {
-		l.requests.abandoned.add(4*second, strconv.Itoa(i), 5*second, budget)
+		dropped += l.requests.abandoned.add(4*second, strconv.Itoa(i), 5*second, budget)
 	}
+	require.Equal(t, 10001, dropped+l.requests.abandoned.len())
 	require.False(t, budget.KeepsAbandonedID(l.requests.abandoned.len()))
 	require.True(t, budget.KeepsAbandonedID(l.requests.abandoned.len()-1))
 	require.True(t, l.requests.abandoned.contains(4*second, "9999"))
--- a/internal/limiter/clients.go
+++ b/internal/limiter/clients.go
@@ -73,7 +73,7 @@
 			choice.KeepsStalledClient(incompleteFor, t.limiter.settings.DialTimeout) {
 			continue
 		}
-		t.limiter.stats.inputErrors.silentClients++
+		t.limiter.stats.inputErrors.stalledClients++
 		cl.rejectInput("too slow")
 	}
 }
--- a/internal/limiter/statistics.go
+++ b/internal/limiter/statistics.go
@@ -31,6 +31,7 @@
 	malformedCommands       int // input from clients that is not a command
 	invalidCommands         int // commands with invalid arguments
 	silentClients           int // clients that sent nothing or a partial command for too long
+	stalledClients          int // clients with a partial command that gave way to others waiting to be accepted
 	slowReaders             int // clients that did not read their answers
 	malformedAnswers        int // connections to servers with malformed or unexpected answers
 	malformedCounterReplies int // malformed answers from the counter
@@ -48,6 +49,7 @@
 	rejectedRequests int // requests rejected unread by the controller
 	closedClients    int // clients with too many unanswered commands, or too long a command
 	partialAnswers   int // answers of servers that were given up before they were whole
+	abandonedIDs     int // ids of abandoned requests that were forgotten before their time
 }
 
 // logStatistics logs the counts that are due.
@@ -70,8 +72,8 @@
 		return
 	}
 	slog.Warn("input-errors", "malformed_commands", e.malformedCommands, "invalid_commands", e.invalidCommands,
-		"silent_clients", e.silentClients, "slow_readers", e.slowReaders, "malformed_answers", e.malformedAnswers,
-		"malformed_counter_replies", e.malformedCounterReplies)
+		"silent_clients", e.silentClients, "stalled_clients", e.stalledClients, "slow_readers", e.slowReaders,
+		"malformed_answers", e.malformedAnswers, "malformed_counter_replies", e.malformedCounterReplies)
 	l.stats.inputErrors = inputErrors{}
 	l.stats.inputErrorsLogged = l.now
 }
@@ -96,7 +98,7 @@
 		return
 	}
 	slog.Warn("memory-full", "rejected_requests", counts.rejectedRequests, "closed_clients", counts.closedClients,
-		"partial_answers", counts.partialAnswers)
+		"partial_answers", counts.partialAnswers, "abandoned_ids", counts.abandonedIDs)
 	l.stats.memory = memoryCounts{}
 }
 
--- a/internal/sockets/event_queue.go
+++ b/internal/sockets/event_queue.go
@@ -40,6 +40,9 @@
 	s.mutex.Lock()
 	e.connID = conn.id
 	e.client = conn.listener != nil
+	if s.waitingBytes.Load() > maxQueuedBytes {
+		s.delivery.stats.blockedReads.Add(1)
+	}
 	for s.waitingBytes.Load() > maxQueuedBytes {
 		s.bytesReleased.Wait()
 	}
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -128,9 +128,13 @@
 		size := len(buf)
 		if client {
 			limit := s.clientLimit()
-			if conn.locallyClosed.Load() || conn.isBackpressured(limit) {
+			if conn.locallyClosed.Load() {
 				return nil // nbio reports a close even if data before it is unread
 			}
+			if conn.isBackpressured(limit) {
+				s.delivery.stats.pausedReads.Add(1)
+				return nil
+			}
 			size = min(size, int(limit))
 		}
 		n, err := nc.Read(buf[:size])
--- a/internal/sockets/reducer_stats.go
+++ b/internal/sockets/reducer_stats.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"runtime/metrics"
+	"sync/atomic"
 
 	"ospreycroft/internal/limiter"
 )
@@ -11,14 +12,16 @@
 const reducerLogInterval = 5e9
 
 // reducerStats measures how long the reducer holds its goroutine and how late its timers run, as maxima since the last
-// log line. Times are nanoseconds.
+// log line. Times are nanoseconds. The counts are changed by the goroutines that read as well.
 type reducerStats struct {
 	longestStep     int64
-	longestStepKind string // the event of that step
-	latestTimer     int64  // longest time between the time set by SetTimer and the delivery of TimersDue
-	longestUnread   int64  // longest time that a client's bytes waited in the kernel
-	longestQueued   int64  // longest time that a client's bytes waited between the kernel and the limiter
-	queuedBytes     int    // largest number of received bytes in one batch
+	longestStepKind string       // the event of that step
+	latestTimer     int64        // longest time between the time set by SetTimer and the delivery of TimersDue
+	longestUnread   int64        // longest time that a client's bytes waited in the kernel
+	longestQueued   int64        // longest time that a client's bytes waited between the kernel and the limiter
+	queuedBytes     int          // largest number of received bytes in one batch
+	pausedReads     atomic.Int64 // times that reading from a client stopped until its bytes were delivered
+	blockedReads    atomic.Int64 // times that a reader waited because maxQueuedBytes were waiting
 	loggedAt        int64
 }
 
@@ -56,10 +59,12 @@
 	usage := l.Usage()
 	slog.Info("reducer", "longest_step_ms", milliseconds(r.longestStep), "longest_step", r.longestStepKind,
 		"timers_late_ms", milliseconds(r.latestTimer), "unread_ms", milliseconds(r.longestUnread),
-		"queued_ms", milliseconds(r.longestQueued), "queued_bytes", r.queuedBytes, "memory_mb", runtimeMegabytes(),
+		"queued_ms", milliseconds(r.longestQueued), "queued_bytes", r.queuedBytes,
+		"paused_reads", r.pausedReads.Swap(0), "blocked_reads", r.blockedReads.Swap(0), "memory_mb", runtimeMegabytes(),
 		"accounts", usage.Accounts, "requests", usage.Requests, "timers", usage.Timers,
 		"connections", usage.Connections, "input_bytes", usage.InputBytes)
-	*r = reducerStats{loggedAt: now}
+	r.longestStep, r.longestStepKind, r.latestTimer, r.longestUnread, r.longestQueued, r.queuedBytes = 0, "", 0, 0, 0, 0
+	r.loggedAt = now
 }
 
 // milliseconds converts nanoseconds, with a resolution of a microsecond.
