--- a/internal/lab/flood/flood.go
+++ b/internal/lab/flood/flood.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -134,6 +135,17 @@
 	Late                               int // later than that and the lab's own lag, but within half a second
 	Lost                               int // later than that, or never
 	NotAccepted                        int // no connection came up
+	// Took holds the times from a request's sending to the arrival of its answer, nanoseconds.
+	Took []int64
+}
+
+// quantile returns the time in milliseconds within which a share of the answers came, 0 if there are none.
+func (c *Counts) quantile(share float64) int64 {
+	if len(c.Took) == 0 {
+		return 0
+	}
+	slices.Sort(c.Took)
+	return c.Took[int(share*float64(len(c.Took)-1))] / 1e6
 }
 
 // Report is the result of a run.
@@ -165,9 +177,9 @@
 func (r *Report) Write(w io.Writer) {
 	for _, kind := range r.Options.Kinds {
 		c := r.ByKind[kind.Name]
-		_, _ = fmt.Fprintf(w, "flood=%s together=%v unread=%v requests=%d served=%d rejected=%d failed=%d tardy=%d late=%d lost=%d not_accepted=%d\n",
+		_, _ = fmt.Fprintf(w, "flood=%s together=%v unread=%v requests=%d served=%d rejected=%d failed=%d tardy=%d late=%d lost=%d not_accepted=%d median_ms=%d p99_ms=%d slowest_ms=%d\n",
 			kind.Name, r.Options.Together, r.Options.Unread, c.Requests, c.Served, c.Rejected, c.Failed, c.Tardy, c.Late,
-			c.Lost, c.NotAccepted)
+			c.Lost, c.NotAccepted, c.quantile(0.5), c.quantile(0.99), c.quantile(1))
 	}
 	for _, line := range r.Worst {
 		_, _ = fmt.Fprintln(w, " ", line)
@@ -379,6 +391,9 @@
 			c.Tardy++
 		}
 	}
+	if request.Outcome != history.Unanswered && request.Outcome != history.ConnectionBroken {
+		c.Took = append(c.Took, request.Answered-request.AnswerUnread-request.Sent)
+	}
 	switch request.Outcome {
 	case history.Succeeded:
 		c.Served++
