Nothing is sent for a client that may have left behind bytes that are not read

Cause: while reading from a client is paused, its close lies behind megabytes that its own kernel holds, so the state of the connection does not tell of it; with other clients flooding, reading that far takes up to a second. A client that sends one request at a time has nothing unread behind it.

--- a/internal/lab/simfleet/process.go
+++ b/internal/lab/simfleet/process.go
@@ -215,6 +215,9 @@
 // HasBacklog always returns false: the simulated network has no accept queue.
 func (p *process) HasBacklog() bool { return false }
 
+// UnreadFor implements limiter.Effects: all that has come is read at once here.
+func (p *process) UnreadFor(limiter.ConnID) int64 { return 0 }
+
 // SinceStep implements limiter.Effects: a step takes no time here.
 func (p *process) SinceStep() int64 { return 0 }
 
--- a/internal/limiter/client.go
+++ b/internal/limiter/client.go
@@ -149,6 +149,11 @@
 		cl.answerBusy()
 		return
 	}
+	if !cl.knownConnected() {
+		l.stats.inputErrors.unreadRequests++
+		cl.answerBusy()
+		return
+	}
 	if !l.memory().AdmitsRequest(len(cl.answers), l.requests.heldBytes) {
 		l.stats.memory.rejectedRequests++
 		cl.answerDirectly("-BUSY")
@@ -297,6 +302,26 @@
 	}
 }
 
+// knownConnected tells whether the client cannot have disconnected for so long that nothing may be sent for it.
+func (cl *client) knownConnected() bool {
+	return choice.MayBeSentFor(cl.limiter.effects.UnreadFor(cl.conn.id))
+}
+
+// giveUpIfUnknown ends a request if its client may have disconnected behind bytes that are not read.
+func (cl *client) giveUpIfUnknown(req *request) {
+	if req.state != stateAccepted || cl.knownConnected() {
+		return
+	}
+	l := cl.limiter
+	l.stats.inputErrors.unreadRequests++
+	l.results = append(l.results, pendingResult{disconnected: req.id})
+	if req.mayHaveRun() {
+		l.endRequest(req, stateFailed, failedAnswer)
+	} else {
+		l.endRequest(req, stateRejected, busyAnswer)
+	}
+}
+
 // markUsed updates lastUsed of a client that has sent a request. The others stay in the order in which they connected.
 func (cl *client) markUsed() {
 	if cl.hasRequested {
--- a/internal/limiter/events.go
+++ b/internal/limiter/events.go
@@ -60,6 +60,9 @@
 	Alive(id ConnID) bool
 	// PeerGone tells whether a client has disconnected, even if no event has reported it yet.
 	PeerGone(id ConnID) bool
+	// UnreadFor is how long a client's connection has had bytes in the kernel that are not read, nanoseconds; 0 if it has
+	// none. PeerGone cannot tell of a close behind them.
+	UnreadFor(id ConnID) int64
 	// Written is how many of a connection's bytes the kernel has taken.
 	Written(id ConnID) int64
 	// Close ends a connection if it is still open; no event follows. It returns how many bytes the kernel has taken,
--- a/internal/limiter/helper_test.go
+++ b/internal/limiter/helper_test.go
@@ -26,10 +26,11 @@
 	limiter  *Limiter // nil until New has returned
 	wallStep int64    // by how much the wall clock was stepped, nanoseconds
 
-	discard   bool            // Write keeps nothing, and the kernel takes all
-	backlog   bool            // new clients wait to be accepted
-	sinceStep int64           // what SinceStep returns
-	unread    map[ConnID]bool // connections with received data that no event has reported
+	discard   bool             // Write keeps nothing, and the kernel takes all
+	backlog   bool             // new clients wait to be accepted
+	sinceStep int64            // what SinceStep returns
+	unread    map[ConnID]bool  // connections with received data that no event has reported
+	unreadFor map[ConnID]int64 // what UnreadFor returns
 }
 
 func (w *fakeSockets) Dial(address string, _ int64) ConnID {
@@ -68,6 +69,7 @@
 func (w *fakeSockets) SetTimer(at int64)                          { w.timerAt = at }
 func (w *fakeSockets) CloseGracefully(id ConnID, _, _ int64) bool { return !w.unread[id] }
 func (w *fakeSockets) HasBacklog() bool                           { return w.backlog }
+func (w *fakeSockets) UnreadFor(id ConnID) int64                  { return w.unreadFor[id] }
 func (w *fakeSockets) SinceStep() int64                           { return w.sinceStep }
 
 // advance runs the timers up to a time, each when it is due.
--- a/internal/limiter/server_conn.go
+++ b/internal/limiter/server_conn.go
@@ -72,6 +72,7 @@
 	}
 	if att.request.state == stateAccepted {
 		att.request.client.closeIfGone()
+		att.request.client.giveUpIfUnknown(att.request)
 	}
 	att = sc.attempt // nil if the client has disconnected
 	if att == nil {
--- a/internal/limiter/statistics.go
+++ b/internal/limiter/statistics.go
@@ -33,6 +33,7 @@
 	silentClients           int // clients that sent nothing or a partial command for too long
 	stalledClients          int // clients with a partial command that gave way to others waiting to be accepted
 	slowReaders             int // clients that did not read their answers
+	unreadRequests          int // requests given up because their clients may have left behind bytes that are not read
 	malformedAnswers        int // connections to servers with malformed or unexpected answers
 	malformedCounterReplies int // malformed answers from the counter
 }
@@ -73,6 +74,7 @@
 	}
 	slog.Warn("input-errors", "malformed_commands", e.malformedCommands, "invalid_commands", e.invalidCommands,
 		"silent_clients", e.silentClients, "stalled_clients", e.stalledClients, "slow_readers", e.slowReaders,
+		"unread_requests", e.unreadRequests,
 		"malformed_answers", e.malformedAnswers, "malformed_counter_replies", e.malformedCounterReplies)
 	l.stats.inputErrors = inputErrors{}
 	l.stats.inputErrorsLogged = l.now
--- a/internal/limiter/walk_environment_test.go
+++ b/internal/limiter/walk_environment_test.go
@@ -175,8 +175,9 @@
 }
 
 // HasBacklog implements Effects.
-func (w *walkEnvironment) HasBacklog() bool { return false }
-func (w *walkEnvironment) SinceStep() int64 { return 0 }
+func (w *walkEnvironment) HasBacklog() bool       { return false }
+func (w *walkEnvironment) SinceStep() int64       { return 0 }
+func (w *walkEnvironment) UnreadFor(ConnID) int64 { return 0 }
 
 // SetTimer implements Effects.
 func (w *walkEnvironment) SetTimer(at int64) { w.timerAt = at }
--- a/internal/sockets/poller.go
+++ b/internal/sockets/poller.go
@@ -140,6 +140,7 @@
 		n, err := nc.Read(buf[:size])
 		switch {
 		case n > 0:
+			conn.unreadSince.CompareAndSwap(0, elapsed())
 			conn.bytesRead += int64(n)
 			received := queuedEvent{kind: dataReceived, size: n}
 			if client && s.running.Load() {
@@ -150,6 +151,7 @@
 		case err == nil:
 			return errPeerClosed
 		case errors.Is(err, syscall.EAGAIN):
+			conn.unreadSince.Store(0)
 			return nil
 		case !errors.Is(err, syscall.EINTR):
 			return err
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -32,6 +32,7 @@
 	readMutex      sync.Mutex                // held from before bytes leave the kernel until they are queued
 	bytesRead      int64                     // bytes read from the kernel; guarded by readMutex
 	bytesDelivered atomic.Int64              // bytes of bytesRead that the reducer has been given
+	unreadSince    atomic.Int64              // first read after which the kernel has had bytes ever since, on the clock of elapsed; 0 for none
 	// backpressured is true while reading is stopped because maxQueuedBytesPerClient bytes are undelivered.
 	backpressured atomic.Bool
 	// The fields below are a client's and used by the reducer only.
--- a/internal/sockets/write.go
+++ b/internal/sockets/write.go
@@ -14,6 +14,9 @@
 
 // This file writes to connections and queries the kernel for their state.
 
+// minUnreadTime is the shortest time that UnreadFor reports, nanoseconds; the kernel is not asked about shorter ones.
+const minUnreadTime = 10e6
+
 // Values of the first byte of TCP_INFO, the state of a TCP connection, after a reset or a close by the peer.
 const (
 	tcpStateClose     = 7
@@ -137,6 +140,20 @@
 	return conn == nil || peerClosed(conn.nbConn.Load())
 }
 
+// UnreadFor implements limiter.Effects.
+func (s *Sockets) UnreadFor(id limiter.ConnID) int64 {
+	conn := s.connections[id]
+	if conn == nil {
+		return 0
+	}
+	began := conn.unreadSince.Load()
+	since := elapsed() - began
+	if began == 0 || since < minUnreadTime || kernelQueueSize(conn.nbConn.Load(), syscall.TIOCINQ) <= 0 {
+		return 0
+	}
+	return since
+}
+
 // Written implements limiter.Effects.
 func (s *Sockets) Written(id limiter.ConnID) int64 {
 	if conn := s.connections[id]; conn != nil {
