--- a/review/second/kit/peers.go
+++ b/review/second/kit/peers.go
@@ -219,3 +219,22 @@
 	}
 	return line, nil
 }
+
+// Request sends one request of the class fetch on a connection of its own and returns its outcome in a word.
+func Request(listen, id string) string {
+	client, err := Dial(listen)
+	if err != nil {
+		return "not connected"
+	}
+	defer client.Close()
+	answer, err := client.Send(2500*time.Millisecond, "SVC.QUERY", "00000000000000a1", id,
+		"c=fetch,t=group,d=2500,units=1,spread=1,first=0")
+	switch {
+	case err != nil:
+		return "no answer"
+	case strings.HasPrefix(answer, "-"):
+		word, _, _ := strings.Cut(answer, " ")
+		return word
+	}
+	return "served"
+}
