Review 9: a limiter that wakes throws away the drain that it was told

Cause: after a standstill the connection to discovery is closed with the unread answer in it, and the list is asked for anew.

--- a/review/second/kit/case.go
+++ b/review/second/kit/case.go
@@ -283,3 +283,6 @@
 		}
 	}
 }
+
+// Pid is the process's number.
+func (p *Process) Pid() int { return p.command.Process.Pid }
--- a/review/second/kit/discovery.go
+++ b/review/second/kit/discovery.go
@@ -44,6 +44,7 @@
 	entries []Entry
 	news    map[string]int // the version that last changed a server
 	calls   []*DiscoveryCall
+	down    bool // it says nothing
 }
 
 // NewDiscovery starts a discovery with a list of version 1.
@@ -104,7 +105,7 @@
 		d.changed.Broadcast()
 		d.mutex.Unlock()
 	})
-	for fromErr == nil && d.version <= from && time.Now().Before(until) && r.Context().Err() == nil {
+	for r.Context().Err() == nil && (d.down || fromErr == nil && d.version <= from && time.Now().Before(until)) {
 		d.changed.Wait()
 	}
 	timer.Stop()
@@ -120,3 +121,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(text)
 }
+
+// Down makes discovery say nothing, or ends that. Calls that are held or come meanwhile are answered at its end.
+func (d *Discovery) Down(down bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.down = down
+	d.changed.Broadcast()
+}
