--- a/review/second/cmd/review2-wake/main.go
+++ b/review/second/cmd/review2-wake/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,12 +44,15 @@
 		Known: discovery.Whole()}
 	limiter := configuration.Start(c, "")
 	stop := make(chan struct{})
+	var pause atomic.Bool // no request is out while the limiter stands still, and none is sent
 	var clients sync.WaitGroup
-	clients.Go(func() { load(c, listen, stop) })
+	clients.Go(func() { load(c, listen, stop, &pause) })
 	defer clients.Wait()
 	defer close(stop)
 	time.Sleep(2 * time.Second)
 
+	pause.Store(true)
+	time.Sleep(300 * time.Millisecond)
 	// A watch has just begun, and is held for a second.
 	before := len(discovery.Calls())
 	if !c.Await(3*time.Second, func() bool { return len(discovery.Calls()) > before }) {
@@ -74,6 +78,7 @@
 		limiter.Signal(syscall.SIGCONT)
 		told = time.Now()
 	}
+	pause.Store(false)
 	time.Sleep(down)
 	discovery.Down(false)
 	c.Log("discovery is back")
@@ -96,7 +101,7 @@
 }
 
 // load sends requests, each on a connection of its own, until stop is closed.
-func load(c *kit.Case, listen string, stop <-chan struct{}) {
+func load(c *kit.Case, listen string, stop <-chan struct{}, pause *atomic.Bool) {
 	outcomes := map[string]int{}
 	var wait sync.WaitGroup
 	var mutex sync.Mutex
@@ -108,6 +113,9 @@
 			return
 		case <-time.After(gap):
 		}
+		if pause.Load() {
+			continue
+		}
 		id := fmt.Sprintf("%016x", number)
 		wait.Go(func() {
 			outcome := kit.Request(listen, id)
