Review: a script that is ended from outside ends its processes

Cause: a signal to a script left the processes that it had started. Change: the stand-ins' driver ends them and returns 2.

--- a/review/second/kit/case.go
+++ b/review/second/kit/case.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -71,8 +72,13 @@
 		ports: map[int]bool{}}
 	done := make(chan int, 1)
 	go func() { done <- c.judge(body) }()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	select {
 	case status = <-done:
+	case <-ended:
+		c.Log("could not run: ended from outside")
+		status = couldNot
 	case <-time.After(longestRun):
 		c.Log("could not run: no verdict after %v", longestRun)
 		status = couldNot
