--- a/review/second/kit/discovery.go
+++ b/review/second/kit/discovery.go
@@ -33,18 +33,20 @@
 	Came, Answered time.Time // Answered is zero while the call is held
 	Query          string
 	Generation     int // of the answer
+	TurnedAway     bool
 }
 
 // Discovery is a stand-in of discovery: the whole list, and watches that are held until there is news.
 type Discovery struct {
-	Address string
-	mutex   sync.Mutex
-	changed *sync.Cond
-	version int
-	entries []Entry
-	news    map[string]int // the version that last changed a server
-	calls   []*DiscoveryCall
-	down    bool // it says nothing
+	Address   string
+	mutex     sync.Mutex
+	changed   *sync.Cond
+	version   int
+	entries   []Entry
+	news      map[string]int // the version that last changed a server
+	calls     []*DiscoveryCall
+	down      bool      // it says nothing
+	busyUntil time.Time // callers are turned away until then
 }
 
 // NewDiscovery starts a discovery with a list of version 1.
@@ -96,6 +98,12 @@
 	d.mutex.Lock()
 	call := &DiscoveryCall{Came: time.Now(), Query: r.URL.RawQuery}
 	d.calls = append(d.calls, call)
+	if time.Now().Before(d.busyUntil) {
+		call.Answered, call.TurnedAway = time.Now(), true
+		d.mutex.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	query := r.URL.Query()
 	from, fromErr := strconv.Atoi(query.Get("from"))
 	hold, _ := strconv.Atoi(query.Get("hold_ms"))
@@ -129,3 +137,10 @@
 	d.down = down
 	d.changed.Broadcast()
 }
+
+// TurnAway makes discovery turn callers away for so long, with the status 503.
+func (d *Discovery) TurnAway(during time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.busyUntil = time.Now().Add(during)
+}
